Lay out the workspace: kernel, protocol types, design of the fleet

Cause: the repository was empty. Conclusion: the packages can be written side by side against these types.

--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,12 @@
+/** Linter: Standard style without its layout rules, which the formatter checks. */
+import neostandard from 'neostandard'
+
+export default [
+  ...neostandard({ ts: true, noStyle: true, ignores: ['**/dist/**', '**/node_modules/**'] }),
+  {
+    files: ['packages/*/src/**/*.ts'],
+    rules: {
+      'no-restricted-imports': ['error', { patterns: [{ group: ['@fuchsiaworks/*/*'], message: 'Import the public entry of the package.' }] }]
+    }
+  }
+]
--- /dev/null
+++ b/packages/bench/src/index.ts
@@ -0,0 +1,2 @@
+/** Public entry of the bench package. */
+export {}
--- /dev/null
+++ b/packages/wire/src/index.ts
@@ -0,0 +1,3 @@
+/** Public entry of the wire package. */
+export * from './protocol/protocolTypes.js'
+export * from './session/sessionTypes.js'
--- /dev/null
+++ b/scripts/runTests.mjs
@@ -0,0 +1,28 @@
+/** Runs every compiled spec with Node's test runner; names on the command line choose among them. */
+import { spawnSync } from 'node:child_process'
+import { readdirSync } from 'node:fs'
+import { join, relative } from 'node:path'
+import { fileURLToPath } from 'node:url'
+
+const root = fileURLToPath(new URL('..', import.meta.url))
+
+/** Milliseconds after which one spec file counts as hanging. */
+const FILE_TIMEOUT_MS = 300_000
+
+const listSpecs = (folder) => readdirSync(folder, { recursive: true })
+  .map(name => join(folder, String(name)))
+  .filter(name => name.endsWith('.spec.js'))
+
+const specs = readdirSync(join(root, 'packages'))
+  .flatMap(name => listSpecs(join(root, 'packages', name, 'dist')))
+  .map(name => relative(root, name))
+  .filter(name => process.argv.length === 2 || process.argv.slice(2).some(part => name.includes(part)))
+  .sort()
+
+if (specs.length === 0) {
+  console.error('test: no spec file matches')
+  process.exit(1)
+}
+const args = ['--test', '--test-reporter=spec', `--test-timeout=${FILE_TIMEOUT_MS}`, '--test-concurrency=4', ...specs]
+const run = spawnSync(process.execPath, args, { cwd: root, stdio: 'inherit' })
+process.exit(run.status ?? 1)
