--- a/packages/wire/src/session/sessionTypes.ts
+++ b/packages/wire/src/session/sessionTypes.ts
@@ -11,8 +11,11 @@
   readonly zone: ZoneId
 }
 
-/** Why a session ended for good. Undelivered messages of an ended session are lost. */
-export type SessionEnd = 'closed' | 'peer-closed' | 'peer-restarted' | 'expired' | 'protocol-error'
+/**
+ * Why a session ended for good. Undelivered messages of an ended session are lost. `overflow` means that more bytes
+ * waited for the peer's confirmation than the buffer limit allows.
+ */
+export type SessionEnd = 'closed' | 'peer-closed' | 'peer-restarted' | 'expired' | 'protocol-error' | 'overflow'
 
 /** State of the transport beneath a session. */
 export type TransportEvent =
@@ -65,8 +68,12 @@
   readonly heartbeat: Millis
   /** Milliseconds without any frame after which a connection counts as silent and is replaced. */
   readonly silence: Millis
-  /** Milliseconds without a connection after which a session expires. */
+  /** Milliseconds without any frame of the peer after which a session expires. Larger than `silence`. */
   readonly expiry: Millis
+  /** Bytes that may wait for the peer's confirmation; a session that exceeds them ends with `overflow`. */
+  readonly bufferLimit?: number
+  /** Random numbers from 0 up to 1 for the jitter of reconnects; Math.random when absent. */
+  readonly random?: () => number
 }
 
 /** Accepts sessions. */
