--- /dev/null
+++ b/packages/fleet/src/index.ts
@@ -0,0 +1,2 @@
+/** Public entry of the fleet package. */
+export {}
--- /dev/null
+++ b/packages/router/src/requests/answerWriter.ts
@@ -0,0 +1,77 @@
+/** Writes one answer to its caller and grants credit as the caller takes it. */
+import type { ServerResponse } from 'node:http'
+import type { HeaderList } from '@fuchsiaworks/wire'
+import { endToEndHeaders } from '../callers/headers.js'
+import { type Problem, sendProblem } from '../callers/problem.js'
+
+/** Bytes taken by the caller after which credit is granted. */
+const CREDIT_STEP_BYTES = 16 * 1024
+
+/** The writing side of one caller's exchange. */
+export class AnswerWriter {
+  readonly #res: ServerResponse
+  readonly #grant: (bytes: number) => void
+  #taken = 0
+  /** Bytes of body written to the caller. */
+  bytes = 0
+
+  /**
+   * @param res - the caller's response
+   * @param grant - called when the caller has taken more bytes
+   */
+  constructor (res: ServerResponse, grant: (bytes: number) => void) {
+    this.#res = res
+    this.#grant = grant
+  }
+
+  /** True once status and headers were sent. */
+  get begun (): boolean {
+    return this.#res.headersSent
+  }
+
+  /** Sends status and headers. */
+  head (status: number, headers: HeaderList): void {
+    if (this.#closed()) return
+    this.#res.writeHead(status, endToEndHeaders(headers).flatMap(([name, value]) => [name, value]))
+    this.#res.flushHeaders()
+  }
+
+  /** Sends a part of the body. */
+  data (data: Uint8Array): void {
+    if (this.#closed()) return
+    this.bytes += data.length
+    if (this.#res.write(data)) {
+      this.#take(data.length)
+      return
+    }
+    this.#res.once('drain', () => { this.#take(data.length) })
+  }
+
+  /** Ends the answer. */
+  end (trailers: HeaderList): void {
+    if (this.#closed()) return
+    if (trailers.length > 0) this.#res.addTrailers(trailers.map(([name, value]) => [name, value] as [string, string]))
+    this.#res.end()
+  }
+
+  /** Sends a problem, or cuts the connection when a part of an answer was sent. */
+  problem (problem: Problem): void {
+    sendProblem(this.#res, problem)
+  }
+
+  /** Cuts the connection, so that a part is never taken for the whole. */
+  cut (): void {
+    this.#res.destroy()
+  }
+
+  #closed (): boolean {
+    return this.#res.destroyed || this.#res.writableEnded
+  }
+
+  #take (bytes: number): void {
+    this.#taken += bytes
+    if (this.#taken < CREDIT_STEP_BYTES) return
+    this.#grant(this.#taken)
+    this.#taken = 0
+  }
+}
