Read settings and shared configuration with every finding placed

Cause: the processes need their settings and the shared configuration, and an operator needs all faults of a file at once. Change: package settings: one zod schema for the shared configuration and one for the settings of a process, read from JSON with comments into a tree that keeps file, line and column; overlay merge on that tree; reference checks; document sets; patience by time of day. An overlay may not change what processes of different sites must agree on (cost, weight, the upstreams of a service).

--- /dev/null
+++ b/packages/settings/src/fleetConfig/overlayChecks.ts
@@ -0,0 +1,46 @@
+/** Checks what an overlay may change: nothing on which processes of different sites must agree. */
+import type { Finding } from '@fuchsiaworks/kernel'
+import type { LocatedNode, NodePath } from '../document/documentTypes.js'
+import { findNode, leavesOf } from '../document/nodes.js'
+
+/** A part of the configuration that is the same at every site, and why. `*` stands for any id. */
+interface FleetWideKey {
+  readonly path: readonly string[]
+  readonly reason: string
+}
+
+const FLEET_WIDE_KEYS: readonly FleetWideKey[] = [
+  { path: ['services', '*', 'cost'], reason: 'service is counted over all sites' },
+  { path: ['workspaces', '*', 'weight'], reason: 'shares are compared over all sites' },
+  { path: ['upstreams', '*', 'service'], reason: 'the home of an Idempotency-Key is chosen from the same upstreams everywhere' }
+]
+
+/** A removal above the key reaches it too, so only the common part of both paths is compared. */
+const reaches = (path: NodePath, key: readonly string[]): boolean =>
+  path.slice(0, key.length).every((step, index) => key[index] === '*' || key[index] === step)
+
+const isRemoval = (node: LocatedNode): boolean => node.kind === 'scalar' && node.value === null
+
+const checkFleetWide = (path: NodePath, node: LocatedNode): Finding[] => FLEET_WIDE_KEYS
+  .filter(key => reaches(path, key.path) && (path.length >= key.path.length || isRemoval(node)))
+  .slice(0, 1)
+  .map(key => ({ severity: 'error', place: node.place, path: path.join('.'), message: `an overlay can't change this: ${key.reason}` }))
+
+const checkRemoval = (base: LocatedNode, path: NodePath, node: LocatedNode): Finding[] => {
+  if (!isRemoval(node) || findNode(base, path) !== undefined) return []
+  return [{ severity: 'warning', place: node.place, path: path.join('.'), message: 'removes a key that the base file does not have' }]
+}
+
+/**
+ * Checks an overlay against its base.
+ *
+ * @param base - the base document
+ * @param overlay - the overlay
+ * @returns the findings
+ */
+export const checkOverlay = (base: LocatedNode, overlay: LocatedNode): Finding[] => {
+  if (overlay.kind !== 'object') {
+    return [{ severity: 'error', place: overlay.place, path: '', message: 'expected an object' }]
+  }
+  return leavesOf(overlay).flatMap(({ path, node }) => [...checkFleetWide(path, node), ...checkRemoval(base, path, node)])
+}
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -1,2 +1,10 @@
 /** Public entry of the settings package. */
-export {}
+export type * from './document/documentTypes.js'
+export * from './document/findingLists.js'
+export * from './fleetConfig/checkConfig.js'
+export * from './fleetConfig/configDocuments.js'
+export * from './fleetConfig/configSchema.js'
+export type * from './fleetConfig/fleetConfigTypes.js'
+export * from './fleetConfig/patience.js'
+export * from './processSettings/parseSettings.js'
+export * from './processSettings/settingsSchema.js'
