Add stand-ins for engines, plain services and the platform

Change: engine (continuous batching, cold, crash, silent, lagged load), plain service (echo, busy time, any size, trailers), configuration service (long poll, rate, stale, down), host list (lag) and a delaying TCP relay (cut, stalled, silent). Each starts in the process or as a process of its own, with knobs, facts and orders over a control port.

--- /dev/null
+++ b/packages/standins/src/engine/engine.ts
@@ -0,0 +1,143 @@
+/** Stand-in for a model engine: OpenAI-compatible chat completions with continuous batching. */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { LaggedLoad } from '../control/laggedLoad.js'
+import { RunLog } from '../control/runLog.js'
+import type { Run, Standin } from '../control/standinTypes.js'
+import { readBody, requestUrl, sendJson, sleep } from '../server/httpHelpers.js'
+import { SwitchedServer } from '../server/switchedServer.js'
+import { Batch, type BatchEntry } from './batch.js'
+import { openChatAnswer } from './chatAnswer.js'
+import { countTokens, nonceOfPrompt, parseChatRequest } from './engineText.js'
+import { type ChatRequest, DEFAULT_ENGINE_KNOBS, type EngineKnobs } from './engineTypes.js'
+
+/** Where an engine listens and how it behaves at first. */
+export interface EngineOptions {
+  readonly port?: number
+  readonly knobs?: Partial<EngineKnobs>
+}
+
+class Engine {
+  readonly log = new RunLog()
+  readonly batch = new Batch(() => this.knobs)
+  readonly load = new LaggedLoad(() => ({
+    running: this.batch.size,
+    waiting: this.batch.waiting,
+    kvUse: Math.min(1, this.batch.heldTokens / this.knobs.kvTokens)
+  }))
+
+  readonly active = new Set<Run>()
+  knobs: EngineKnobs
+  crashes = 0
+  server: SwitchedServer | undefined
+  #restart: NodeJS.Timeout | undefined
+
+  constructor (knobs: Partial<EngineKnobs>) {
+    this.knobs = { ...DEFAULT_ENGINE_KNOBS, ...knobs }
+  }
+
+  async answer (req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const { pathname } = requestUrl(req)
+    if (this.knobs.silent) return
+    if (pathname === '/load') return sendJson(res, 200, this.load.report(this.knobs.loadLag))
+    if (pathname === '/health') return sendJson(res, 200, {})
+    if (pathname !== '/v1/chat/completions' || req.method !== 'POST') return sendJson(res, 404, { error: { message: 'unknown path' } })
+    const chat = parseChatRequest((await readBody(req)).toString('utf8'))
+    await this.run(chat, req, res)
+  }
+
+  async run (chat: ChatRequest, req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const run = this.log.start(nonceOfPrompt(chat.prompt), 'POST', req.url ?? '')
+    this.active.add(run)
+    if (this.mustCrash(chat)) return this.crash()
+    const cancelled = new Promise<void>(resolve => { res.once('close', resolve) })
+    await Promise.race([sleep(this.knobs.latency), cancelled])
+    if (res.destroyed) return this.finish(run, 'cancelled')
+    this.enter(chat, run, res)
+  }
+
+  enter (chat: ChatRequest, run: Run, res: ServerResponse): void {
+    const promptTokens = countTokens(chat.prompt)
+    const writer = openChatAnswer(res, chat, `chatcmpl-${run.nonce}`)
+    const entry: BatchEntry = {
+      promptTokens,
+      maxTokens: Math.max(1, chat.maxTokens),
+      onToken: index => {
+        this.log.serve(run, index === 0 ? promptTokens : 0, 1)
+        writer.token(index)
+      },
+      onEnd: () => {
+        this.finish(run, 'whole')
+        writer.end()
+      }
+    }
+    this.batch.add(entry)
+    this.load.sample()
+    res.once('close', () => {
+      this.batch.remove(entry)
+      this.finish(run, 'cancelled')
+    })
+  }
+
+  finish (run: Run, end: 'whole' | 'cancelled' | 'crashed'): void {
+    this.log.end(run, end)
+    this.active.delete(run)
+    this.load.sample()
+  }
+
+  mustCrash (chat: ChatRequest): boolean {
+    const { crashOn, coldCrashAbove } = this.knobs
+    if (crashOn !== '' && chat.prompt.includes(crashOn)) return true
+    return coldCrashAbove > 0 && this.batch.coldness > 0.5 && this.active.size > coldCrashAbove
+  }
+
+  crash (): void {
+    this.crashes += 1
+    for (const run of [...this.active]) this.finish(run, 'crashed')
+    this.batch.reset()
+    this.server?.shut()
+    clearTimeout(this.#restart)
+    this.#restart = setTimeout(() => { this.reopen() }, this.knobs.crashDown)
+  }
+
+  reopen (): void {
+    if (!this.knobs.refuse) this.server?.listen().catch(() => {})
+  }
+
+  set (knobs: Partial<EngineKnobs>): void {
+    const refused = this.knobs.refuse
+    this.knobs = { ...this.knobs, ...knobs }
+    if (this.knobs.refuse && !refused) this.server?.shut()
+    if (!this.knobs.refuse && refused) this.reopen()
+  }
+
+  async close (): Promise<void> {
+    clearTimeout(this.#restart)
+    this.batch.reset()
+    await this.server?.close()
+  }
+}
+
+/**
+ * Starts an engine stand-in.
+ *
+ * @param options - port and first knobs
+ * @returns the running engine; its order `cold` makes it cold again without warning
+ */
+export const startEngine = async (options: EngineOptions = {}): Promise<Standin<EngineKnobs>> => {
+  const engine = new Engine(options.knobs ?? {})
+  const server = await SwitchedServer.open((req, res) => {
+    engine.answer(req, res).catch((err: unknown) => { sendJson(res, 400, { error: { message: String(err) } }) })
+  }, options.port ?? 0)
+  engine.server = server
+  return {
+    url: server.url,
+    knobs: () => engine.knobs,
+    set: knobs => { engine.set(knobs) },
+    facts: () => ({ ...engine.log.facts(), crashes: engine.crashes, running: engine.batch.size, coldness: engine.batch.coldness }),
+    orders: {
+      cold: () => { engine.batch.cool() },
+      crash: () => { engine.crash() }
+    },
+    close: async () => { await engine.close() }
+  }
+}
--- /dev/null
+++ b/packages/standins/src/hosts/hosts.ts
@@ -0,0 +1,98 @@
+/** Stand-in for the platform's lagging list of live and leaving hosts. */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { LongPoll } from '../configuration/longPoll.js'
+import type { Standin } from '../control/standinTypes.js'
+import { requestUrl, sendJson } from '../server/httpHelpers.js'
+import { SwitchedServer } from '../server/switchedServer.js'
+
+/** One host on the list. */
+export interface ListedHost {
+  readonly host: string
+  readonly zone: string
+  readonly role: 'router' | 'upstream'
+  readonly address: string
+  readonly linkPort: number
+  readonly state: 'live' | 'leaving'
+}
+
+/** What can be changed on the host list while it runs. */
+export interface HostsKnobs {
+  /** Milliseconds after which a change shows. */
+  lag: number
+  /** Refuses connections. */
+  down: boolean
+}
+
+/** Where the list is served and what it holds at first. */
+export interface HostsOptions {
+  readonly port?: number
+  readonly hosts?: readonly ListedHost[]
+  readonly knobs?: Partial<HostsKnobs>
+}
+
+/** A running host list. */
+export interface HostsStandin extends Standin<HostsKnobs> {
+  /** Replaces the list; readers see it after the lag. */
+  readonly publish: (hosts: readonly ListedHost[]) => void
+}
+
+/** Longest wait of a watch in milliseconds. */
+const WAIT_LIMIT_MS = 60_000
+
+/**
+ * Starts a host list: `GET /v1/hosts?after=VERSION&wait=MS` answers the newer list or 204.
+ *
+ * @param options - port, first list and knobs
+ * @returns the running list; its order `publish` takes the new list
+ */
+export const startHosts = async (options: HostsOptions = {}): Promise<HostsStandin> => {
+  const watches = new LongPoll()
+  const timers = new Set<NodeJS.Timeout>()
+  let knobs: HostsKnobs = { lag: 0, down: false, ...options.knobs }
+  let shown = { version: 1, hosts: options.hosts ?? [] }
+  let calls = 0
+
+  const show = (hosts: readonly ListedHost[]): void => {
+    shown = { version: shown.version + 1, hosts }
+    watches.wake()
+  }
+  const publish = (hosts: readonly ListedHost[]): void => {
+    const timer = setTimeout(() => {
+      timers.delete(timer)
+      show(hosts)
+    }, knobs.lag)
+    timers.add(timer)
+  }
+  const answer = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
+    const url = requestUrl(req)
+    if (url.pathname !== '/v1/hosts') return sendJson(res, 404, { error: 'unknown path' })
+    calls += 1
+    const after = Number(url.searchParams.get('after') ?? 0)
+    const wait = Math.min(WAIT_LIMIT_MS, Number(url.searchParams.get('wait') ?? 0))
+    await watches.until(() => res.destroyed || shown.version > after, wait)
+    if (shown.version > after) return sendJson(res, 200, shown)
+    res.writeHead(204)
+    res.end()
+  }
+  const server = await SwitchedServer.open((req, res) => {
+    answer(req, res).catch(() => { res.destroy() })
+  }, options.port ?? 0)
+  const set = (changed: Partial<HostsKnobs>): void => {
+    knobs = { ...knobs, ...changed }
+    if (knobs.down) server.shut()
+    else server.listen().catch(() => {})
+  }
+  return {
+    url: server.url,
+    knobs: () => knobs,
+    set,
+    facts: () => ({ ...shown, calls, watching: watches.size }),
+    orders: { publish: value => { publish(value as ListedHost[]) } },
+    publish,
+    close: async () => {
+      for (const timer of timers) clearTimeout(timer)
+      watches.wake()
+      await server.close()
+    }
+  }
+}
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,2 +1,14 @@
 /** Public entry of the standins package. */
-export {}
+export * from './configuration/configuration.js'
+export * from './control/controlServer.js'
+export type * from './control/standinTypes.js'
+export { groupOf, type ServiceStep } from './control/runLog.js'
+export type { LoadReport } from './control/laggedLoad.js'
+export * from './delay/delay.js'
+export * from './engine/engine.js'
+export * from './engine/engineText.js'
+export * from './engine/engineTypes.js'
+export * from './hosts/hosts.js'
+export * from './plain/plain.js'
+export * from './plain/plainText.js'
+export * from './plain/plainTypes.js'
--- /dev/null
+++ b/packages/standins/src/plain/plain.ts
@@ -0,0 +1,155 @@
+/** Stand-in for a plain service, such as a ledger: echoes each call and counts how often each ran. */
+import { createHash } from 'node:crypto'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { LaggedLoad } from '../control/laggedLoad.js'
+import { RunLog } from '../control/runLog.js'
+import type { Run, Standin } from '../control/standinTypes.js'
+import { readBody, requestUrl, sendJson, sleep } from '../server/httpHelpers.js'
+import { SwitchedServer } from '../server/switchedServer.js'
+import { plainBytes } from './plainText.js'
+import { DEFAULT_PLAIN_KNOBS, type PlainEcho, type PlainKnobs } from './plainTypes.js'
+
+/** Where a plain service listens and how it behaves at first. */
+export interface PlainOptions {
+  readonly port?: number
+  readonly knobs?: Partial<PlainKnobs>
+}
+
+/** Header with the caller's mark; the query `nonce=` goes before it. */
+const NONCE_HEADER = 'x-nonce'
+
+/** Header, or trailer where the query says `trailers=1`, with the digest of the answer's body. */
+const DIGEST_HEADER = 'x-body-sha256'
+
+/** Largest part of a body that is written at once, in bytes. */
+const PART_BYTES = 65_536
+
+const sha256 = (data: Buffer | string): string => createHash('sha256').update(data).digest('hex')
+
+const drained = async (res: ServerResponse): Promise<void> => {
+  await new Promise<void>(resolve => {
+    const done = (): void => {
+      res.off('drain', done)
+      res.off('close', done)
+      resolve()
+    }
+    res.once('drain', done)
+    res.once('close', done)
+  })
+}
+
+const writeParts = async (res: ServerResponse, body: Buffer): Promise<void> => {
+  for (let from = 0; from < body.length && !res.destroyed; from += PART_BYTES) {
+    if (!res.write(body.subarray(from, from + PART_BYTES))) await drained(res)
+  }
+}
+
+class Plain {
+  readonly log = new RunLog()
+  readonly active = new Set<Run>()
+  readonly load = new LaggedLoad(() => ({ running: this.active.size, waiting: 0, kvUse: 0 }))
+  knobs: PlainKnobs
+  crashes = 0
+  server: SwitchedServer | undefined
+  #restart: NodeJS.Timeout | undefined
+
+  constructor (knobs: Partial<PlainKnobs>) {
+    this.knobs = { ...DEFAULT_PLAIN_KNOBS, ...knobs }
+  }
+
+  async answer (req: IncomingMessage, res: ServerResponse): Promise<void> {
+    if (this.knobs.silent) return
+    const url = requestUrl(req)
+    if (url.pathname === '/load') return sendJson(res, 200, this.load.report(this.knobs.loadLag))
+    if (url.pathname === '/health') return sendJson(res, 200, {})
+    const body = await readBody(req)
+    const nonce = url.searchParams.get('nonce') ?? req.headers[NONCE_HEADER]?.toString() ?? ''
+    const run = this.log.start(nonce, req.method ?? '', req.url ?? '')
+    this.active.add(run)
+    this.load.sample()
+    if (this.knobs.crashOn !== '' && req.url?.includes(this.knobs.crashOn) === true) return this.crash()
+    await this.work(url, run, res)
+    if (run.end !== 'running') return
+    await this.echo(req, url, nonce, body, res)
+    this.finish(run, 'whole')
+  }
+
+  async work (url: URL, run: Run, res: ServerResponse): Promise<void> {
+    res.once('close', () => { if (!res.writableFinished) this.finish(run, 'cancelled') })
+    const base = Number(url.searchParams.get('busy') ?? this.knobs.busy)
+    await sleep(this.knobs.latency + base * Math.max(1, this.active.size / this.knobs.knee))
+    if (run.end === 'running') this.log.serve(run, 0, base)
+  }
+
+  async echo (req: IncomingMessage, url: URL, nonce: string, body: Buffer, res: ServerResponse): Promise<void> {
+    const bytes = url.searchParams.get('bytes')
+    const content = bytes === null ? Buffer.from(JSON.stringify(this.describe(req, nonce, body))) : plainBytes(nonce, Number(bytes))
+    const status = Number(url.searchParams.get('status') ?? 200)
+    const type = bytes === null ? 'application/json' : 'application/octet-stream'
+    if (url.searchParams.get('trailers') !== '1') {
+      res.writeHead(status, { 'content-type': type, 'content-length': content.length, [DIGEST_HEADER]: sha256(content) })
+    } else {
+      res.writeHead(status, { 'content-type': type, trailer: DIGEST_HEADER })
+      res.addTrailers({ [DIGEST_HEADER]: sha256(content) })
+    }
+    await writeParts(res, content)
+    res.end()
+  }
+
+  describe (req: IncomingMessage, nonce: string, body: Buffer): PlainEcho {
+    const headers = Object.fromEntries(Object.entries(req.headers).map(([name, value]) => [name, String(value)]))
+    return { method: req.method ?? '', path: req.url ?? '', headers, nonce, bodyBytes: body.length, bodySha256: sha256(body) }
+  }
+
+  finish (run: Run, end: 'whole' | 'cancelled' | 'crashed'): void {
+    this.log.end(run, end)
+    this.active.delete(run)
+    this.load.sample()
+  }
+
+  crash (): void {
+    this.crashes += 1
+    for (const run of [...this.active]) this.finish(run, 'crashed')
+    this.server?.shut()
+    clearTimeout(this.#restart)
+    this.#restart = setTimeout(() => { this.reopen() }, this.knobs.crashDown)
+  }
+
+  reopen (): void {
+    if (!this.knobs.refuse) this.server?.listen().catch(() => {})
+  }
+
+  set (knobs: Partial<PlainKnobs>): void {
+    const refused = this.knobs.refuse
+    this.knobs = { ...this.knobs, ...knobs }
+    if (this.knobs.refuse && !refused) this.server?.shut()
+    if (!this.knobs.refuse && refused) this.reopen()
+  }
+
+  async close (): Promise<void> {
+    clearTimeout(this.#restart)
+    await this.server?.close()
+  }
+}
+
+/**
+ * Starts a plain service stand-in. Queries on any path: `busy=MS`, `bytes=N`, `trailers=1`, `status=N`, `nonce=TEXT`.
+ *
+ * @param options - port and first knobs
+ * @returns the running service
+ */
+export const startPlain = async (options: PlainOptions = {}): Promise<Standin<PlainKnobs>> => {
+  const plain = new Plain(options.knobs ?? {})
+  const server = await SwitchedServer.open((req, res) => {
+    plain.answer(req, res).catch(() => { res.destroy() })
+  }, options.port ?? 0)
+  plain.server = server
+  return {
+    url: server.url,
+    knobs: () => plain.knobs,
+    set: knobs => { plain.set(knobs) },
+    facts: () => ({ ...plain.log.facts(), crashes: plain.crashes, running: plain.active.size }),
+    orders: { crash: () => { plain.crash() } },
+    close: async () => { await plain.close() }
+  }
+}
