Fair service, use of slots and router queue: first working version

Cause: router and agent are built against these decisions. Change: totals in virtual cost (cost units by weight at the time of charging) by origin, merged by the largest; lifts; claim bound; folding of old origins into a base that is taken over whole. Slots pull by least virtual time; the queue refuses by the observed drain rate.

--- /dev/null
+++ b/packages/policy/src/admission/admission.spec.ts
@@ -0,0 +1,85 @@
+import { describe, it } from 'node:test'
+import { asId, type RequestId, type ServiceId, type UpstreamId, type WorkspaceId, type ZoneId } from '@fuchsiaworks/kernel'
+import { expect } from 'earl'
+import { decideAdmission } from './admission.js'
+import type { AdmissionDb } from './admissionDb.js'
+import { admissionDefinition } from './admissionDefinition.js'
+import type { AdmissionCommand } from './admissionTypes.js'
+import { backlogFor } from './backlogView.js'
+
+const service = asId<ServiceId>('scribe')
+const zone = asId<ZoneId>('regina')
+const home = (name: string): UpstreamId => asId<UpstreamId>(name)
+const id = (name: string): RequestId => asId<RequestId>(name)
+
+const arrive = (db: AdmissionDb, name: string, now: number, more: { workspace?: string, patience?: number, home?: UpstreamId } = {}): AdmissionCommand[] => {
+  const { workspace = 'a', patience = 10_000, ...rest } = more
+  return decideAdmission(db, { kind: 'request-arrived', request: id(name), service, workspace: asId<WorkspaceId>(workspace), patience, estimate: 10, idempotent: true, ...rest, now })
+}
+const pull = (db: AdmissionDb, now: number, upstream = 'u', workspace = 'a'): AdmissionCommand[] =>
+  decideAdmission(db, { kind: 'pull', pull: 1, from: { agent: upstream, upstream: home(upstream), zone }, service, workspace: asId<WorkspaceId>(workspace), now })
+const handed = (commands: AdmissionCommand[]): string[] => commands.flatMap(command => command.kind === 'hand-over' ? [command.waiting.request] : [])
+const refused = (commands: AdmissionCommand[]): string[] => commands.flatMap(command => command.kind === 'refuse' ? [`${command.request} ${command.reason}`] : [])
+
+describe('the queue of a router', () => {
+  it('hands over in order of arrival and puts a declined request back in its place', () => {
+    const db = admissionDefinition.createDb()
+    for (const name of ['1', '2', '3']) arrive(db, name, 0)
+    const first = pull(db, 1)[0]
+    expect(handed(pull(db, 1))).toEqual(['2'])
+    if (first?.kind === 'hand-over') decideAdmission(db, { kind: 'requeue', waiting: first.waiting, now: 2 })
+    expect([...handed(pull(db, 3)), ...handed(pull(db, 3)), ...handed(pull(db, 3))]).toEqual(['1', '3'])
+  })
+
+  it('hands a keyed request to its home only, and lets others pass it', () => {
+    const db = admissionDefinition.createDb()
+    arrive(db, 'keyed', 0, { home: home('h') })
+    arrive(db, 'plain', 0)
+    expect(backlogFor(db, service, { upstream: home('u'), zone }, 5).map(entry => entry.waiting)).toEqual([1])
+    expect(backlogFor(db, service, { upstream: home('h'), zone }, 5).map(entry => entry.waiting)).toEqual([2])
+    expect(handed(pull(db, 5))).toEqual(['plain'])
+    expect(handed(pull(db, 5))).toEqual([])
+    expect(handed(pull(db, 5, 'h'))).toEqual(['keyed'])
+  })
+
+  it('refuses at once what its patience cannot bear, and says when to come again', () => {
+    const db = admissionDefinition.createDb()
+    for (let i = 0; i < 40; i++) arrive(db, `${i}`, 0, { patience: 60_000 })
+    for (let now = 1000; now <= 20_000; now += 1000) pull(db, now)
+    const commands = arrive(db, 'late', 20_000, { patience: 5_000 })
+    expect(refused(commands)).toEqual(['late predicted-wait'])
+    const again = commands[0]?.kind === 'refuse' ? commands[0].retryAfterMs : 0
+    expect(again > 12_000 && again < 18_000).toEqual(true)
+    expect(refused(arrive(db, 'patient', 20_000, { patience: 30_000 }))).toEqual([])
+  })
+
+  it('gives up a waiting request as soon as its deadline is out of reach, the next in line at its deadline', () => {
+    const db = admissionDefinition.createDb()
+    arrive(db, 'next', 0)
+    for (let i = 0; i < 5; i++) arrive(db, `${i}`, 0)
+    expect(refused(decideAdmission(db, { kind: 'tick', now: 5_000 }))).toEqual(['2 predicted-wait', '3 predicted-wait', '4 predicted-wait'])
+    expect(refused(decideAdmission(db, { kind: 'tick', now: 10_000 })).includes('next deadline')).toEqual(true)
+  })
+
+  it('never lets a flood of one workspace refuse or delay another', () => {
+    const db = admissionDefinition.createDb()
+    for (let i = 0; i < 3_000; i++) arrive(db, `flood ${i}`, i)
+    expect(refused(arrive(db, 'small', 3_000, { workspace: 'b', patience: 50 }))).toEqual([])
+    expect(handed(pull(db, 3_001, 'u', 'b'))).toEqual(['small'])
+  })
+
+  it('gives nothing to a zone that is out', () => {
+    const db = admissionDefinition.createDb()
+    arrive(db, '1', 0)
+    decideAdmission(db, { kind: 'config-changed', weights: new Map(), zonesOut: new Set([zone]) })
+    expect(handed(pull(db, 1))).toEqual([])
+    expect(backlogFor(db, service, { upstream: home('u'), zone }, 1)).toEqual([])
+  })
+
+  it('takes requests again at once after a long stop of the whole service', () => {
+    const db = admissionDefinition.createDb()
+    for (let i = 0; i < 3; i++) arrive(db, `${i}`, 0, { patience: 100 })
+    decideAdmission(db, { kind: 'tick', now: 60_000 })
+    expect([...refused(arrive(db, 'x', 60_001)), ...refused(arrive(db, 'y', 60_001))]).toEqual([])
+  })
+})
--- /dev/null
+++ b/packages/policy/src/admission/admission.ts
@@ -0,0 +1,103 @@
+/** Decides which requests wait at a router, which are refused as not run, and which answer a pull. */
+import { assertNever, type Millis, type ServiceId } from '@fuchsiaworks/kernel'
+import type { AdmissionDb, WorkspaceQueue } from './admissionDb.js'
+import type { Lane } from './lane.js'
+import { leastWait, retryAfter } from './prediction.js'
+import type { AdmissionCommand, AdmissionEvent, RefusalReason, WaitingRequest } from './admissionTypes.js'
+
+/**
+ * Takes one event and returns the commands that follow from it.
+ *
+ * @param db - the queues; changed in place
+ * @param event - what happened
+ * @returns the commands, in the order in which they are to be carried out
+ */
+export const decideAdmission = (db: AdmissionDb, event: AdmissionEvent): AdmissionCommand[] => {
+  switch (event.kind) {
+    case 'request-arrived': return arrive(db, event)
+    case 'caller-gone': return leave(db, event)
+    case 'pull': return answerPull(db, event)
+    case 'requeue': return requeue(db, event.waiting, event.now)
+    case 'config-changed':
+      db.weights = event.weights
+      db.zonesOut = event.zonesOut
+      return [...db.services()].map(service => ({ kind: 'backlog-changed', service }))
+    case 'tick':
+      return [...db.services()].flatMap(service => sweep(db, service, event.now))
+    default: return assertNever(event)
+  }
+}
+
+const arrive = (db: AdmissionDb, event: AdmissionEvent & { kind: 'request-arrived' }): AdmissionCommand[] => {
+  const { request, service, workspace, patience, estimate, idempotent, home, now } = event
+  const queue = db.queue(service, workspace)
+  const lane = queue.lane(home)
+  lane.advance(now)
+  const position = { service, workspace, lane, ahead: lane.size }
+  const full = queue.size >= db.config.maxWaiting
+  if (full || leastWait(db, position) > patience) {
+    const reason: RefusalReason = full ? 'queue-full' : 'predicted-wait'
+    return [{ kind: 'refuse', request, reason, retryAfterMs: retryAfter(db, position, patience) }]
+  }
+  const order = db.takeOrder()
+  db.add({ request, service, workspace, arrivedAt: now, deadline: now + patience, estimate, idempotent, home, order }, now)
+  return [{ kind: 'backlog-changed', service }]
+}
+
+const leave = (db: AdmissionDb, event: AdmissionEvent & { kind: 'caller-gone' }): AdmissionCommand[] => {
+  const waiting = db.waiting(event.request)
+  if (waiting === undefined) return []
+  db.remove(waiting, event.now)
+  return [{ kind: 'backlog-changed', service: waiting.service }]
+}
+
+const answerPull = (db: AdmissionDb, event: AdmissionEvent & { kind: 'pull' }): AdmissionCommand[] => {
+  const { pull, from, service, workspace, now } = event
+  if (db.zonesOut.has(from.zone)) return [{ kind: 'pull-empty', pull, agent: from.agent }]
+  const queue = db.queue(service, workspace)
+  const refusals: AdmissionCommand[] = []
+  for (let next = queue.oldestFor(from.upstream); next !== undefined; next = queue.oldestFor(from.upstream)) {
+    if (next.deadline > now) return [...refusals, ...handOver(db, pull, from.agent, next, now)]
+    refusals.push(refuse(db, next, 'deadline', now))
+  }
+  return [...refusals, { kind: 'pull-empty', pull, agent: from.agent }]
+}
+
+const handOver = (db: AdmissionDb, pull: number, agent: string, waiting: WaitingRequest, now: Millis): AdmissionCommand[] => {
+  db.laneOf(waiting).rate.count()
+  db.remove(waiting, now)
+  return [{ kind: 'hand-over', pull, agent, waiting }, { kind: 'backlog-changed', service: waiting.service }]
+}
+
+const requeue = (db: AdmissionDb, waiting: WaitingRequest, now: Millis): AdmissionCommand[] => {
+  if (waiting.deadline <= now) return [refuse(db, waiting, 'deadline', now)]
+  db.add(waiting, now)
+  return [{ kind: 'backlog-changed', service: waiting.service }]
+}
+
+const sweep = (db: AdmissionDb, service: ServiceId, now: Millis): AdmissionCommand[] => {
+  const refusals = [...db.queuesOf(service)]
+    .flatMap(queue => [...queue.lanes()].flatMap(lane => sweepLane(db, queue, lane, now)))
+  return refusals.length === 0 ? [] : [...refusals, { kind: 'backlog-changed', service }]
+}
+
+/** Refuses what is past its deadline, and what is predicted to miss it, as soon as that is known. */
+const sweepLane = (db: AdmissionDb, { service, workspace }: WorkspaceQueue, lane: Lane, now: Millis): AdmissionCommand[] => {
+  lane.advance(now)
+  const refusals: AdmissionCommand[] = []
+  let ahead = 0
+  for (const waiting of lane.requests()) {
+    const late = waiting.deadline <= now
+    const hopeless = now + leastWait(db, { service, workspace, lane, ahead }) > waiting.deadline
+    if (late || hopeless) refusals.push(refuse(db, waiting, late ? 'deadline' : 'predicted-wait', now))
+    else ahead += 1
+  }
+  return refusals
+}
+
+const refuse = (db: AdmissionDb, waiting: WaitingRequest, reason: RefusalReason, now: Millis): AdmissionCommand => {
+  const { request, service, workspace, arrivedAt, deadline } = waiting
+  db.remove(waiting, now)
+  const lane = db.laneOf(waiting)
+  return { kind: 'refuse', request, reason, retryAfterMs: retryAfter(db, { service, workspace, lane, ahead: lane.size }, deadline - arrivedAt) }
+}
--- /dev/null
+++ b/packages/policy/src/admission/admissionDb.ts
@@ -0,0 +1,94 @@
+/** State of a router's queue by service and workspace, and the only functions that change it. */
+import { getOrMake, type Millis, type RequestId, type ServiceId, type UpstreamId, type WorkspaceId, type ZoneId } from '@fuchsiaworks/kernel'
+import { Lane } from './lane.js'
+import type { AdmissionConfig, WaitingRequest } from './admissionTypes.js'
+
+/** Requests of one workspace that wait for one service: those that any upstream may run, and those with a home. */
+export class WorkspaceQueue {
+  readonly #lanes = new Map<UpstreamId | undefined, Lane>()
+
+  constructor (readonly service: ServiceId, readonly workspace: WorkspaceId) {}
+
+  get size (): number {
+    let size = 0
+    for (const lane of this.#lanes.values()) size += lane.size
+    return size
+  }
+
+  lanes (): Iterable<Lane> {
+    return this.#lanes.values()
+  }
+
+  /** @returns the lane of requests with this home, or with none */
+  lane (home: UpstreamId | undefined): Lane {
+    return getOrMake(this.#lanes, home, () => new Lane())
+  }
+
+  /** @returns the lanes from which an upstream may take */
+  lanesFor (upstream: UpstreamId): Lane[] {
+    return [this.#lanes.get(undefined), this.#lanes.get(upstream)].filter(lane => lane !== undefined)
+  }
+
+  /** @returns the oldest request that the upstream may run */
+  oldestFor (upstream: UpstreamId): WaitingRequest | undefined {
+    return oldestOf(this.lanesFor(upstream))
+  }
+}
+
+/** @returns the oldest request of some lanes */
+export const oldestOf = (lanes: Iterable<Lane>): WaitingRequest | undefined => {
+  let oldest: WaitingRequest | undefined
+  for (const { head } of lanes) {
+    if (head !== undefined && (oldest === undefined || head.order < oldest.order)) oldest = head
+  }
+  return oldest
+}
+
+/** The queues of one router. */
+export class AdmissionDb {
+  readonly #queues = new Map<ServiceId, Map<WorkspaceId, WorkspaceQueue>>()
+  readonly #waiting = new Map<RequestId, WaitingRequest>()
+  #nextOrder = 1
+  weights: ReadonlyMap<WorkspaceId, number> = new Map()
+  zonesOut: ReadonlySet<ZoneId> = new Set()
+
+  /** @param config - settings */
+  constructor (readonly config: AdmissionConfig) {}
+
+  /** @returns the next number in the order of arrival */
+  takeOrder (): number {
+    return this.#nextOrder++
+  }
+
+  queue (service: ServiceId, workspace: WorkspaceId): WorkspaceQueue {
+    const byWorkspace = getOrMake(this.#queues, service, () => new Map<WorkspaceId, WorkspaceQueue>())
+    return getOrMake(byWorkspace, workspace, () => new WorkspaceQueue(service, workspace))
+  }
+
+  queuesOf (service: ServiceId): Iterable<WorkspaceQueue> {
+    return this.#queues.get(service)?.values() ?? []
+  }
+
+  services (): Iterable<ServiceId> {
+    return this.#queues.keys()
+  }
+
+  /** @returns a request while it waits */
+  waiting (request: RequestId): WaitingRequest | undefined {
+    return this.#waiting.get(request)
+  }
+
+  add (waiting: WaitingRequest, now: Millis): void {
+    this.laneOf(waiting).insert(waiting, now)
+    this.#waiting.set(waiting.request, waiting)
+  }
+
+  remove (waiting: WaitingRequest, now: Millis): void {
+    this.laneOf(waiting).remove(waiting.request, now)
+    this.#waiting.delete(waiting.request)
+  }
+
+  laneOf ({ service, workspace, home }: WaitingRequest): Lane {
+    return this.queue(service, workspace).lane(home)
+  }
+}
--- /dev/null
+++ b/packages/policy/src/admission/lane.ts
@@ -0,0 +1,41 @@
+/** Requests of one workspace for one service that the same upstreams may run, in order of arrival. */
+import type { Millis, RequestId } from '@fuchsiaworks/kernel'
+import { DrainRate } from './drainRate.js'
+import type { WaitingRequest } from './admissionTypes.js'
+
+/** First in, first out, with the rate at which it drains. */
+export class Lane {
+  readonly rate = new DrainRate()
+  #waiting = new Map<RequestId, WaitingRequest>()
+  #lastOrder = 0
+
+  get size (): number { return this.#waiting.size }
+
+  /** The oldest request. */
+  get head (): WaitingRequest | undefined {
+    return this.#waiting.values().next().value
+  }
+
+  /** @returns the requests, oldest first */
+  requests (): WaitingRequest[] {
+    return [...this.#waiting.values()]
+  }
+
+  /** Moves the drain rate on to a reading. */
+  advance (now: Millis): void {
+    this.rate.advance(now, this.size > 0)
+  }
+
+  /** Puts a request in its place by order of arrival. */
+  insert (waiting: WaitingRequest, now: Millis): void {
+    this.advance(now)
+    this.#waiting.set(waiting.request, waiting)
+    if (waiting.order < this.#lastOrder) this.#waiting = new Map([...this.#waiting].sort(([, a], [, b]) => a.order - b.order))
+    this.#lastOrder = Math.max(this.#lastOrder, waiting.order)
+  }
+
+  remove (request: RequestId, now: Millis): void {
+    this.advance(now)
+    this.#waiting.delete(request)
+  }
+}
--- /dev/null
+++ b/packages/policy/src/dispatch/dispatch.spec.ts
@@ -0,0 +1,70 @@
+import { describe, it } from 'node:test'
+import { asId, type Incarnation, type RequestId, type ServiceId, type WorkspaceId } from '@fuchsiaworks/kernel'
+import { expect } from 'earl'
+import type { FairnessDb } from '../fairness/fairnessDb.js'
+import { fairnessDefinition } from '../fairness/fairnessDefinition.js'
+import { decideDispatch } from './dispatch.js'
+import type { DispatchDb } from './dispatchDb.js'
+import { dispatchDefinition, PULL_TTL_MS, SLOW_ROUTER_MS } from './dispatchDefinition.js'
+import type { BacklogEntry, DispatchEvent } from './dispatchTypes.js'
+
+const s = asId<ServiceId>('scribe')
+const w = (name: string): WorkspaceId => asId<WorkspaceId>(name)
+const entry = (name: string, waiting: number, oldestWait = 0, headCost = 10): BacklogEntry => ({ workspace: w(name), waiting, oldestWait, headCost })
+const backlog = (router: string, entries: BacklogEntry[], now = 0): DispatchEvent => ({ kind: 'router-backlog', router, service: s, entries, now })
+
+const setUp = (limit: number): { db: DispatchDb, fairness: FairnessDb, send: (event: DispatchEvent) => string[] } => {
+  const db = dispatchDefinition.createDb({ pullTtl: PULL_TTL_MS, slowAfter: SLOW_ROUTER_MS, seed: 1 })
+  const fairness = fairnessDefinition.createDb(asId<Incarnation>('me'), 0)
+  db.limit = limit
+  const send = (event: DispatchEvent): string[] => decideDispatch(db, fairness, event).map(({ router, workspace }) => `${router}:${workspace}`)
+  return { db, fairness, send }
+}
+
+describe('the use of slots', () => {
+  it('spreads a burst of free slots over workspaces by what each pull will cost', () => {
+    const { send } = setUp(4)
+    expect(send(backlog('r', [entry('a', 9, 0, 10), entry('b', 9, 0, 30)]))).toEqual(['r:a', 'r:b', 'r:a', 'r:a'])
+  })
+
+  it('asks the router where the workspace has waited longest, as waits grow between messages', () => {
+    const { db, send } = setUp(0)
+    send(backlog('old', [entry('a', 1, 50)], 0))
+    send(backlog('new', [entry('a', 1, 90)], 100))
+    db.limit = 1
+    expect(send({ kind: 'tick', now: 100 })).toEqual(['old:a'])
+  })
+
+  it('offers the slot on when a pull stays empty, and does not ask there again before a message', () => {
+    const { send } = setUp(1)
+    send(backlog('r', [entry('a', 5), entry('b', 1)]))
+    expect(send({ kind: 'pull-empty', pull: 1, now: 1 })).toEqual(['r:b'])
+    expect(send({ kind: 'pull-empty', pull: 2, now: 2 })).toEqual([])
+    expect(send(backlog('r', [entry('a', 1)], 3))).toEqual(['r:a'])
+  })
+
+  it('never holds more slots than the limit, also when it falls', () => {
+    const { db, send } = setUp(2)
+    send(backlog('r', [entry('a', 9)]))
+    send({ kind: 'pull-answered', pull: 1, request: asId<RequestId>('x'), now: 1 })
+    expect(send({ kind: 'slots-changed', limit: 1, now: 2 })).toEqual([])
+    expect(send({ kind: 'request-ended', request: asId<RequestId>('x'), now: 3 })).toEqual([])
+    expect([db.running, db.reserved, db.free]).toEqual([0, 1, 0])
+  })
+
+  it('asks another router while one leaves a pull unanswered, and frees the slot in the end', () => {
+    const { db, send } = setUp(2)
+    expect(send(backlog('paused', [entry('a', 1, 90)]))).toEqual(['paused:a'])
+    expect(send(backlog('paused', [entry('a', 9, 90)], SLOW_ROUTER_MS))).toEqual([])
+    expect(send(backlog('live', [entry('a', 1)], SLOW_ROUTER_MS))).toEqual(['live:a'])
+    expect(send({ kind: 'tick', now: PULL_TTL_MS })).toEqual([])
+    expect([db.isPending(1), db.isPending(2), db.free]).toEqual([false, true, 1])
+  })
+
+  it('frees the slots of a router that is gone', () => {
+    const { db, send } = setUp(1)
+    send(backlog('r', [entry('a', 3)]))
+    expect(send({ kind: 'router-gone', router: 'r', now: 1 })).toEqual([])
+    expect(db.free).toEqual(1)
+  })
+})
--- /dev/null
+++ b/packages/policy/src/dispatch/dispatch.ts
@@ -0,0 +1,105 @@
+/** Decides which waiting requests an agent asks for when it has free slots. */
+import { assertNever, type Millis, type ServiceId, type WorkspaceId } from '@fuchsiaworks/kernel'
+import type { FairnessDb } from '../fairness/fairnessDb.js'
+import { FLOOR_SHARE, leastServed } from '../fairness/order.js'
+import type { DispatchDb, Offer } from './dispatchDb.js'
+import type { DispatchCommand, DispatchEvent, RouterLink } from './dispatchTypes.js'
+
+/**
+ * Takes one event and returns the pulls that follow from it.
+ *
+ * @param db - slots, pulls and offers; changed in place
+ * @param fairness - totals by which workspaces are ordered; read only
+ * @param event - what happened
+ * @returns the pulls, each of which has reserved a slot
+ */
+export const decideDispatch = (db: DispatchDb, fairness: FairnessDb, event: DispatchEvent): DispatchCommand[] => {
+  take(db, event)
+  return fillSlots(db, fairness, event.now)
+}
+
+const take = (db: DispatchDb, event: DispatchEvent): void => {
+  switch (event.kind) {
+    case 'router-backlog': return db.setOffers(event.router, event.service, event.entries, event.now)
+    case 'router-gone': return db.dropRouter(event.router)
+    case 'slots-changed':
+      db.limit = event.limit
+      return
+    case 'pull-answered':
+      if (db.endPull(event.pull) !== undefined) db.startRequest(event.request)
+      return
+    case 'pull-empty': return takeEmpty(db, event.pull)
+    case 'request-ended': return db.endRequest(event.request)
+    case 'tick': return db.expirePulls(event.now)
+    default: return assertNever(event)
+  }
+}
+
+const takeEmpty = (db: DispatchDb, pull: number): void => {
+  const ended = db.endPull(pull)
+  if (ended !== undefined) db.dropOffer(ended.router, ended.service, ended.workspace)
+}
+
+const fillSlots = (db: DispatchDb, fairness: FairnessDb, now: Millis): DispatchCommand[] => {
+  if (db.free <= 0) return []
+  const slow = db.slowRouters(now)
+  const commands: DispatchCommand[] = []
+  while (db.free > 0) {
+    const offer = nextOffer(db, fairness, slow)
+    if (offer === undefined) return commands
+    const { pull, router, service, workspace } = db.addPull(offer, now)
+    commands.push({ kind: 'pull', router, service, workspace, pull })
+  }
+  return commands
+}
+
+const nextOffer = (db: DispatchDb, fairness: FairnessDb, slow: ReadonlySet<RouterLink>): Offer | undefined => {
+  for (const service of db.services()) {
+    const offers = db.offersOf(service).filter(offer => !slow.has(offer.router))
+    if (offers.length > 0) return chooseOffer(db, fairness, service, offers)
+  }
+  return undefined
+}
+
+const chooseOffer = (db: DispatchDb, fairness: FairnessDb, service: ServiceId, offers: readonly Offer[]): Offer | undefined => {
+  const use = db.floorUse(service)
+  const floorTurn = use.floor < use.total * FLOOR_SHARE
+  const contenders = [...new Set(offers.map(offer => offer.workspace))]
+    .map(workspace => ({ workspace, pending: pendingCost(db, workspace) }))
+  const workspace = leastServed(fairness, service, contenders, floorTurn)
+  const offer = longestWaiting(db, offers.filter(other => other.workspace === workspace))
+  if (offer === undefined) return undefined
+  use.total += offer.headCost
+  if (floorTurn) use.floor += offer.headCost
+  return offer
+}
+
+const pendingCost = (db: DispatchDb, workspace: WorkspaceId): number => {
+  let cost = 0
+  for (const pull of db.pendingPulls()) {
+    if (pull.workspace === workspace) cost += pull.estimate
+  }
+  return cost
+}
+
+const longestWaiting = (db: DispatchDb, offers: readonly Offer[]): Offer | undefined => {
+  const rank = (offer: Offer): number => tieRank(db.config.seed, offer.router)
+  return [...offers].sort((a, b) => a.oldestSince - b.oldestSince || rank(a) - rank(b))[0]
+}
+
+/** FNV-1a parameters. */
+const FNV_OFFSET = 0x811c9dc5
+const FNV_PRIME = 0x01000193
+
+/**
+ * Orders names differently for each seed, so that agents do not all choose the same one.
+ *
+ * @param seed - of the agent
+ * @param name - what is ranked
+ * @returns an unsigned 32-bit number
+ */
+export const tieRank = (seed: number, name: RouterLink): number => {
+  let hash = (FNV_OFFSET ^ seed) >>> 0
+  for (let i = 0; i < name.length; i++) hash = Math.imul(hash ^ name.charCodeAt(i), FNV_PRIME) >>> 0
+  return hash
+}
--- /dev/null
+++ b/packages/policy/src/dispatch/dispatchDb.ts
@@ -0,0 +1,152 @@
+/** State of an agent's slots and of the backlog that routers offer it, and the only functions that change it. */
+import { getOrMake, type Millis, type RequestId, type ServiceId, type WorkspaceId } from '@fuchsiaworks/kernel'
+import type { BacklogEntry, DispatchConfig, RouterLink } from './dispatchTypes.js'
+
+/** A pull that is not answered yet; it holds a slot. */
+export interface PendingPull {
+  readonly pull: number
+  readonly router: RouterLink
+  readonly service: ServiceId
+  readonly workspace: WorkspaceId
+  /** Estimated cost, in cost units. */
+  readonly estimate: number
+  readonly sentAt: Millis
+}
+
+/** Requests of one workspace that a router offers. */
+export interface Offer {
+  readonly router: RouterLink
+  readonly service: ServiceId
+  readonly workspace: WorkspaceId
+  /** Requests that are not asked for yet. */
+  waiting: number
+  /** Reading at which the oldest began to wait. */
+  readonly oldestSince: Millis
+  readonly headCost: number
+}
+
+/** Cost pulled for a service, and the part of it that went by the order of that service alone. */
+export interface FloorUse {
+  total: number
+  floor: number
+}
+
+/** Slots, pulls and offers of one agent. */
+export class DispatchDb {
+  readonly #offers = new Map<ServiceId, Map<RouterLink, Map<WorkspaceId, Offer>>>()
+  readonly #pulls = new Map<number, PendingPull>()
+  readonly #running = new Set<RequestId>()
+  readonly #floor = new Map<ServiceId, FloorUse>()
+  #nextPull = 1
+  limit = 0
+
+  /** @param config - settings */
+  constructor (readonly config: DispatchConfig) {}
+
+  /** Slots that neither run a request nor are reserved by a pull. */
+  get free (): number { return this.limit - this.#running.size - this.#pulls.size }
+
+  get running (): number { return this.#running.size }
+
+  get reserved (): number { return this.#pulls.size }
+
+  /**
+   * Tells whether a handover may still be started.
+   *
+   * @param pull - number of the pull that it answers
+   * @returns false when the pull expired or is unknown; the agent then declines
+   */
+  isPending (pull: number): boolean {
+    return this.#pulls.has(pull)
+  }
+
+  /** @returns what a pull's slot is reserved for */
+  pendingPull (pull: number): PendingPull | undefined {
+    return this.#pulls.get(pull)
+  }
+
+  pendingPulls (): Iterable<PendingPull> {
+    return this.#pulls.values()
+  }
+
+  services (): Iterable<ServiceId> {
+    return this.#offers.keys()
+  }
+
+  /** @returns the offers of a service that hold requests not asked for yet */
+  offersOf (service: ServiceId): Offer[] {
+    const byRouter = [...this.#offers.get(service)?.values() ?? []]
+    return byRouter.flatMap(offers => [...offers.values()]).filter(offer => offer.waiting > 0)
+  }
+
+  floorUse (service: ServiceId): FloorUse {
+    return getOrMake(this.#floor, service, () => ({ total: 0, floor: 0 }))
+  }
+
+  /** Replaces a router's offers; requests that pending pulls ask for are not offered again. */
+  setOffers (router: RouterLink, service: ServiceId, entries: readonly BacklogEntry[], now: Millis): void {
+    const byRouter = getOrMake(this.#offers, service, () => new Map<RouterLink, Map<WorkspaceId, Offer>>())
+    const offers = entries.map(({ workspace, waiting, oldestWait, headCost }) => {
+      const asked = this.#asked(router, service, workspace)
+      return { router, service, workspace, waiting: waiting - asked, oldestSince: now - oldestWait, headCost }
+    })
+    byRouter.set(router, new Map(offers.map(offer => [offer.workspace, offer])))
+  }
+
+  /** Forgets what one workspace waits for at a router until the router's next message. */
+  dropOffer (router: RouterLink, service: ServiceId, workspace: WorkspaceId): void {
+    this.#offers.get(service)?.get(router)?.delete(workspace)
+  }
+
+  /** Forgets a router and frees the slots that its pulls held. */
+  dropRouter (router: RouterLink): void {
+    for (const byRouter of this.#offers.values()) byRouter.delete(router)
+    for (const pull of this.#pulls.values()) {
+      if (pull.router === router) this.#pulls.delete(pull.pull)
+    }
+  }
+
+  /** Reserves a slot. */
+  addPull (offer: Offer, now: Millis): PendingPull {
+    const { router, service, workspace, headCost } = offer
+    const pull = { pull: this.#nextPull++, router, service, workspace, estimate: headCost, sentAt: now }
+    this.#pulls.set(pull.pull, pull)
+    offer.waiting -= 1
+    return pull
+  }
+
+  /** Ends a pull; its slot is free unless a request takes it. */
+  endPull (pull: number): PendingPull | undefined {
+    const ended = this.#pulls.get(pull)
+    this.#pulls.delete(pull)
+    return ended
+  }
+
+  /** Ends the pulls that have waited for too long; their routers are asked again after their next message. */
+  expirePulls (now: Millis): void {
+    for (const { pull, router, sentAt } of this.#pulls.values()) {
+      if (now - sentAt < this.config.pullTtl) continue
+      this.#pulls.delete(pull)
+      for (const byRouter of this.#offers.values()) byRouter.delete(router)
+    }
+  }
+
+  /** @returns the routers that have left a pull unanswered for longer than is usual */
+  slowRouters (now: Millis): Set<RouterLink> {
+    const slow = [...this.#pulls.values()].filter(pull => now - pull.sentAt >= this.config.slowAfter)
+    return new Set(slow.map(pull => pull.router))
+  }
+
+  startRequest (request: RequestId): void {
+    this.#running.add(request)
+  }
+
+  endRequest (request: RequestId): void {
+    this.#running.delete(request)
+  }
+
+  #asked (router: RouterLink, service: ServiceId, workspace: WorkspaceId): number {
+    const same = [...this.#pulls.values()].filter(pull => pull.router === router && pull.service === service && pull.workspace === workspace)
+    return same.length
+  }
+}
--- /dev/null
+++ b/packages/policy/src/dispatch/dispatchDefinition.ts
@@ -0,0 +1,17 @@
+/** Registers the use of an agent's slots. */
+import { decideDispatch } from './dispatch.js'
+import { DispatchDb } from './dispatchDb.js'
+import type { DispatchConfig } from './dispatchTypes.js'
+
+/** Milliseconds after which an unanswered pull frees its slot. */
+export const PULL_TTL_MS = 2_000
+
+/** Milliseconds without an answer to a pull after which other routers are asked first. */
+export const SLOW_ROUTER_MS = 100
+
+/** The use of an agent's slots, by name. */
+export const dispatchDefinition = {
+  id: 'policy.dispatch',
+  createDb: (config: DispatchConfig): DispatchDb => new DispatchDb(config),
+  decide: decideDispatch
+}
--- /dev/null
+++ b/packages/policy/src/fairness/fairness.spec.ts
@@ -0,0 +1,102 @@
+import { describe, it } from 'node:test'
+import { asId, type Incarnation, type RequestId, type ServiceId, type WorkspaceId } from '@fuchsiaworks/kernel'
+import { expect } from 'earl'
+import { decideFairness } from './fairness.js'
+import { type FairnessDb, FLEET } from './fairnessDb.js'
+import { DEFAULT_FAIRNESS, fairnessDefinition } from './fairnessDefinition.js'
+import type { CounterEntry } from './fairnessTypes.js'
+
+const s = asId<ServiceId>('scribe')
+const a = asId<WorkspaceId>('a')
+const b = asId<WorkspaceId>('b')
+const r1 = asId<RequestId>('r1')
+const peer = asId<Incarnation>('peer')
+
+const makeDb = (): FairnessDb => fairnessDefinition.createDb(asId<Incarnation>('me'), 0)
+const start = (db: FairnessDb, workspace: WorkspaceId, estimate: number, now = 0): void => {
+  decideFairness(db, { kind: 'work-started', request: r1, service: s, workspace, estimate, now })
+}
+const receive = (db: FairnessDb, entries: CounterEntry[], now = 0, rejoined = false): void => {
+  decideFairness(db, { kind: 'counters-received', entries, lifts: [], link: 'l', rejoined, now })
+}
+const published = (db: FairnessDb, workspace: WorkspaceId): number => [...db.account(s, workspace).origins.values()].reduce((sum, { total }) => sum + total, 0)
+
+describe('fair service', () => {
+  it('holds a downward correction back from what is published, and picks by the corrected value', () => {
+    const db = makeDb()
+    start(db, a, 100)
+    decideFairness(db, { kind: 'work-ended', request: r1, cost: 30, now: 1 })
+    expect([published(db, a), db.virtualTime(s, a)]).toEqual([100, 30])
+    start(db, a, 90, 2)
+    expect([published(db, a), db.virtualTime(s, a), db.virtualTime(FLEET, a)]).toEqual([120, 120, 120])
+  })
+
+  it('counts a repeated, late or reordered total once', () => {
+    const db = makeDb()
+    const entry = (total: number): CounterEntry => ({ origin: peer, service: s, workspace: a, total })
+    receive(db, [entry(5)])
+    receive(db, [entry(9), entry(5)])
+    receive(db, [entry(7)])
+    expect(db.virtualTime(s, a)).toEqual(9)
+  })
+
+  it('keeps virtual time when a weight changes', () => {
+    const db = makeDb()
+    start(db, a, 100)
+    decideFairness(db, { kind: 'weights-changed', weights: new Map([[a, 4]]) })
+    expect(db.virtualTime(s, a)).toEqual(100)
+    decideFairness(db, { kind: 'work-ended', request: r1, cost: 110, now: 1 })
+    expect(db.virtualTime(s, a)).toEqual(110)
+  })
+
+  it('lifts a workspace that was idle to the least of the backlogged, never above', () => {
+    const db = makeDb()
+    receive(db, [{ origin: peer, service: s, workspace: a, total: 500 }])
+    decideFairness(db, { kind: 'backlog-seen', service: s, workspaces: [a], now: 9_000 })
+    const commands = decideFairness(db, { kind: 'backlog-seen', service: s, workspaces: [a, b], now: 9_100 })
+    expect(commands.length).toEqual(2)
+    expect(db.virtualTime(s, b)).toEqual(500)
+    expect(db.virtualTime(s, a)).toEqual(500)
+  })
+
+  it('does not take a workspace for idle that it could not have heard of', () => {
+    const db = makeDb()
+    receive(db, [{ origin: peer, service: s, workspace: a, total: 500 }], 10_000, true)
+    decideFairness(db, { kind: 'backlog-seen', service: s, workspaces: [a, b], now: 10_100 })
+    expect(db.virtualTime(s, b)).toEqual(0)
+  })
+
+  it('forgives what a lagging workspace could claim beyond the allowed credit', () => {
+    const db = makeDb()
+    for (let i = 1; i <= 100; i++) receive(db, [{ origin: peer, service: s, workspace: a, total: i * 1000 }], i * 1000)
+    const now = 100_000
+    db.account(s, a).backloggedAt = now
+    db.account(s, b).backloggedAt = now
+    decideFairness(db, { kind: 'tick', now })
+    const gap = db.virtualTime(s, a) - db.virtualTime(s, b)
+    expect(gap > 0 && gap <= 1.6 * DEFAULT_FAIRNESS.creditMs).toEqual(true)
+  })
+
+  it('folds old origins without changing virtual time, and agrees with a process that folded at another time', () => {
+    const entry = { origin: peer, service: s, workspace: a, total: 70 }
+    const [early, late, fresh] = [makeDb(), makeDb(), makeDb()]
+    receive(early, [entry])
+    receive(late, [entry])
+    const now = DEFAULT_FAIRNESS.foldAfter + 1
+    decideFairness(early, { kind: 'tick', now })
+    expect(early.account(s, a).origins.size).toEqual(0)
+    const base = early.baseSnapshot()
+    for (const db of [late, fresh]) {
+      decideFairness(db, { kind: 'counters-received', entries: [entry], lifts: [], ...base === undefined ? {} : { base }, link: 'l', rejoined: false, now })
+    }
+    expect([early, late, fresh].map(db => db.virtualTime(s, a))).toEqual([70, 70, 70])
+    expect(early.virtualTime(FLEET, a)).toEqual(70)
+  })
+
+  it('charges under a new origin after a rest, for the old one may be folded elsewhere', () => {
+    const db = makeDb()
+    start(db, a, 10, 0)
+    decideFairness(db, { kind: 'work-ended', request: r1, cost: 12, now: DEFAULT_FAIRNESS.foldAfter })
+    expect([...db.account(s, a).origins].map(([origin, { total }]) => [String(origin), total])).toEqual([['me', 10], ['me.1', 2]])
+  })
+})
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,2 +1,15 @@
 /** Public entry of the policy package. */
-export {}
+export * from './admission/admission.js'
+export * from './admission/admissionDb.js'
+export * from './admission/admissionDefinition.js'
+export * from './admission/admissionTypes.js'
+export * from './admission/backlogView.js'
+export * from './dispatch/dispatch.js'
+export * from './dispatch/dispatchDb.js'
+export * from './dispatch/dispatchDefinition.js'
+export * from './dispatch/dispatchTypes.js'
+export * from './fairness/fairness.js'
+export * from './fairness/fairnessDb.js'
+export * from './fairness/fairnessDefinition.js'
+export * from './fairness/fairnessTypes.js'
+export * from './fairness/order.js'
