Add a first version of limits, keys, retries, quarantine, membership and revisions

Cause: router and agent need the types and a working decision for each matter of recovery before they can be built. Change: six folders of the policy package, each with types, state, decision and definition. No specs yet; they follow folder by folder.

--- /dev/null
+++ b/packages/policy/src/keys/keysDb.ts
@@ -0,0 +1,152 @@
+/** What a home remembers of its keys, bounded by age, count and bytes. */
+import { type Fingerprint, getOrMake, type Millis, type RequestId, type ServiceId, type UpstreamId, type WorkspaceId } from '@fuchsiaworks/kernel'
+import { HomeHistory, type Moment } from './homeHistory.js'
+import type { KeyName, KeysConfig, StoredAnswer } from './keysTypes.js'
+import { hashMembers, type StringHash } from './rendezvous.js'
+import { uuidTime } from './uuidTime.js'
+
+/** How far the run of a key has come. */
+export type KeyState =
+  { readonly kind: 'running', readonly first: RequestId } |
+  { readonly kind: 'ended', readonly answer: StoredAnswer | undefined } |
+  { readonly kind: 'unknown' }
+
+/** One remembered key. */
+export interface KeyEntry {
+  readonly name: KeyName
+  readonly fingerprint: Fingerprint
+  /** Monotonic milliseconds of the latest time at which it may have started. */
+  since: Millis
+  state: KeyState
+  waiters: RequestId[]
+}
+
+/** What was forgotten of a workspace's keys. */
+interface Forgotten {
+  /** Version 7 keys made at or before this wall-clock time are unknown. */
+  timedUntil: Millis
+  /** Opaque keys are unknown before this monotonic time. */
+  opaqueUntil: Millis
+}
+
+const answerSize = (answer: StoredAnswer): number =>
+  answer.headers.reduce((sum, [name, value]) => sum + name.length + value.length, answer.body.byteLength)
+
+/** Keys of one home. */
+export class KeysDb {
+  readonly #workspaces = new Map<WorkspaceId, Map<string, KeyEntry>>()
+  readonly #forgotten = new Map<WorkspaceId, Forgotten>()
+  readonly #histories = new Map<ServiceId, HomeHistory>()
+  /** Entries with a stored answer, oldest first. */
+  readonly #answers = new Map<KeyEntry, number>()
+  #bytes = 0
+
+  /**
+   * @param self - the upstream beside which the agent runs
+   * @param config - bounds
+   * @param hash - the fleet's hash
+   * @param start - when the agent started, with nothing remembered
+   */
+  constructor (readonly self: UpstreamId, readonly config: KeysConfig, readonly hash: StringHash, readonly start: Moment) {}
+
+  /** Bytes of the answers that are kept. */
+  get bytes (): number {
+    return this.#bytes
+  }
+
+  /** Keys that are remembered. */
+  get size (): number {
+    return [...this.#workspaces.values()].reduce((sum, keys) => sum + keys.size, 0)
+  }
+
+  setUpstreams (service: ServiceId, upstreams: readonly UpstreamId[], since: Moment): void {
+    this.history(service).add(hashMembers(this.hash, upstreams), since)
+  }
+
+  history (service: ServiceId): HomeHistory {
+    return getOrMake(this.#histories, service, () => new HomeHistory())
+  }
+
+  /** @returns the hash that places a key */
+  subject (name: KeyName): number {
+    return this.hash(JSON.stringify([name.service, name.workspace, name.key]))
+  }
+
+  find (name: KeyName): KeyEntry | undefined {
+    return this.#workspaces.get(name.workspace)?.get(entryKey(name))
+  }
+
+  forgotten (workspace: WorkspaceId): Forgotten {
+    return getOrMake(this.#forgotten, workspace, () => ({ timedUntil: -Infinity, opaqueUntil: -Infinity }))
+  }
+
+  /**
+   * Remembers that a key runs, and makes room for it.
+   *
+   * @returns false when every remembered key of the workspace still runs
+   */
+  addRunning (name: KeyName, fingerprint: Fingerprint, first: RequestId, now: Millis): boolean {
+    const keys = getOrMake(this.#workspaces, name.workspace, () => new Map<string, KeyEntry>())
+    if (keys.size >= this.config.maxKeys && !this.#evictOldest(keys)) return false
+    keys.set(entryKey(name), { name, fingerprint, since: now, state: { kind: 'running', first }, waiters: [] })
+    return true
+  }
+
+  /** Forgets a key that is known not to have run. */
+  remove (entry: KeyEntry): void {
+    this.#workspaces.get(entry.name.workspace)?.delete(entryKey(entry.name))
+  }
+
+  endWith (entry: KeyEntry, answer: StoredAnswer | undefined, now: Millis): void {
+    entry.since = now
+    const size = answer === undefined ? 0 : answerSize(answer)
+    const kept = size <= this.config.answerBytes ? answer : undefined
+    entry.state = { kind: 'ended', answer: kept }
+    if (kept === undefined) return
+    this.#answers.set(entry, size)
+    this.#bytes += size
+    for (const oldest of this.#answers.keys()) {
+      if (this.#bytes <= this.config.storeBytes) return
+      this.#dropAnswer(oldest)
+    }
+  }
+
+  /** Forgets keys and lists that are older than the window. */
+  expire (now: Millis): void {
+    const before = now - this.config.window
+    for (const keys of this.#workspaces.values()) {
+      for (const entry of keys.values()) {
+        if (entry.since < before && entry.state.kind !== 'running') this.#forget(keys, entry)
+      }
+    }
+    for (const history of this.#histories.values()) history.prune(before - this.config.spread)
+  }
+
+  #evictOldest (keys: Map<string, KeyEntry>): boolean {
+    for (const entry of keys.values()) {
+      if (entry.state.kind === 'running') continue
+      this.#forget(keys, entry)
+      return true
+    }
+    return false
+  }
+
+  #forget (keys: Map<string, KeyEntry>, entry: KeyEntry): void {
+    this.#dropAnswer(entry)
+    keys.delete(entryKey(entry.name))
+    const forgotten = this.forgotten(entry.name.workspace)
+    const made = uuidTime(entry.name.key)
+    if (made === undefined) forgotten.opaqueUntil = Math.max(forgotten.opaqueUntil, entry.since + this.config.window)
+    else forgotten.timedUntil = Math.max(forgotten.timedUntil, made)
+  }
+
+  #dropAnswer (entry: KeyEntry): void {
+    const size = this.#answers.get(entry)
+    if (size === undefined) return
+    this.#answers.delete(entry)
+    this.#bytes -= size
+    entry.state = { kind: 'ended', answer: undefined }
+  }
+}
+
+const entryKey = (name: KeyName): string => `${name.service}\n${name.key}`
--- /dev/null
+++ b/packages/policy/src/keys/keysDefinition.ts
@@ -0,0 +1,10 @@
+/** Registers the idempotency keys of a home. */
+import { decideKeys } from './keys.js'
+import { KeysDb } from './keysDb.js'
+
+/** The keys policy under its name. */
+export const keysDefinition = {
+  id: 'keys',
+  createDb: (...args: ConstructorParameters<typeof KeysDb>): KeysDb => new KeysDb(...args),
+  decide: decideKeys
+} as const
--- /dev/null
+++ b/packages/policy/src/keys/keysTypes.ts
@@ -0,0 +1,86 @@
+/** Events and commands of the idempotency keys that an agent is the home of. */
+import type { Fingerprint, Millis, RequestId, ServiceId, UpstreamId, WorkspaceId } from '@fuchsiaworks/kernel'
+import type { FailureOutcome } from '../retry/retryTypes.js'
+
+/** Bounds of what a home remembers. */
+export interface KeysConfig {
+  /** Milliseconds for which a key is remembered; callers must not send an opaque key again later than this. */
+  readonly window: Millis
+  /** Milliseconds by which a key's time may lie ahead of this host's wall clock. */
+  readonly callerSkew: Millis
+  /** Largest difference between the wall clocks of two of the fleet's hosts, in milliseconds. */
+  readonly hostSkew: Millis
+  /** Milliseconds within which a configuration is in force everywhere. */
+  readonly spread: Millis
+  /** Keys remembered for one workspace. */
+  readonly maxKeys: number
+  /** Bytes of one answer above which only its outcome is remembered. */
+  readonly answerBytes: number
+  /** Bytes of all answers together. */
+  readonly storeBytes: number
+  /** Requests that may wait for the first run of one key. */
+  readonly maxWaiters: number
+}
+
+/** An answer that is given again. */
+export interface StoredAnswer {
+  readonly status: number
+  readonly headers: ReadonlyArray<readonly [name: string, value: string]>
+  readonly body: Uint8Array
+}
+
+/** A key within its service and workspace. */
+export interface KeyName {
+  readonly service: ServiceId
+  readonly workspace: WorkspaceId
+  readonly key: string
+}
+
+/** What happens at a home. `now` is monotonic, `wall` is wall-clock time, both in milliseconds. */
+export type KeysEvent =
+  {
+    /** A revision that lists these upstreams for the service came in force here. */
+    readonly kind: 'upstreams-listed'
+    readonly now: Millis
+    readonly wall: Millis
+    readonly service: ServiceId
+    readonly upstreams: readonly UpstreamId[]
+  } |
+  KeyName & {
+    readonly kind: 'key-presented'
+    readonly now: Millis
+    readonly wall: Millis
+    readonly request: RequestId
+    readonly fingerprint: Fingerprint
+  } |
+  KeyName & { readonly kind: 'run-started', readonly now: Millis } |
+  KeyName & { readonly kind: 'answer-recorded', readonly now: Millis, readonly answer: StoredAnswer } |
+  KeyName & { readonly kind: 'run-failed', readonly now: Millis, readonly outcome: FailureOutcome } |
+  KeyName & { readonly kind: 'waiter-gone', readonly request: RequestId } |
+  { readonly kind: 'tick', readonly now: Millis }
+
+/** Why a keyed request is refused; it was not run and stays not run. */
+export type KeyRefusal = 'not-home' | 'key-from-future' | 'too-many-waiters' | 'too-many-keys'
+
+/** What the agent does with a request. */
+export type KeysCommand =
+  { readonly kind: 'run', readonly request: RequestId } |
+  { readonly kind: 'replay', readonly request: RequestId, readonly answer: StoredAnswer } |
+  {
+    /** The first request of the key still runs; commands for this one follow when it ends. */
+    readonly kind: 'wait'
+    readonly request: RequestId
+    readonly first: RequestId
+  } |
+  { readonly kind: 'answer-unknown', readonly request: RequestId } |
+  {
+    /** The key ran to its end, but its answer is no longer kept. */
+    readonly kind: 'answer-ran'
+    readonly request: RequestId
+  } |
+  {
+    /** The key was used for another request (status 422). */
+    readonly kind: 'conflict'
+    readonly request: RequestId
+  } |
+  { readonly kind: 'refuse', readonly request: RequestId, readonly reason: KeyRefusal }
--- /dev/null
+++ b/packages/policy/src/membership/membership.ts
@@ -0,0 +1,195 @@
+/** Joins the host list, the configuration and what links show into links and the work state. */
+import { assertNever, type HostId, type Millis } from '@fuchsiaworks/kernel'
+import { planAgentLinks, planRouterLinks } from './linkPlan.js'
+import type { KnownHost, Leaving, MembershipDb } from './membershipDb.js'
+import type { MembershipCommand, MembershipEvent } from './membershipTypes.js'
+import { drawReturn, setZonesOut, updateWorkState } from './workGate.js'
+
+/** Notes that hosts leave, and passes on what is news. */
+const onLeavingTold = (db: MembershipDb, hosts: readonly HostId[]): MembershipCommand[] => {
+  const fresh = hosts.filter(id => {
+    const leaving = db.leaving(id)
+    if (leaving === undefined || leaving.told) return false
+    leaving.told = true
+    return true
+  })
+  if (fresh.length === 0) return []
+  db.stale = true
+  return [{ kind: 'tell-leaving', hosts: fresh }]
+}
+
+/** Takes the list's word; only a list that said leaving before takes back what was told. */
+const takeListedLeaving = (leaving: Leaving, listed: boolean): void => {
+  if (leaving.list && !listed) leaving.told = false
+  leaving.list = listed
+}
+
+const onListed = (db: MembershipDb, event: Extract<MembershipEvent, { kind: 'hosts-listed' }>): MembershipCommand[] => {
+  for (const listed of event.hosts) {
+    if (listed.host === db.config.host) {
+      takeListedLeaving(db.selfLeaving, listed.leaving)
+      continue
+    }
+    const host = db.see(listed.host, listed.role, listed.zone, event.now)
+    if (listed.service !== undefined) host.service = listed.service
+    if (host.leaving.list !== listed.leaving) db.stale = true
+    takeListedLeaving(host.leaving, listed.leaving)
+  }
+  return onLeavingTold(db, event.hosts.filter(host => host.leaving).map(host => host.host))
+}
+
+const onConfigured = (db: MembershipDb, event: Extract<MembershipEvent, { kind: 'configured' }>): void => {
+  if (event.revision <= db.revision) return
+  db.revision = event.revision
+  setZonesOut(db, event.zonesOut)
+  db.stale = true
+  for (const router of event.routers) if (router.host !== db.config.host) db.see(router.host, 'router', router.zone, event.now)
+  for (const upstream of event.upstreams) {
+    if (upstream.host !== db.config.host) db.see(upstream.host, 'agent', upstream.zone, event.now).service = upstream.service
+  }
+  db.configured = new Set([...event.routers, ...event.upstreams].map(entry => entry.host))
+  const leavingHosts = new Set(event.upstreams.filter(upstream => upstream.leaving).map(upstream => upstream.host))
+  db.selfLeaving.configuration = leavingHosts.has(db.config.host)
+  for (const [id, host] of db.hosts) host.leaving.configuration = leavingHosts.has(id)
+}
+
+const onLinkUp = (db: MembershipDb, event: Extract<MembershipEvent, { kind: 'link-up' }>): void => {
+  const host = db.see(event.peer, event.role, event.zone, event.now)
+  if (event.service !== undefined) host.service = event.service
+  if (host.incarnation !== undefined && host.incarnation !== event.incarnation) host.leaving.told = false
+  host.incarnation = event.incarnation
+  host.linked = true
+  host.suspected = false
+  host.heardAt = event.now
+  host.unreachableUntil = -Infinity
+  db.stale = true
+}
+
+/** Takes a host out of the plan for a while; the next best takes its place. */
+const markUnreachable = (db: MembershipDb, host: KnownHost, now: Millis): void => {
+  host.unreachableUntil = now + db.config.retryDial
+  host.triedSince = host.unreachableUntil
+  db.stale = true
+}
+
+const onLinkDown = (db: MembershipDb, event: Extract<MembershipEvent, { kind: 'link-down' }>): void => {
+  const host = db.hosts.get(event.peer)
+  if (host === undefined) return
+  host.linked = false
+  markUnreachable(db, host, event.now)
+}
+
+const plannedLinks = (db: MembershipDb, now: Millis): Set<HostId> => {
+  const { config, self } = db
+  const routers = db.routers(now)
+  if (config.role === 'router') return planRouterLinks(self, routers, config.routersPerZone)
+  const agents = db.agents(config.service)
+  const planned = planAgentLinks({ self, routers, agents, baseLinks: config.baseLinks, agentsPerRouter: config.agentsPerRouter })
+  const known = new Set(routers.map(router => router.id))
+  const hungry = [...db.hungry.keys()].filter(router => known.has(router) && !planned.has(router))
+  for (const router of hungry.slice(0, config.hungerLinks)) planned.add(router)
+  return planned
+}
+
+/** Dials what is planned and closes, after a while, what is not. */
+const updateLinks = (db: MembershipDb, now: Millis): MembershipCommand[] => {
+  const planned = plannedLinks(db, now)
+  const commands: MembershipCommand[] = []
+  for (const [id, host] of db.hosts) {
+    if (host.role !== 'router' || !(host.dialled || planned.has(id))) continue
+    if (!planned.has(id)) {
+      host.unplannedSince ??= now
+      continue
+    }
+    host.unplannedSince = undefined
+    if (host.dialled) continue
+    host.dialled = true
+    host.triedSince = now
+    commands.push({ kind: 'dial', peer: id })
+  }
+  return commands
+}
+
+const closeUnplanned = (db: MembershipDb, now: Millis): MembershipCommand[] => {
+  const commands: MembershipCommand[] = []
+  for (const [id, host] of db.hosts) {
+    if (host.unplannedSince === undefined || now - host.unplannedSince < db.config.linger) continue
+    host.unplannedSince = undefined
+    host.dialled = false
+    commands.push({ kind: 'hang-up', peer: id })
+  }
+  return commands
+}
+
+const suspectSilent = (db: MembershipDb, now: Millis): MembershipCommand[] => {
+  if (now < db.trustUntil) return []
+  const isSilent = (host: KnownHost): boolean => host.linked && !host.suspected && now - host.heardAt >= db.config.suspectAfter
+  return [...db.hosts.values()].filter(isSilent).map(host => {
+    host.suspected = true
+    return { kind: 'replace-connection', peer: host.candidate.id }
+  })
+}
+
+const onTick = (db: MembershipDb, now: Millis, random: number): MembershipCommand[] => {
+  db.forgetOld(now)
+  drawReturn(db, now, random)
+  const suspects = suspectSilent(db, now)
+  for (const host of db.hosts.values()) {
+    if (host.linked || host.unreachableUntil > now) continue
+    if (host.dialled && now - host.triedSince >= db.config.suspectAfter) markUnreachable(db, host, now)
+    else if (host.unreachableUntil > db.plannedAt) db.stale = true
+  }
+  const dials = db.stale ? updateLinks(db, now) : []
+  if (db.stale) db.plannedAt = now
+  db.stale = false
+  return [...suspects, ...dials, ...closeUnplanned(db, now)]
+}
+
+const apply = (db: MembershipDb, event: MembershipEvent): MembershipCommand[] => {
+  switch (event.kind) {
+    case 'hosts-listed':
+      return onListed(db, event)
+    case 'configured':
+      onConfigured(db, event)
+      return []
+    case 'link-up':
+      onLinkUp(db, event)
+      return []
+    case 'heard': {
+      const host = db.hosts.get(event.peer)
+      if (host === undefined) return []
+      host.heardAt = event.now
+      host.suspected = false
+      return []
+    }
+    case 'link-down':
+      onLinkDown(db, event)
+      return []
+    case 'leaving-told':
+      return onLeavingTold(db, event.hosts)
+    case 'hunger-told':
+      db.see(event.router, 'router', event.zone, event.now)
+      db.hungry.set(event.router, event.now + db.config.hungerFor)
+      db.stale = true
+      return []
+    case 'drain':
+      return onLeavingTold(db, [db.config.host])
+    case 'paused':
+      db.trustUntil = event.now + db.config.heartbeat
+      return []
+    case 'tick':
+      return onTick(db, event.now, event.random)
+    default:
+      return assertNever(event)
+  }
+}
+
+/**
+ * Takes one event and returns the commands that follow from it.
+ *
+ * @param db - what this process knows; changed in place
+ * @param event - what was heard
+ * @returns the commands, in the order in which they are to be carried out
+ */
+export const decideMembership = (db: MembershipDb, event: MembershipEvent): MembershipCommand[] =>
+  [...apply(db, event), ...updateWorkState(db, event.now)]
--- /dev/null
+++ b/packages/policy/src/membership/membershipTypes.ts
@@ -0,0 +1,140 @@
+/** Events and commands of membership: whom to link with, and whether new work may be taken. */
+import type { HostId, Incarnation, Millis, ServiceId, UpstreamId, ZoneId } from '@fuchsiaworks/kernel'
+
+/** What a host runs. */
+export type HostRole = 'router' | 'agent'
+
+/** Settings of membership in one process. */
+export interface MembershipConfig {
+  readonly role: HostRole
+  readonly host: HostId
+  readonly zone: ZoneId
+  /** The service of an agent's upstream. */
+  readonly service: ServiceId | undefined
+  /** Routers that an agent links with in any case. */
+  readonly baseLinks: number
+  /** Agents of each service that link with each router. */
+  readonly agentsPerRouter: number
+  /** Links that an agent adds for routers with work that nobody serves. */
+  readonly hungerLinks: number
+  /** Links of a router to each zone other than its own. */
+  readonly routersPerZone: number
+  /** Milliseconds between heartbeats of a link. */
+  readonly heartbeat: Millis
+  /** Milliseconds without any word after which a peer is suspected. */
+  readonly suspectAfter: Millis
+  /** Milliseconds for which a host that left the list is still tried. */
+  readonly forgetAfter: Millis
+  /** Milliseconds before a host that could not be reached counts in the plan again. */
+  readonly retryDial: Millis
+  /** Milliseconds for which a link that is no longer planned stays open. */
+  readonly linger: Millis
+  /** Milliseconds for which a router's call for agents is answered. */
+  readonly hungerFor: Millis
+  /** Longest random wait before work is taken again after the zone returned, in milliseconds. */
+  readonly returnJitter: Millis
+}
+
+/** A host as the platform's list names it. */
+export interface ListedHost {
+  readonly host: HostId
+  readonly role: HostRole
+  readonly zone: ZoneId
+  /** The service of an agent's upstream. */
+  readonly service?: ServiceId
+  readonly leaving: boolean
+}
+
+/** An upstream as the configuration names it. */
+export interface ConfiguredUpstream {
+  readonly upstream: UpstreamId
+  /** Host of the agent beside it. */
+  readonly host: HostId
+  readonly service: ServiceId
+  readonly zone: ZoneId
+  readonly leaving: boolean
+}
+
+/** What a process hears about others. `now` is monotonic milliseconds. */
+export type MembershipEvent =
+  {
+    readonly kind: 'hosts-listed'
+    readonly now: Millis
+    readonly hosts: readonly ListedHost[]
+  } |
+  {
+    readonly kind: 'configured'
+    readonly now: Millis
+    readonly revision: number
+    readonly zonesOut: readonly ZoneId[]
+    readonly upstreams: readonly ConfiguredUpstream[]
+    /** Routers named by settings or configuration. */
+    readonly routers: ReadonlyArray<{ readonly host: HostId, readonly zone: ZoneId }>
+  } |
+  {
+    readonly kind: 'link-up'
+    readonly now: Millis
+    readonly peer: HostId
+    readonly role: HostRole
+    readonly zone: ZoneId
+    readonly incarnation: Incarnation
+    readonly service?: ServiceId
+  } |
+  { readonly kind: 'heard', readonly now: Millis, readonly peer: HostId } |
+  {
+    /** The session ended; a dialled peer is still tried. */
+    readonly kind: 'link-down'
+    readonly now: Millis
+    readonly peer: HostId
+  } |
+  { readonly kind: 'leaving-told', readonly now: Millis, readonly hosts: readonly HostId[] } |
+  {
+    /** A router has work of this agent's service that too few agents serve. */
+    readonly kind: 'hunger-told'
+    readonly now: Millis
+    readonly router: HostId
+    readonly zone: ZoneId
+  } |
+  { readonly kind: 'drain', readonly now: Millis } |
+  { readonly kind: 'paused', readonly now: Millis, readonly length: Millis } |
+  {
+    readonly kind: 'tick'
+    readonly now: Millis
+    /** Uniform in [0, 1). */
+    readonly random: number
+  }
+
+/** Whether a process takes new work, and why not. */
+export type WorkState = 'open' | 'leaving' | 'zone-out' | 'returning' | 'unconfigured'
+
+/** What a process does. */
+export type MembershipCommand =
+  {
+    /** Keep the peer connected until hang-up. */
+    readonly kind: 'dial'
+    readonly peer: HostId
+  } |
+  {
+    /** Stop keeping the peer connected, once no request is open over the link. */
+    readonly kind: 'hang-up'
+    readonly peer: HostId
+  } |
+  {
+    /** Replace the connection of a link that has gone silent. */
+    readonly kind: 'replace-connection'
+    readonly peer: HostId
+  } |
+  {
+    /** For an agent: may new work start. For a router: is it ready for callers. */
+    readonly kind: 'work-state'
+    readonly state: WorkState
+  } |
+  {
+    /** The zone has returned: the upstream counts as cold. */
+    readonly kind: 'start-cold'
+  } |
+  {
+    /** Tell every linked peer, once, of hosts that leave. */
+    readonly kind: 'tell-leaving'
+    readonly hosts: readonly HostId[]
+  }
--- /dev/null
+++ b/packages/policy/src/membership/workGate.ts
@@ -0,0 +1,54 @@
+/** Decides whether this process takes new work: its zone must be in and it must not be leaving. */
+import type { Millis, ZoneId } from '@fuchsiaworks/kernel'
+import { isLeaving, type MembershipDb } from './membershipDb.js'
+import type { MembershipCommand, WorkState } from './membershipTypes.js'
+
+const wantedState = (db: MembershipDb, now: Millis): WorkState => {
+  if (isLeaving(db.selfLeaving)) return 'leaving'
+  if (db.revision === 0) return 'unconfigured'
+  if (db.zonesOut.has(db.config.zone)) return 'zone-out'
+  if (db.returnAt !== undefined && now < db.returnAt) return 'returning'
+  return 'open'
+}
+
+/**
+ * Brings the work state up to date.
+ *
+ * @param db - changed in place
+ * @param now - monotonic milliseconds
+ * @returns the commands of a change
+ */
+export const updateWorkState = (db: MembershipDb, now: Millis): MembershipCommand[] => {
+  const state = wantedState(db, now)
+  if (state === db.workState) return []
+  const returned = db.workState === 'zone-out' || db.workState === 'returning'
+  db.workState = state
+  const commands: MembershipCommand[] = []
+  if (returned && state === 'open' && db.config.role === 'agent') commands.push({ kind: 'start-cold' })
+  commands.push({ kind: 'work-state', state })
+  return commands
+}
+
+/**
+ * Takes a new set of zones that are out.
+ *
+ * @param db - changed in place
+ * @param zonesOut - zones that take no new work
+ */
+export const setZonesOut = (db: MembershipDb, zonesOut: readonly ZoneId[]): void => {
+  const wasOut = db.zonesOut.has(db.config.zone)
+  db.zonesOut = new Set(zonesOut)
+  if (db.zonesOut.has(db.config.zone)) db.returnAt = undefined
+  else if (wasOut) db.returnAt = Infinity
+}
+
+/**
+ * Draws the wait after a zone's return, so that its agents do not start as one.
+ *
+ * @param db - changed in place
+ * @param now - monotonic milliseconds
+ * @param random - uniform in [0, 1)
+ */
+export const drawReturn = (db: MembershipDb, now: Millis, random: number): void => {
+  if (db.returnAt === Infinity) db.returnAt = now + random * db.config.returnJitter
+}
--- /dev/null
+++ b/packages/policy/src/quarantine/quarantine.ts
@@ -0,0 +1,58 @@
+/** Tells a bad request from a bad upstream: a suspect runs alone, and is refused when its upstream ends again. */
+import { assertNever } from '@fuchsiaworks/kernel'
+import type { QuarantineDb } from './quarantineDb.js'
+import type { QuarantineCommand, QuarantineEvent, RequestPrint } from './quarantineTypes.js'
+
+const printOf = (event: RequestPrint): RequestPrint => ({ workspace: event.workspace, fingerprint: event.fingerprint })
+
+const onArrived = (db: QuarantineDb, event: Extract<QuarantineEvent, { kind: 'request-arrived' }>): QuarantineCommand => {
+  const remaining = db.remaining(event, event.now)
+  if (remaining > 0) return { kind: 'refuse', remaining }
+  return db.suspicion(event, event.now) === undefined ? { kind: 'admit' } : { kind: 'isolate' }
+}
+
+const onCrash = (db: QuarantineDb, event: Extract<QuarantineEvent, { kind: 'crash-reported' }>): QuarantineCommand[] => {
+  const { crash, alone, upstream, now } = event
+  const print = printOf(event)
+  if (db.suspicion(print, now)?.crashes.has(crash) === true) return []
+  const suspicion = db.addCrash(print, crash, alone, now)
+  const commands: QuarantineCommand[] = []
+  if (event.from === 'agent') commands.push({ kind: 'tell-crash', ...print, upstream, crash, alone })
+  if (!suspicion.alone || suspicion.crashes.size < db.config.crashes) return commands
+  db.refuse(print, db.config.refuseFor, now)
+  commands.push({ kind: 'tell-quarantine', ...print, remaining: db.config.refuseFor })
+  return commands
+}
+
+const onTold = (db: QuarantineDb, event: Extract<QuarantineEvent, { kind: 'quarantine-told' }>): QuarantineCommand[] => {
+  const print = printOf(event)
+  const isNew = db.refuse(print, event.remaining, event.now)
+  if (!isNew) return []
+  return [{ kind: 'tell-quarantine', ...print, remaining: db.remaining(print, event.now) }]
+}
+
+/**
+ * Takes one event and returns the commands that follow from it.
+ *
+ * @param db - suspects and refused requests; changed in place
+ * @param event - what happened
+ * @returns the commands; exactly one of admit, isolate and refuse for an arrival
+ */
+export const decideQuarantine = (db: QuarantineDb, event: QuarantineEvent): QuarantineCommand[] => {
+  switch (event.kind) {
+    case 'request-arrived':
+      return [onArrived(db, event)]
+    case 'crash-reported':
+      return onCrash(db, event)
+    case 'request-completed':
+      db.clear(event)
+      return []
+    case 'quarantine-told':
+      return onTold(db, event)
+    case 'tick':
+      db.expire(event.now)
+      return []
+    default:
+      return assertNever(event)
+  }
+}
--- /dev/null
+++ b/packages/policy/src/retry/retry.ts
@@ -0,0 +1,154 @@
+/** Decides what follows when an attempt fails: another attempt, an answer that says what is known, or a cut connection. */
+import { assertNever, type Millis } from '@fuchsiaworks/kernel'
+import type { OpenRequest, RetryDb } from './retryDb.js'
+import type { DeclineReason, FailureOutcome, RetryCommand, RetryEvent } from './retryTypes.js'
+
+/** Milliseconds named in Retry-After when the request itself is sound. */
+const RETRY_AFTER_MS = 1_000
+
+/** HTTP status for each outcome. */
+const STATUS: Readonly<Record<FailureOutcome, number>> = { 'not-run': 503, unknown: 502, ran: 502 }
+
+/** HTTP status of a request that waited until its deadline. */
+const DEADLINE_STATUS = 504
+
+/** HTTP status of a request that ended too many upstreams. */
+const QUARANTINED_STATUS = 422
+
+/** HTTP status of a key whose first request still runs or whose fate is unknown. */
+const KEY_STATUS = 409
+
+const answer = (
+  db: RetryDb, request: OpenRequest, outcome: FailureOutcome, status: number, reason: string, retryAfter?: Millis
+): RetryCommand[] => {
+  db.forget(request)
+  if (request.bytesSent) return [{ kind: 'cut', request: request.id }]
+  return [{ kind: 'answer', request: request.id, outcome, status, retryAfter, reason }]
+}
+
+/** Outcome of the whole request when its last attempt was not started. */
+const outcomeBefore = (request: OpenRequest): FailureOutcome => request.mayHaveRun ? 'unknown' : 'not-run'
+
+const requeue = (db: RetryDb, request: OpenRequest, now: Millis): RetryCommand[] => {
+  request.state = { kind: 'queued' }
+  request.upstream = undefined
+  if (now >= request.deadline) return answer(db, request, outcomeBefore(request), DEADLINE_STATUS, 'deadline', RETRY_AFTER_MS)
+  return [{ kind: 'requeue', request: request.id }]
+}
+
+const onDeclined = (db: RetryDb, request: OpenRequest, now: Millis, reason: DeclineReason): RetryCommand[] => {
+  db.inDoubt.delete(request)
+  switch (reason) {
+    case 'expired':
+    case 'not-accepting':
+    case 'not-home':
+      return requeue(db, request, now)
+    case 'key-running':
+      return answer(db, request, 'unknown', KEY_STATUS, 'the first request of the key still runs', RETRY_AFTER_MS)
+    case 'key-unknown':
+      return answer(db, request, 'unknown', KEY_STATUS, 'the key may have run before')
+    case 'quarantined':
+      return answer(db, request, outcomeBefore(request), QUARANTINED_STATUS, 'requests like this one ended upstreams')
+    default:
+      return assertNever(reason)
+  }
+}
+
+/** Counts an attempt that may have run and tries again where that is allowed. */
+const retryOrAnswer = (db: RetryDb, request: OpenRequest, now: Millis, outcome: FailureOutcome, reason: string): RetryCommand[] => {
+  request.attempts += 1
+  if (request.upstream !== undefined) request.tried.push(request.upstream)
+  request.upstream = undefined
+  const told = outcome === 'not-run' ? outcomeBefore(request) : outcome
+  if (outcome !== 'not-run') request.mayHaveRun = true
+  const refuse = (why: string, status = STATUS[told]): RetryCommand[] => answer(db, request, told, status, why, RETRY_AFTER_MS)
+  if (request.bytesSent) return refuse(reason)
+  if (!request.idempotent && outcome !== 'not-run') return answer(db, request, told, STATUS[told], reason)
+  if (now >= request.deadline) return refuse('deadline', DEADLINE_STATUS)
+  if (request.attempts >= db.config.maxAttempts) return refuse(`${reason}; no attempts left`)
+  if (!db.budget.take(request.service, request.workspace, now)) return refuse(`${reason}; retry budget spent`)
+  request.state = { kind: 'queued' }
+  return [{ kind: 'retry', request: request.id, attempt: request.attempts, avoid: [...request.tried] }]
+}
+
+const onSessionLost = (db: RetryDb, request: OpenRequest, now: Millis, peer: 'gone' | 'expired'): RetryCommand[] => {
+  if (request.state.kind !== 'handed-over') return []
+  const { accepted, at } = request.state
+  const startableUntil = at + db.config.pullTtl + db.config.pullMargin
+  if (accepted || peer === 'gone' || now >= startableUntil) return retryOrAnswer(db, request, now, 'unknown', 'agent lost')
+  request.state = { kind: 'in-doubt', decideAt: startableUntil }
+  db.inDoubt.add(request)
+  return []
+}
+
+const onResponseFailed = (db: RetryDb, request: OpenRequest, event: Extract<RetryEvent, { kind: 'response-failed' }>): RetryCommand[] => {
+  db.inDoubt.delete(request)
+  if (event.quarantined) return answer(db, request, event.outcome, QUARANTINED_STATUS, 'requests like this one ended upstreams')
+  return retryOrAnswer(db, request, event.now, event.outcome, event.crashed ? 'upstream ended' : 'upstream failed')
+}
+
+const onTick = (db: RetryDb, now: Millis): RetryCommand[] => {
+  const commands: RetryCommand[] = []
+  for (const request of db.inDoubt) {
+    if (request.state.kind !== 'in-doubt' || now < request.state.decideAt) continue
+    db.inDoubt.delete(request)
+    commands.push(...retryOrAnswer(db, request, now, 'unknown', 'agent lost'))
+  }
+  return commands
+}
+
+const onOpened = (db: RetryDb, event: Extract<RetryEvent, { kind: 'request-opened' }>): void => {
+  const { request, workspace, service, idempotent, deadline } = event
+  db.budget.countFirst(service, workspace, event.now)
+  db.requests.set(request, {
+    id: request, workspace, service, idempotent, deadline, attempts: 0, mayHaveRun: false, tried: [], upstream: undefined, bytesSent: false, state: { kind: 'queued' }
+  })
+}
+
+const onRequestEvent = (
+  db: RetryDb, request: OpenRequest, event: Exclude<RetryEvent, { kind: 'request-opened' | 'tick' }>
+): RetryCommand[] => {
+  switch (event.kind) {
+    case 'attempt-started':
+      request.upstream = event.upstream
+      request.state = { kind: 'handed-over', at: event.now, accepted: false }
+      return []
+    case 'accepted':
+      if (request.state.kind === 'handed-over') request.state = { ...request.state, accepted: true }
+      return []
+    case 'declined':
+      return onDeclined(db, request, event.now, event.reason)
+    case 'bytes-sent':
+      request.bytesSent = true
+      return []
+    case 'session-lost':
+      return onSessionLost(db, request, event.now, event.peer)
+    case 'response-failed':
+      return onResponseFailed(db, request, event)
+    case 'caller-gone':
+      db.forget(request)
+      return [{ kind: 'abandon', request: request.id, held: request.state.kind === 'handed-over' }]
+    case 'request-closed':
+      db.forget(request)
+      return []
+    default:
+      return assertNever(event)
+  }
+}
+
+/**
+ * Takes one event and returns the commands that follow from it. Events of unknown requests are ignored.
+ *
+ * @param db - the open requests and the retry budget; changed in place
+ * @param event - what happened
+ * @returns the commands, in the order in which they are to be carried out
+ */
+export const decideRetry = (db: RetryDb, event: RetryEvent): RetryCommand[] => {
+  if (event.kind === 'tick') return onTick(db, event.now)
+  if (event.kind === 'request-opened') {
+    onOpened(db, event)
+    return []
+  }
+  const request = db.requests.get(event.request)
+  return request === undefined ? [] : onRequestEvent(db, request, event)
+}
