--- a/packages/settings/src/fleetConfig/configDocuments.ts
+++ b/packages/settings/src/fleetConfig/configDocuments.ts
@@ -12,7 +12,8 @@
 /** Name of the base file in findings. */
 const BASE_NAME = 'base'
 
-const documentsSchema = z.strictObject({
+/** Unknown keys are let through, so that a publisher may add some before every process knows them. */
+const documentsSchema = z.object({
   revision: wholeNumber('revisions', 0, Number.MAX_SAFE_INTEGER),
   base: z.string({ error: 'expected the text of the base file' }),
   overlays: z.record(idSchema<SiteId>(), z.string({ error: 'expected the text of an overlay' }))
