Add the router's flow from caller to agent and back

Cause: the thin path needs a router. Change: caller server, queue and retry glue, answer relay, links, membership and configuration on the policies; a retried request avoids the upstreams at which it failed, and is never refused as not run once an attempt may have run.

--- a/packages/fleet/src/configuration/configurationService.ts
+++ b/packages/fleet/src/configuration/configurationService.ts
@@ -92,10 +92,10 @@
     this.#timer = this.#context.clock.every(TICK_MS, () => { this.#tick() })
   }
 
-  close (): void {
+  async close (): Promise<void> {
     this.#timer?.close()
-    this.#watch?.close()
     this.#changes.close()
+    await this.#watch?.close()
   }
 
   #now (): number {
@@ -157,9 +157,7 @@
       case 'ask-peer': return this.#hub.find(command.link)?.send({ kind: 'revision', revision: command.revision })
       case 'tell-peer': return this.#tell(command.link, command.withDocuments)
       case 'watch': return this.#startWatch()
-      case 'stop-watching':
-        this.#watch?.close()
-        this.#watch = undefined
+      case 'stop-watching': return this.#stopWatch()
     }
   }
 
@@ -185,6 +183,11 @@
     this.#hub.find(linkId)?.send({ kind: 'revision', revision, ...documents })
   }
 
+  #stopWatch (): void {
+    this.#watch?.close().catch(() => {})
+    this.#watch = undefined
+  }
+
   #startWatch (): void {
     if (this.#watch !== undefined) return
     const { clock, random, settings } = this.#context
@@ -192,6 +195,8 @@
     this.#watch = watch
     this.#failures = 0
     onEvent(watch.news, log, documents => { this.#take(documents, 'service') })
+    watch.raise(this.#db.floor)
+    watch.start()
   }
 }
 
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,2 +1,11 @@
 /** Public entry of the fleet package. */
-export {}
+export * from './configuration/configurationService.js'
+export * from './configuration/listedUpstreams.js'
+export * from './context/createContext.js'
+export * from './context/processContext.js'
+export * from './links/dialTable.js'
+export * from './links/fleetLink.js'
+export * from './links/linkHub.js'
+export * from './links/linkOptions.js'
+export * from './links/messageTable.js'
+export * from './membership/membershipService.js'
--- a/packages/kernel/src/services/services.ts
+++ b/packages/kernel/src/services/services.ts
@@ -1,7 +1,7 @@
 /** The micro-kernel: services find each other by name, start in order and close in reverse. */
 import { DuplicateServiceError, UnknownServiceError } from '../errors/errors.js'
 
-/** A part of a process with a life of its own. */
+/** The life of a part of a process. A service without either is only found by others. */
 export interface Service {
   /** Begins the work of the service; the services named in `needs` have started. */
   start?: () => Promise<void> | void
@@ -10,13 +10,13 @@
 }
 
 /** What a package registers: a name, the names it needs, and how it is made. */
-export interface ServiceDefinition<T extends Service = Service> {
+export interface ServiceDefinition {
   /** Name under which others find the service. */
   readonly id: string
   /** Names of services that are made and started first. */
   readonly needs: readonly string[]
   /** Makes the service; the services in `needs` can be looked up. */
-  readonly create: (kernel: Kernel) => T
+  readonly create: (kernel: Kernel) => object
 }
 
 /** Typed key of a service. */
@@ -87,7 +87,7 @@
     const definition = this.#definitions.get(id)
     if (definition === undefined) throw new UnknownServiceError(id)
     for (const need of definition.needs) await this.#startOne(need)
-    const service = definition.create(this)
+    const service: Service = definition.create(this)
     this.#services.set(id, service)
     await service.start?.()
     this.#started.push(id)
--- a/packages/policy/src/admission/admissionDb.ts
+++ b/packages/policy/src/admission/admissionDb.ts
@@ -31,14 +31,14 @@
 
   /** @returns the oldest request that the upstream may run */
   oldestFor (upstream: UpstreamId): WaitingRequest | undefined {
-    return oldestOf(this.lanesFor(upstream))
+    return oldestOf(this.lanesFor(upstream).map(lane => lane.headFor(upstream)))
   }
 }
 
-/** @returns the oldest request of some lanes */
-export const oldestOf = (lanes: Iterable<Lane>): WaitingRequest | undefined => {
+/** @returns the oldest of the heads of some lanes */
+export const oldestOf = (heads: Iterable<WaitingRequest | undefined>): WaitingRequest | undefined => {
   let oldest: WaitingRequest | undefined
-  for (const { head } of lanes) {
+  for (const head of heads) {
     if (head !== undefined && (oldest === undefined || head.order < oldest.order)) oldest = head
   }
   return oldest
--- a/packages/policy/src/admission/admissionTypes.ts
+++ b/packages/policy/src/admission/admissionTypes.ts
@@ -14,6 +14,8 @@
   readonly idempotent: boolean
   /** The only upstream that may run it. */
   readonly home: UpstreamId | undefined
+  /** Upstreams at which it failed and must not be tried again. */
+  readonly avoid?: readonly UpstreamId[]
   /** Order of arrival. */
   readonly order: number
 }
--- a/packages/policy/src/admission/lane.ts
+++ b/packages/policy/src/admission/lane.ts
@@ -1,5 +1,5 @@
 /** Requests of one workspace for one service that the same upstreams may run, in order of arrival. */
-import type { Millis, RequestId } from '@fuchsiaworks/kernel'
+import type { Millis, RequestId, UpstreamId } from '@fuchsiaworks/kernel'
 import { DrainRate } from './drainRate.js'
 import type { WaitingRequest } from './admissionTypes.js'
 
@@ -16,6 +16,14 @@
     return this.#waiting.values().next().value
   }
 
+  /** @returns the oldest request that did not fail at the upstream before */
+  headFor (upstream: UpstreamId): WaitingRequest | undefined {
+    for (const waiting of this.#waiting.values()) {
+      if (waiting.avoid?.includes(upstream) !== true) return waiting
+    }
+    return undefined
+  }
+
   /** @returns the requests, oldest first */
   requests (): WaitingRequest[] {
     return [...this.#waiting.values()]
--- a/packages/policy/src/keys/keysDb.ts
+++ b/packages/policy/src/keys/keysDb.ts
@@ -2,6 +2,7 @@
 import { type Fingerprint, getOrMake, type Millis, type RequestId, type ServiceId, type UpstreamId, type WorkspaceId } from '@fuchsiaworks/kernel'
 import { HomeHistory, type Moment } from './homeHistory.js'
 import type { KeyName, KeysConfig, StoredAnswer } from './keysTypes.js'
+import { keySubject } from './keySubject.js'
 import { hashMembers, type StringHash } from './rendezvous.js'
 import { uuidTime } from './uuidTime.js'
 
@@ -69,7 +70,7 @@
 
   /** @returns the hash that places a key */
   subject (name: KeyName): number {
-    return this.hash(JSON.stringify([name.service, name.workspace, name.key]))
+    return keySubject(this.hash, name)
   }
 
   find (name: KeyName): KeyEntry | undefined {
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -1,2 +1,2 @@
 /** Public entry of the router package. */
-export {}
+export * from './process/startRouter.js'
--- /dev/null
+++ b/packages/router/src/links/backlogTeller.ts
@@ -0,0 +1,51 @@
+/** Tells the agents of a service what waits for them here. Changes of one turn of the loop are told together. */
+import { createLog, onEvent, type ServiceId, type ServiceKey, serviceKey } from '@fuchsiaworks/kernel'
+import type { FleetLink, LinkHub, ProcessContext } from '@fuchsiaworks/fleet'
+import { type AdmissionDb, backlogFor } from '@fuchsiaworks/policy'
+import type { AgentStates } from './agentStates.js'
+
+const log = createLog('backlog')
+
+/** Sends backlog messages. */
+export class BacklogTeller {
+  readonly #changed = new Set<ServiceId>()
+  readonly #toldEmpty = new Map<FleetLink, boolean>()
+  #scheduled = false
+
+  constructor (readonly context: ProcessContext, readonly hub: LinkHub, readonly admission: AdmissionDb, readonly states: AgentStates) {
+    onEvent(hub.closed, log, ({ link }) => { this.#toldEmpty.delete(link) })
+    onEvent(states.changes, log, ({ service }) => { this.mark(service) })
+  }
+
+  /**
+   * Notes that the backlog of a service changed.
+   *
+   * @param service - the service
+   */
+  mark (service: ServiceId): void {
+    this.#changed.add(service)
+    if (this.#scheduled) return
+    this.#scheduled = true
+    setImmediate(() => { this.#tellAll() })
+  }
+
+  #tellAll (): void {
+    this.#scheduled = false
+    for (const [link, state] of this.states.all()) {
+      if (this.#changed.has(state.service)) this.#tell(link, state.service)
+    }
+    this.#changed.clear()
+  }
+
+  #tell (link: FleetLink, service: ServiceId): void {
+    const state = this.states.of(link)
+    if (state === undefined) return
+    const entries = this.states.mayTakeWork(link) ? backlogFor(this.admission, service, state, this.context.clock.now()) : []
+    if (entries.length === 0 && this.#toldEmpty.get(link) !== false) return
+    this.#toldEmpty.set(link, entries.length === 0)
+    link.send({ kind: 'backlog', service, entries })
+  }
+}
+
+/** Key of the backlog teller. */
+export const backlogTellerKey: ServiceKey<BacklogTeller> = serviceKey('backlog')
--- /dev/null
+++ b/packages/router/src/requests/openRequest.ts
@@ -0,0 +1,51 @@
+/** One caller's request while the router is responsible for it. */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Fingerprint, Millis, RequestId, ServiceId, UpstreamId, WorkspaceId } from '@fuchsiaworks/kernel'
+import type { FleetLink } from '@fuchsiaworks/fleet'
+import type { WaitingRequest } from '@fuchsiaworks/policy'
+import type { HeaderList } from '@fuchsiaworks/wire'
+import type { AnswerWriter } from './answerWriter.js'
+import type { BodyReader, BodyStart } from './bodyReader.js'
+
+/** What the request is. */
+export interface RequestFacts {
+  readonly id: RequestId
+  readonly service: ServiceId
+  readonly workspace: WorkspaceId
+  readonly method: string
+  /** Path and query below the service. */
+  readonly path: string
+  readonly headers: HeaderList
+  readonly idempotent: boolean
+  readonly key: string | undefined
+  /** The only upstream that may run it, for a request with a key that is not idempotent. */
+  readonly home: UpstreamId | undefined
+  readonly fingerprint: Fingerprint
+  /** Estimated cost, in cost units. */
+  readonly estimate: number
+  /** Milliseconds that it may wait. */
+  readonly patience: Millis
+  readonly receivedAt: Millis
+}
+
+/** The request with its connection and its holder. */
+export interface OpenRequest {
+  readonly facts: RequestFacts
+  readonly req: IncomingMessage
+  readonly res: ServerResponse
+  readonly start: BodyStart
+  readonly reader: BodyReader
+  readonly writer: AnswerWriter
+  /** The agent that holds it; undefined while it waits here. */
+  holder: FleetLink | undefined
+  /** Its place in the queue, to which it returns when it is declined. */
+  waiting: WaitingRequest | undefined
+  /** True once the agent said that it started it. */
+  accepted: boolean
+  /** True once an earlier attempt may have run, so that it can no longer be refused as not run. */
+  mayHaveRun: boolean
+  /** Times that it was handed over. */
+  attempts: number
+  /** True when it must run alone at its upstream. */
+  readonly isolate: boolean
+}
--- /dev/null
+++ b/packages/router/src/requests/outcomes.ts
@@ -0,0 +1,30 @@
+/** Turns decisions of the policies into what callers are told. */
+import type { Millis } from '@fuchsiaworks/kernel'
+import type { RetryCommand } from '@fuchsiaworks/policy'
+import { notRun, type Problem } from '../callers/problem.js'
+
+/** Sentences for refusals by the queue. */
+const REFUSALS: Readonly<Record<string, string>> = {
+  'queue-full': 'too many requests of the workspace wait for the service',
+  'predicted-wait': 'the request would wait longer than the workspace tolerates',
+  deadline: 'no upstream took the request within the time that the workspace tolerates'
+}
+
+/**
+ * Words a refusal of the queue.
+ *
+ * @param reason - why it was refused
+ * @param retryAfter - milliseconds after which a new try can help
+ * @returns the problem; 429 when the workspace itself waits too much, else 503
+ */
+export const problemOfRefusal = (reason: string, retryAfter: Millis): Problem =>
+  notRun(reason === 'queue-full' ? 429 : 503, reason, REFUSALS[reason] ?? reason, retryAfter)
+
+/**
+ * Words the end of a request whose attempt failed.
+ *
+ * @param answer - the decision
+ * @returns the problem
+ */
+export const problemOfAnswer = ({ status, outcome, reason, retryAfter }: Extract<RetryCommand, { kind: 'answer' }>): Problem =>
+  ({ status, type: reason.replaceAll(' ', '-'), detail: reason, outcome, ...(retryAfter === undefined ? {} : { retryAfter }) })
--- /dev/null
+++ b/packages/router/src/requests/requestFlow.ts
@@ -0,0 +1,305 @@
+/** Moves requests between their callers, the queue and the agents, as the policies decide. */
+import {
+  assertNever, createLog, type Millis, onEvent, type RequestEvent, type RequestId, type Service, type ServiceKey, serviceKey, type Timer,
+  type UpstreamId
+} from '@fuchsiaworks/kernel'
+import type { ClosedLink, FleetLink, LinkHub, ProcessContext } from '@fuchsiaworks/fleet'
+import {
+  type AdmissionCommand, type AdmissionDb, admissionDefinition, type AdmissionEvent, type RetryCommand, retryDefinition, type RetryEvent,
+  type WaitingRequest
+} from '@fuchsiaworks/policy'
+import { defaultFleetConfig } from '@fuchsiaworks/settings'
+import type { AcceptedMessage, DeclinedMessage, PullMessage, ResponseFailedMessage } from '@fuchsiaworks/wire'
+import { notRun, type Problem } from '../callers/problem.js'
+import type { AgentStates } from '../links/agentStates.js'
+import type { BacklogTeller } from '../links/backlogTeller.js'
+import type { OpenRequest } from './openRequest.js'
+import { problemOfAnswer, problemOfRefusal } from './outcomes.js'
+import { Refusals } from './refusals.js'
+import type { RequestTable } from './requestTable.js'
+
+/** Milliseconds between two ticks of the policies. */
+const TICK_MS = 50
+
+/** Bytes of a body that may be on the way without having been taken at the other end. */
+export const BODY_WINDOW_BYTES = 64 * 1024
+
+/** Retries a second that each service is allowed whatever its load. */
+const RETRY_FLOOR_PER_SECOND = 0.2
+
+/** Unused retries that a service saves up. */
+const RETRY_BURST = 10
+
+/** Attempts at one request, the first included. */
+const MAX_ATTEMPTS = 3
+
+/** Milliseconds added to the age limit of pulls for the difference in speed of two clocks. */
+const PULL_MARGIN_MS = 200
+
+const log = createLog('requests')
+
+/** The flow of requests through this router. */
+export class RequestFlow implements Service {
+  readonly refusals = new Refusals()
+  readonly #admission: AdmissionDb
+  readonly #retry
+  readonly #states: AgentStates
+  #timer: Timer | undefined
+
+  constructor (
+    readonly context: ProcessContext,
+    readonly hub: LinkHub,
+    readonly table: RequestTable,
+    readonly backlog: BacklogTeller,
+    admission: AdmissionDb,
+    states: AgentStates
+  ) {
+    this.#admission = admission
+    this.#states = states
+    this.#retry = retryDefinition.createDb({
+      budgetPercent: defaultFleetConfig.retries.percent,
+      floorPerSecond: RETRY_FLOOR_PER_SECOND,
+      burst: RETRY_BURST,
+      maxAttempts: MAX_ATTEMPTS,
+      pullTtl: defaultFleetConfig.links.pullTtlMs,
+      pullMargin: PULL_MARGIN_MS
+    })
+    hub.table.on('pull', (link, message) => { this.#onPull(link, message) })
+    hub.table.on('accepted', (link, message) => { this.#onAccepted(link, message) })
+    hub.table.on('declined', (link, message) => { this.#onDeclined(link, message) })
+    hub.table.on('response-failed', (link, message) => { this.#onFailed(link, message) })
+    onEvent(hub.closed, log, closed => { this.#onLinkClosed(closed) })
+  }
+
+  start (): void {
+    this.#timer = this.context.clock.every(TICK_MS, () => {
+      this.#admit({ kind: 'tick', now: this.#now() })
+      this.#decide({ kind: 'tick', now: this.#now() })
+    })
+  }
+
+  close (): void {
+    this.#timer?.close()
+  }
+
+  /**
+   * Takes a request into the queue, or refuses it.
+   *
+   * @param request - a request that was authenticated and classified
+   */
+  open (request: OpenRequest): void {
+    const { id, service, workspace, patience, estimate, idempotent, home } = request.facts
+    const now = this.#now()
+    this.table.add(request)
+    this.record('request-received', request)
+    // A body that was not read whole cannot be sent a second time.
+    const repeatable = idempotent && request.start.ended
+    this.#decide({ kind: 'request-opened', now, request: id, workspace, service, idempotent: repeatable, deadline: now + patience })
+    request.res.once('close', () => { this.#onCallerClosed(request) })
+    this.#admit({
+      kind: 'request-arrived', request: id, service, workspace, patience, estimate, idempotent, now, ...(home === undefined ? {} : { home })
+    })
+  }
+
+  /**
+   * Notes that the first part of the answer goes to the caller.
+   *
+   * @param request - the request
+   */
+  bytesSent (request: OpenRequest): void {
+    this.#decide({ kind: 'bytes-sent', now: this.#now(), request: request.facts.id })
+  }
+
+  /**
+   * Ends a request whose answer was passed on whole.
+   *
+   * @param request - the request
+   */
+  completed (request: OpenRequest): void {
+    this.record('request-ended', request)
+    this.#forget(request)
+    this.context.metrics.count('requests.ended', 1, { outcome: 'answered', service: request.facts.service })
+  }
+
+  /** Adds an event of a request to the time line. */
+  record (kind: RequestEvent['kind'], request: OpenRequest, detail?: string, upstream?: UpstreamId): void {
+    const { id, workspace, service } = request.facts
+    const extra = { ...(detail === undefined ? {} : { detail }), ...(upstream === undefined ? {} : { upstream }) }
+    this.context.timeLine.record({ kind, request: id, workspace, service, ...extra })
+  }
+
+  #now (): Millis {
+    return this.context.clock.now()
+  }
+
+  #admit (event: AdmissionEvent): void {
+    for (const command of admissionDefinition.decide(this.#admission, event)) this.#runAdmission(command)
+  }
+
+  #decide (event: RetryEvent): void {
+    for (const command of retryDefinition.decide(this.#retry, event)) this.#runRetry(command)
+  }
+
+  #runAdmission (command: AdmissionCommand): void {
+    switch (command.kind) {
+      case 'refuse': return this.#refuse(command.request, command.reason, command.retryAfterMs)
+      case 'hand-over': return this.#handOver(command.agent, command.pull, command.waiting)
+      case 'pull-empty': return this.hub.find(command.agent)?.send({ kind: 'pull-empty', pull: command.pull })
+      case 'backlog-changed': return this.backlog.mark(command.service)
+      default: return assertNever(command)
+    }
+  }
+
+  #runRetry (command: RetryCommand): void {
+    const request = this.table.find(command.request)
+    if (request === undefined) return
+    switch (command.kind) {
+      case 'requeue': return this.#requeue(request, [])
+      case 'retry':
+        this.record('request-retried', request, `attempt ${command.attempt}`)
+        return this.#requeue(request, command.avoid)
+      case 'answer': return this.#answer(request, problemOfAnswer(command))
+      case 'cut': return this.#cut(request)
+      case 'abandon': return this.#abandon(request)
+      default: return assertNever(command)
+    }
+  }
+
+  #onPull (link: FleetLink, message: PullMessage): void {
+    const state = this.#states.of(link)
+    if (state === undefined || !this.#states.mayTakeWork(link)) return link.send({ kind: 'pull-empty', pull: message.pull })
+    const from = { agent: link.id, upstream: state.upstream, zone: state.zone }
+    this.#admit({ kind: 'pull', pull: message.pull, from, service: message.service, workspace: message.workspace, now: this.#now() })
+  }
+
+  #handOver (agent: string, pull: number, waiting: WaitingRequest): void {
+    const request = this.table.find(waiting.request)
+    if (request === undefined) return
+    const link = this.hub.find(agent)
+    const state = link === undefined ? undefined : this.#states.of(link)
+    if (link === undefined || state === undefined) return this.#admit({ kind: 'requeue', waiting, now: this.#now() })
+    const { facts, start } = request
+    request.holder = link
+    request.waiting = waiting
+    request.accepted = false
+    request.attempts += 1
+    this.record('request-handed-over', request, undefined, state.upstream)
+    this.#decide({ kind: 'attempt-started', now: this.#now(), request: facts.id, upstream: state.upstream })
+    link.send({
+      kind: 'handover',
+      pull,
+      request: facts.id,
+      service: facts.service,
+      workspace: facts.workspace,
+      method: facts.method,
+      path: facts.path,
+      headers: facts.headers,
+      idempotent: facts.idempotent,
+      key: facts.key,
+      fingerprint: facts.fingerprint,
+      estimate: facts.estimate,
+      body: start.data,
+      bodyEnded: start.ended,
+      attempt: request.attempts
+    })
+  }
+
+  #onAccepted (link: FleetLink, message: AcceptedMessage): void {
+    const request = this.table.heldBy(message.request, link)
+    if (request === undefined || request.accepted) return
+    request.accepted = true
+    this.#decide({ kind: 'accepted', now: this.#now(), request: message.request })
+    if (request.start.ended) return
+    request.reader.pump((data, ended) => { link.send({ kind: 'request-body', request: message.request, data, ended }) }, BODY_WINDOW_BYTES)
+  }
+
+  #onDeclined (link: FleetLink, message: DeclinedMessage): void {
+    const request = this.table.heldBy(message.request, link)
+    if (request === undefined) return
+    this.record('request-declined', request, message.reason)
+    request.holder = undefined
+    this.#decide({ kind: 'declined', now: this.#now(), request: message.request, reason: message.reason })
+  }
+
+  #onFailed (link: FleetLink, { request: id, outcome, crashed, reason }: ResponseFailedMessage): void {
+    const request = this.table.heldBy(id, link)
+    if (request === undefined) return
+    log.info('an upstream gave no whole answer', { request: id, outcome, reason })
+    request.holder = undefined
+    if (outcome !== 'not-run') request.mayHaveRun = true
+    this.#decide({ kind: 'response-failed', now: this.#now(), request: id, outcome, crashed, quarantined: false })
+  }
+
+  #onLinkClosed ({ link, reason }: ClosedLink): void {
+    const peer = reason === 'peer-restarted' || reason === 'peer-closed' ? 'gone' : 'expired'
+    for (const request of this.table.allHeldBy(link)) {
+      request.holder = undefined
+      request.mayHaveRun = true
+      this.#decide({ kind: 'session-lost', now: this.#now(), request: request.facts.id, peer })
+    }
+  }
+
+  #requeue (request: OpenRequest, avoid: readonly UpstreamId[]): void {
+    const { waiting } = request
+    if (waiting === undefined) return
+    request.holder = undefined
+    request.accepted = false
+    this.#admit({ kind: 'requeue', waiting: { ...waiting, avoid }, now: this.#now() })
+  }
+
+  #refuse (id: RequestId, reason: string, retryAfter: Millis): void {
+    const request = this.table.find(id)
+    if (request === undefined) return
+    this.record('request-refused', request, reason)
+    const { workspace, service } = request.facts
+    this.refusals.add({ at: this.context.clock.wall(), request: id, workspace, service, reason })
+    this.context.metrics.count('requests.refused', 1, { reason, service })
+    this.#answer(request, problemOfRefusal(reason, retryAfter))
+  }
+
+  #answer (request: OpenRequest, decided: Problem): void {
+    const problem = truthful(request, decided)
+    this.record('request-ended', request, `${problem.outcome} ${problem.type}`)
+    this.context.metrics.count('requests.ended', 1, { outcome: problem.outcome, service: request.facts.service })
+    this.#forget(request)
+    request.writer.problem(problem)
+  }
+
+  #cut (request: OpenRequest): void {
+    this.record('request-ended', request, 'cut')
+    this.context.metrics.count('requests.ended', 1, { outcome: 'cut', service: request.facts.service })
+    this.#forget(request)
+    request.writer.cut()
+  }
+
+  #onCallerClosed (request: OpenRequest): void {
+    const { id } = request.facts
+    if (this.table.find(id) !== request) return
+    this.record('request-abandoned', request)
+    this.#admit({ kind: 'caller-gone', request: id, now: this.#now() })
+    this.#decide({ kind: 'caller-gone', now: this.#now(), request: id })
+    this.#abandon(request)
+  }
+
+  #abandon (request: OpenRequest): void {
+    if (this.table.find(request.facts.id) !== request) return
+    request.holder?.send({ kind: 'cancel', request: request.facts.id })
+    this.#forget(request)
+  }
+
+  #forget (request: OpenRequest): void {
+    request.holder = undefined
+    this.table.remove(request)
+    this.#decide({ kind: 'request-closed', now: this.#now(), request: request.facts.id })
+  }
+}
+
+/** A request is called not run only when no attempt at it can have run. */
+const truthful = (request: OpenRequest, problem: Problem): Problem =>
+  problem.outcome === 'not-run' && request.mayHaveRun ? { ...problem, outcome: 'unknown' } : problem
+
+/** Tells a caller that this router is not ready. */
+export const notReady: Problem = notRun(503, 'not-ready', 'this router has no configuration yet', 1000)
+
+/** Key of the request flow. */
+export const requestFlowKey: ServiceKey<RequestFlow> = serviceKey('request-flow')
--- /dev/null
+++ b/packages/router/src/requests/requestTable.ts
@@ -0,0 +1,65 @@
+/** The open requests of this router by id, with counts by workspace. */
+import { getOrMake, type RequestId, type ServiceKey, serviceKey, type WorkspaceId } from '@fuchsiaworks/kernel'
+import type { FleetLink } from '@fuchsiaworks/fleet'
+import type { OpenRequest } from './openRequest.js'
+
+/** Open requests; one is removed when its caller has its answer or is gone. */
+export class RequestTable {
+  readonly #requests = new Map<RequestId, OpenRequest>()
+  readonly #byWorkspace = new Map<WorkspaceId, number>()
+  #idle: (() => void) | undefined
+
+  /** Number of open requests. */
+  get size (): number {
+    return this.#requests.size
+  }
+
+  /** @returns open requests of a workspace */
+  countOf (workspace: WorkspaceId): number {
+    return this.#byWorkspace.get(workspace) ?? 0
+  }
+
+  add (request: OpenRequest): void {
+    const { id, workspace } = request.facts
+    this.#requests.set(id, request)
+    this.#byWorkspace.set(workspace, getOrMake(this.#byWorkspace, workspace, () => 0) + 1)
+  }
+
+  find (id: RequestId): OpenRequest | undefined {
+    return this.#requests.get(id)
+  }
+
+  /**
+   * Finds a request that a link holds. A late message of a link that no longer holds it finds nothing.
+   *
+   * @param id - the request
+   * @param link - where the message came from
+   */
+  heldBy (id: RequestId, link: FleetLink): OpenRequest | undefined {
+    const request = this.#requests.get(id)
+    return request?.holder === link ? request : undefined
+  }
+
+  /** @returns the requests that a link holds */
+  allHeldBy (link: FleetLink): OpenRequest[] {
+    return [...this.#requests.values()].filter(request => request.holder === link)
+  }
+
+  remove (request: OpenRequest): void {
+    const { id, workspace } = request.facts
+    if (!this.#requests.delete(id)) return
+    const left = this.countOf(workspace) - 1
+    if (left > 0) this.#byWorkspace.set(workspace, left)
+    else this.#byWorkspace.delete(workspace)
+    if (this.#requests.size === 0) this.#idle?.()
+  }
+
+  /** @returns settles once no request is open */
+  whenEmpty (): Promise<void> {
+    if (this.#requests.size === 0) return Promise.resolve()
+    return new Promise(resolve => { this.#idle = resolve })
+  }
+}
+
+/** Key of the request table. */
+export const requestTableKey: ServiceKey<RequestTable> = serviceKey('requests')
