Add the agent: slots, runs, keys and limits on the policies

Cause: the thin path needs an agent. Change: agent services that pull, run, meter, record keyed answers, and tell their state; the kernel makes all services before it starts any, since a configuration could come in force before its listeners existed.

--- a/packages/agent/src/index.ts
+++ b/packages/agent/src/index.ts
@@ -1,2 +1,2 @@
 /** Public entry of the agent package. */
-export {}
+export * from './process/startAgent.js'
--- /dev/null
+++ b/packages/agent/src/keys/keyService.ts
@@ -0,0 +1,88 @@
+/** Keeps the idempotency keys that this agent's upstream is the home of. */
+import { createLog, onEvent, type Millis, type Service, type ServiceId, type ServiceKey, serviceKey, type Timer } from '@fuchsiaworks/kernel'
+import { type ConfigInForce, type ConfigurationService, listedUpstreams, type ProcessContext } from '@fuchsiaworks/fleet'
+import { type KeysCommand, type KeysDb, keysDefinition, type KeysEvent } from '@fuchsiaworks/policy'
+import { type AgentSettings, defaultFleetConfig } from '@fuchsiaworks/settings'
+
+/** Milliseconds between two ticks of the policy. */
+const TICK_MS = 1_000
+
+/** Milliseconds by which a caller's clock may be ahead. */
+const CALLER_SKEW_MS = 5_000
+
+/** Largest difference between the clocks of two hosts, in milliseconds. */
+const HOST_SKEW_MS = 1_000
+
+/** Milliseconds within which a configuration is in force everywhere. */
+const SPREAD_MS = 5_000
+
+/** Bytes of the largest answer that is kept to be given again. */
+export const KEPT_ANSWER_BYTES = 64 * 1024
+
+/** Bytes of all answers that are kept. */
+const STORE_BYTES = 32 * 1024 * 1024
+
+/** Requests that may wait for the first run of one key. */
+const MAX_WAITERS = 16
+
+const log = createLog('keys')
+
+/** Joins the keys policy to time and configuration. */
+export class KeyService implements Service {
+  readonly #db: KeysDb
+  #timer: Timer | undefined
+
+  constructor (readonly context: ProcessContext, configuration: ConfigurationService, settings: AgentSettings) {
+    const { keys } = defaultFleetConfig
+    this.#db = keysDefinition.createDb(settings.upstream, {
+      window: keys.rememberMs,
+      callerSkew: CALLER_SKEW_MS,
+      hostSkew: HOST_SKEW_MS,
+      spread: SPREAD_MS,
+      maxKeys: keys.maxRemembered,
+      answerBytes: KEPT_ANSWER_BYTES,
+      storeBytes: STORE_BYTES,
+      maxWaiters: MAX_WAITERS
+    }, context.hash, { now: context.clock.now(), wall: context.clock.wall() })
+    onEvent(configuration.changes, log, force => { this.#configure(force) })
+  }
+
+  /** Keys that are remembered. */
+  get size (): number {
+    return this.#db.size
+  }
+
+  start (): void {
+    this.#timer = this.context.clock.every(TICK_MS, () => { this.decide({ kind: 'tick', now: this.now() }) })
+  }
+
+  close (): void {
+    this.#timer?.close()
+  }
+
+  /** @returns monotonic milliseconds */
+  now (): Millis {
+    return this.context.clock.now()
+  }
+
+  /**
+   * Tells the policy of an event.
+   *
+   * @param event - what happened to a key
+   * @returns what follows for the requests of the key
+   */
+  decide (event: KeysEvent): KeysCommand[] {
+    return keysDefinition.decide(this.#db, event)
+  }
+
+  #configure ({ config }: ConfigInForce): void {
+    const now = this.now()
+    const wall = this.context.clock.wall()
+    for (const service of Object.keys(config.services) as ServiceId[]) {
+      this.decide({ kind: 'upstreams-listed', now, wall, service, upstreams: listedUpstreams(config, service) })
+    }
+  }
+}
+
+/** Key of the key service. */
+export const keyServiceKey: ServiceKey<KeyService> = serviceKey('keys')
--- /dev/null
+++ b/packages/agent/src/limits/limitService.ts
@@ -0,0 +1,124 @@
+/** Keeps the number of slots of the upstream beside this agent. */
+import { createLog, EventSource, type Millis, onEvent, type Service, type ServiceKey, serviceKey, type Timer } from '@fuchsiaworks/kernel'
+import type { ConfigInForce, ConfigurationService, ProcessContext } from '@fuchsiaworks/fleet'
+import { type LimitCommand, type LimitDb, limitDefinition, type LimitEvent, type LimitState } from '@fuchsiaworks/policy'
+import type { AgentSettings, ServiceConfig } from '@fuchsiaworks/settings'
+import { probeUpstream } from '../upstream/probe.js'
+
+/** Milliseconds between two ticks of the policy. */
+const TICK_MS = 100
+
+/** Milliseconds before the first probe of an upstream that is down. */
+const PROBE_BASE_MS = 200
+
+/** Longest wait between two probes, in milliseconds. */
+const PROBE_MAX_MS = 5_000
+
+/** Allowed multiple of the time that a plain service has shown when little loaded. */
+const PLAIN_FACTOR = 3
+
+const log = createLog('limit')
+
+/** What the upstream may be given now. */
+export interface Capacity {
+  readonly limit: number
+  readonly state: LimitState
+  readonly reason: string
+}
+
+const limitConfigOf = (service: ServiceConfig): Parameters<typeof limitDefinition.createDb>[0] => ({
+  target: service.kind === 'engine'
+    ? { kind: 'model', firstToken: service.targets.firstByteMs, tokenGap: service.targets.betweenTokensMs }
+    : { kind: 'plain', factor: PLAIN_FACTOR },
+  coldConcurrency: service.coldConcurrency,
+  hardCap: service.maxConcurrency,
+  probeBase: PROBE_BASE_MS,
+  probeMax: PROBE_MAX_MS
+})
+
+/** The concurrency limit of one upstream. */
+export class LimitService implements Service {
+  readonly #changes = new EventSource<Capacity>()
+  readonly #settings: AgentSettings
+  #db: LimitDb | undefined
+  #configured = ''
+  #capacity: Capacity = { limit: 0, state: 'cold', reason: 'no configuration' }
+  #timer: Timer | undefined
+  /** Changes of the capacity. */
+  readonly changes = this.#changes.stream
+
+  constructor (readonly context: ProcessContext, configuration: ConfigurationService, settings: AgentSettings) {
+    this.#settings = settings
+    onEvent(configuration.changes, log, force => { this.#configure(force) })
+  }
+
+  /** What the upstream may be given now. */
+  get capacity (): Capacity {
+    return this.#capacity
+  }
+
+  start (): void {
+    this.#timer = this.context.clock.every(TICK_MS, () => {
+      this.decide({ kind: 'tick', now: this.context.clock.now(), random: this.context.random() })
+    })
+  }
+
+  close (): void {
+    this.#timer?.close()
+    this.#changes.close()
+  }
+
+  /**
+   * Tells the policy of an event.
+   *
+   * @param event - what the upstream showed
+   */
+  decide (event: LimitEvent): void {
+    if (this.#db === undefined) return
+    for (const command of limitDefinition.decide(this.#db, event)) this.#run(command)
+    this.#publish(event.now)
+  }
+
+  /** A new configuration keeps what the upstream has proved unless its own service's part changed. */
+  #configure ({ config }: ConfigInForce): void {
+    const upstream = config.upstreams[this.#settings.upstream]
+    const service = upstream === undefined ? undefined : config.services[upstream.service]
+    const text = JSON.stringify(service ?? null)
+    if (text === this.#configured) return
+    this.#configured = text
+    this.#db = service === undefined ? undefined : limitDefinition.createDb(limitConfigOf(service))
+    this.#publish(this.context.clock.now())
+  }
+
+  #run (command: LimitCommand): void {
+    switch (command.kind) {
+      case 'limit-changed': return
+      case 'state-changed':
+        log.info('the upstream changed its state', { state: command.state, reason: command.reason })
+        return this.context.timeLine.record({ kind: 'upstream-changed', upstream: this.#settings.upstream, detail: `${command.state}: ${command.reason}` })
+      case 'probe': return this.#probe()
+    }
+  }
+
+  #probe (): void {
+    probeUpstream(this.#settings.upstreamUrl).then(ok => {
+      this.decide({ kind: 'probe-ended', now: this.context.clock.now(), ok })
+    }, () => {})
+  }
+
+  #publish (now: Millis): void {
+    const db = this.#db
+    const { limit, state } = this.#capacity
+    const next: Capacity = db === undefined
+      ? { limit: 0, state: 'down', reason: 'the configuration does not list this upstream' }
+      : { limit: Math.floor(db.effective(now)), state: db.state, reason: db.reason }
+    this.#capacity = next
+    if (next.limit === limit && next.state === state) return
+    this.context.timeLine.record({ kind: 'limit-changed', upstream: this.#settings.upstream, detail: `${next.limit} (${next.reason})` })
+    this.context.metrics.gauge('limit', next.limit)
+    this.#changes.emit(next)
+  }
+}
+
+/** Key of the limit service. */
+export const limitKey: ServiceKey<LimitService> = serviceKey('limit')
--- /dev/null
+++ b/packages/agent/src/links/stateTeller.ts
@@ -0,0 +1,78 @@
+/** Tells routers what this agent is and what it can take, on every change. */
+import { createLog, onEvent, type Service, type ServiceKey, serviceKey, type Timer } from '@fuchsiaworks/kernel'
+import type { ConfigurationService, FleetLink, LinkHub, MembershipService, ProcessContext } from '@fuchsiaworks/fleet'
+import type { AgentSettings } from '@fuchsiaworks/settings'
+import type { AgentState, AgentStateMessage } from '@fuchsiaworks/wire'
+import type { LimitService } from '../limits/limitService.js'
+import type { RunTable } from '../work/runTable.js'
+
+/** Milliseconds between two looks for a change of the running count. */
+const REPEAT_PERIOD_MS = 1_000
+
+const log = createLog('state')
+
+/** Sends agent-state messages. */
+export class StateTeller implements Service {
+  readonly #settings: AgentSettings
+  #told = ''
+  #timer: Timer | undefined
+
+  constructor (
+    readonly context: ProcessContext,
+    readonly hub: LinkHub,
+    readonly configuration: ConfigurationService,
+    readonly membership: MembershipService,
+    readonly limits: LimitService,
+    readonly runs: RunTable,
+    settings: AgentSettings
+  ) {
+    this.#settings = settings
+    onEvent(hub.opened, log, link => { this.#tellOne(link) })
+    onEvent(limits.changes, log, () => { this.#tellAll() })
+    onEvent(membership.states, log, () => { this.#tellAll() })
+    onEvent(configuration.changes, log, () => { this.#tellAll() })
+  }
+
+  start (): void {
+    this.#timer = this.context.clock.every(REPEAT_PERIOD_MS, () => { this.#tellAll() })
+  }
+
+  close (): void {
+    this.#timer?.close()
+  }
+
+  /** @returns the state; undefined while no configuration lists the upstream */
+  current (): AgentStateMessage | undefined {
+    const { upstream, zone } = this.#settings
+    const service = this.configuration.current?.config.upstreams[upstream]?.service
+    if (service === undefined) return undefined
+    const { limit, reason } = this.limits.capacity
+    return { kind: 'agent-state', upstream, service, zone, state: this.#state(), reason, limit, running: this.runs.size }
+  }
+
+  #state (): AgentState {
+    switch (this.membership.state) {
+      case 'open': return this.limits.capacity.state
+      case 'leaving': return 'leaving'
+      case 'zone-out': return 'zone-out'
+      case 'returning': return 'zone-out'
+      case 'unconfigured': return 'down'
+    }
+  }
+
+  #tellOne (link: FleetLink): void {
+    const state = this.current()
+    if (state !== undefined) link.send(state)
+  }
+
+  #tellAll (): void {
+    const state = this.current()
+    const text = JSON.stringify(state)
+    if (state === undefined || text === this.#told) return
+    this.#told = text
+    for (const link of this.hub.withRole('router')) link.send(state)
+  }
+}
+
+/** Key of the state teller. */
+export const stateTellerKey: ServiceKey<StateTeller> = serviceKey('state-teller')
--- /dev/null
+++ b/packages/agent/src/process/agentServices.ts
@@ -0,0 +1,74 @@
+/** The services of an agent, as registered with the kernel. */
+import type { ServiceDefinition } from '@fuchsiaworks/kernel'
+import {
+  configurationKey, ConfigurationService, contextKey, fairnessKey, FairnessService, LinkHub, linkHubKey, membershipKey, MembershipService,
+  type ProcessContext
+} from '@fuchsiaworks/fleet'
+import type { AgentSettings } from '@fuchsiaworks/settings'
+import { KeyService, keyServiceKey } from '../keys/keyService.js'
+import { LimitService, limitKey } from '../limits/limitService.js'
+import { StateTeller, stateTellerKey } from '../links/stateTeller.js'
+import { Handovers, handoversKey } from '../work/handovers.js'
+import { KeyedAnswers, keyedAnswersKey } from '../work/keyedAnswers.js'
+import { Runner, runnerKey } from '../work/runner.js'
+import { RunTable, runTableKey } from '../work/runTable.js'
+import { Slots, slotsKey } from '../work/slots.js'
+
+/**
+ * Lists the services of an agent.
+ *
+ * @param context - the process
+ * @param settings - its settings
+ * @returns definitions, for the kernel
+ */
+export const agentServices = (context: ProcessContext, settings: AgentSettings): ServiceDefinition[] => [
+  { id: contextKey.id, needs: [], create: () => context },
+  { id: linkHubKey.id, needs: [contextKey.id], create: () => new LinkHub(context) },
+  { id: configurationKey.id, needs: [linkHubKey.id], create: kernel => new ConfigurationService(context, kernel.get(linkHubKey)) },
+  {
+    id: limitKey.id,
+    needs: [configurationKey.id],
+    create: kernel => new LimitService(context, kernel.get(configurationKey), settings)
+  },
+  {
+    id: keyServiceKey.id,
+    needs: [configurationKey.id],
+    create: kernel => new KeyService(context, kernel.get(configurationKey), settings)
+  },
+  { id: fairnessKey.id, needs: [configurationKey.id], create: kernel => new FairnessService(context, kernel.get(configurationKey)) },
+  { id: runTableKey.id, needs: [], create: () => new RunTable() },
+  { id: keyedAnswersKey.id, needs: [keyServiceKey.id], create: kernel => new KeyedAnswers(kernel.get(keyServiceKey)) },
+  {
+    id: membershipKey.id,
+    needs: [limitKey.id],
+    create: kernel => new MembershipService(context, kernel.get(linkHubKey), kernel.get(configurationKey), undefined)
+  },
+  {
+    id: slotsKey.id,
+    needs: [membershipKey.id, fairnessKey.id],
+    create: kernel => new Slots(context, kernel.get(linkHubKey), kernel.get(fairnessKey), kernel.get(limitKey), kernel.get(membershipKey))
+  },
+  {
+    id: runnerKey.id,
+    needs: [slotsKey.id, runTableKey.id, keyedAnswersKey.id],
+    create: kernel => new Runner(
+      context, kernel.get(linkHubKey), kernel.get(configurationKey), kernel.get(fairnessKey), kernel.get(limitKey), kernel.get(slotsKey),
+      kernel.get(runTableKey), kernel.get(keyedAnswersKey), settings
+    )
+  },
+  {
+    id: handoversKey.id,
+    needs: [runnerKey.id],
+    create: kernel => new Handovers(
+      context, kernel.get(linkHubKey), kernel.get(membershipKey), kernel.get(limitKey), kernel.get(slotsKey), kernel.get(keyServiceKey),
+      kernel.get(keyedAnswersKey), kernel.get(runnerKey)
+    )
+  },
+  {
+    id: stateTellerKey.id,
+    needs: [handoversKey.id],
+    create: kernel => new StateTeller(
+      context, kernel.get(linkHubKey), kernel.get(configurationKey), kernel.get(membershipKey), kernel.get(limitKey), kernel.get(runTableKey), settings
+    )
+  }
+]
--- /dev/null
+++ b/packages/agent/src/upstream/probe.ts
@@ -0,0 +1,28 @@
+/** Finds out whether an upstream accepts connections, without sending it a request. */
+import { connect } from 'node:net'
+
+/** Milliseconds after which a connection that is not accepted counts as refused. */
+const PROBE_TIMEOUT_MS = 1_000
+
+/** Ports of URLs that name none. */
+const DEFAULT_PORTS: Readonly<Record<string, number>> = { 'http:': 80, 'https:': 443 }
+
+/**
+ * Opens and closes one connection.
+ *
+ * @param url - origin of the upstream
+ * @returns true when the upstream accepted it
+ */
+export const probeUpstream = (url: string): Promise<boolean> => {
+  const { hostname, port, protocol } = new URL(url)
+  return new Promise(resolve => {
+    const socket = connect({ host: hostname, port: port === '' ? DEFAULT_PORTS[protocol] ?? 80 : Number(port) })
+    const finish = (ok: boolean): void => {
+      socket.destroy()
+      resolve(ok)
+    }
+    socket.setTimeout(PROBE_TIMEOUT_MS, () => { finish(false) })
+    socket.once('connect', () => { finish(true) })
+    socket.once('error', () => { finish(false) })
+  })
+}
--- /dev/null
+++ b/packages/agent/src/work/handovers.ts
@@ -0,0 +1,116 @@
+/** Takes handed-over requests: checks that they may still start, looks up their keys, and starts or declines them. */
+import { assertNever, createLog, onEvent, type RequestId, type ServiceKey, serviceKey } from '@fuchsiaworks/kernel'
+import type { FleetLink, LinkHub, MembershipService, ProcessContext } from '@fuchsiaworks/fleet'
+import type { KeysCommand } from '@fuchsiaworks/policy'
+import type { DeclinedMessage, HandoverMessage } from '@fuchsiaworks/wire'
+import type { KeyService } from '../keys/keyService.js'
+import type { LimitService } from '../limits/limitService.js'
+import { type KeyedAnswers, keyNameOf } from './keyedAnswers.js'
+import { answerNotKept, keyConflict, keyRefusals, sendAnswer, sendReplyProblem } from './replies.js'
+import type { Runner } from './runner.js'
+import type { Slots } from './slots.js'
+
+const log = createLog('handovers')
+
+/** A request that waits here for the first run of its key. */
+interface Held {
+  readonly link: FleetLink
+  readonly handover: HandoverMessage
+}
+
+/** The door through which requests come to the upstream. */
+export class Handovers {
+  readonly #held = new Map<RequestId, Held>()
+
+  constructor (
+    readonly context: ProcessContext,
+    hub: LinkHub,
+    readonly membership: MembershipService,
+    readonly limits: LimitService,
+    readonly slots: Slots,
+    readonly keys: KeyService,
+    keyed: KeyedAnswers,
+    readonly runner: Runner
+  ) {
+    hub.table.on('handover', (link, message) => { this.#onHandover(link, message) })
+    keyed.onCommand(command => { this.#runKey(command) })
+    onEvent(hub.closed, log, ({ link }) => { this.#dropLink(link) })
+  }
+
+  #onHandover (link: FleetLink, handover: HandoverMessage): void {
+    const { request, pull } = handover
+    if (!this.slots.take(pull, request)) return this.#decline(link, request, 'expired')
+    const refusal = this.#refusalOf(handover)
+    if (refusal !== undefined) {
+      this.#decline(link, request, refusal)
+      return this.slots.release(request)
+    }
+    this.#held.set(request, { link, handover })
+    const name = keyNameOf(handover)
+    if (name === undefined) return this.#start(request)
+    const { clock } = this.context
+    const event = { kind: 'key-presented', ...name, request, fingerprint: handover.fingerprint, now: clock.now(), wall: clock.wall() } as const
+    for (const command of this.keys.decide(event)) this.#runKey(command)
+  }
+
+  #refusalOf (handover: HandoverMessage): DeclinedMessage['reason'] | undefined {
+    if (this.membership.state !== 'open' || this.limits.capacity.state === 'down') return 'not-accepting'
+    if (this.runner.serviceOf(handover) === undefined) return 'not-accepting'
+    return undefined
+  }
+
+  #runKey (command: KeysCommand): void {
+    const held = this.#held.get(command.request)
+    if (held === undefined) return
+    const { link } = held
+    switch (command.kind) {
+      case 'run': return this.#start(command.request)
+      // The slot is not needed while the first run goes on.
+      case 'wait': return this.slots.release(command.request)
+      case 'replay': return this.#finish(held, () => { sendAnswer(link, command.request, command.answer) })
+      case 'answer-unknown': return this.#finish(held, () => { this.#decline(link, command.request, 'key-unknown') })
+      case 'answer-ran': return this.#finish(held, () => { sendReplyProblem(link, command.request, answerNotKept) })
+      case 'conflict': return this.#finish(held, () => { sendReplyProblem(link, command.request, keyConflict) })
+      case 'refuse': return this.#finish(held, () => { this.#refuse(held, command.reason) })
+      default: return assertNever(command)
+    }
+  }
+
+  #refuse ({ link, handover }: Held, reason: Extract<KeysCommand, { kind: 'refuse' }>['reason']): void {
+    if (reason === 'not-home') return this.#decline(link, handover.request, 'not-home')
+    sendReplyProblem(link, handover.request, keyRefusals[reason])
+  }
+
+  #start (request: RequestId): void {
+    const held = this.#held.get(request)
+    const service = held === undefined ? undefined : this.runner.serviceOf(held.handover)
+    if (held === undefined || service === undefined) return
+    this.#held.delete(request)
+    this.runner.run(held.link, held.handover, service)
+  }
+
+  #finish (held: Held, answer: () => void): void {
+    const { request } = held.handover
+    this.#held.delete(request)
+    answer()
+    this.slots.release(request)
+  }
+
+  #decline (link: FleetLink, request: RequestId, reason: DeclinedMessage['reason']): void {
+    this.context.metrics.count('handovers.declined', 1, { reason })
+    link.send({ kind: 'declined', request, reason })
+  }
+
+  #dropLink (link: FleetLink): void {
+    for (const [request, held] of this.#held) {
+      if (held.link !== link) continue
+      const name = keyNameOf(held.handover)
+      if (name !== undefined) this.keys.decide({ kind: 'waiter-gone', ...name, request })
+      this.#held.delete(request)
+      this.slots.release(request)
+    }
+  }
+}
+
+/** Key of the handovers. */
+export const handoversKey: ServiceKey<Handovers> = serviceKey('handovers')
--- /dev/null
+++ b/packages/agent/src/work/runTable.ts
@@ -0,0 +1,57 @@
+/** The requests that run at the upstream. */
+import type { RequestId, ServiceKey } from '@fuchsiaworks/kernel'
+import { serviceKey } from '@fuchsiaworks/kernel'
+import type { FleetLink } from '@fuchsiaworks/fleet'
+import type { Run } from './run.js'
+
+/** Runs by request. */
+export class RunTable {
+  readonly #runs = new Map<RequestId, Run>()
+  #idle: (() => void) | undefined
+
+  get size (): number {
+    return this.#runs.size
+  }
+
+  all (): Iterable<Run> {
+    return this.#runs.values()
+  }
+
+  add (run: Run): void {
+    this.#runs.set(run.handover.request, run)
+  }
+
+  /**
+   * Finds a run that a router handed over; a message of another link finds nothing.
+   *
+   * @param request - the request
+   * @param link - where the message came from
+   */
+  heldFor (request: RequestId, link: FleetLink): Run | undefined {
+    const run = this.#runs.get(request)
+    return run?.link === link && !run.abandoned ? run : undefined
+  }
+
+  /** @returns runs that a router waits for */
+  allHeldFor (link: FleetLink): Run[] {
+    return [...this.#runs.values()].filter(run => run.link === link && !run.abandoned)
+  }
+
+  /** @returns false when the run had been removed */
+  remove (run: Run): boolean {
+    const { request } = run.handover
+    if (this.#runs.get(request) !== run) return false
+    this.#runs.delete(request)
+    if (this.#runs.size === 0) this.#idle?.()
+    return true
+  }
+
+  /** @returns settles once nothing runs */
+  whenEmpty (): Promise<void> {
+    if (this.#runs.size === 0) return Promise.resolve()
+    return new Promise(resolve => { this.#idle = resolve })
+  }
+}
+
+/** Key of the run table. */
+export const runTableKey: ServiceKey<RunTable> = serviceKey('runs')
--- /dev/null
+++ b/packages/agent/src/work/runner.ts
@@ -0,0 +1,208 @@
+/** Runs requests at the upstream and reports what they show to the policies and to their routers. */
+import { createLog, type Millis, onEvent, type RequestEvent, type Service, type ServiceKey, serviceKey, type Timer, toError } from '@fuchsiaworks/kernel'
+import type { ConfigurationService, FairnessService, FleetLink, LinkHub, ProcessContext } from '@fuchsiaworks/fleet'
+import type { AgentSettings, ServiceConfig } from '@fuchsiaworks/settings'
+import type { HandoverMessage, HeaderList, Outcome } from '@fuchsiaworks/wire'
+import type { LimitService } from '../limits/limitService.js'
+import { probeUpstream } from '../upstream/probe.js'
+import { UpstreamClient } from '../upstream/upstreamClient.js'
+import type { KeyedAnswers } from './keyedAnswers.js'
+import { Run, type RunEvents } from './run.js'
+import type { RunTable } from './runTable.js'
+import type { Slots } from './slots.js'
+
+/** Milliseconds between two reports of running costs and token gaps. */
+const REPORT_PERIOD_MS = 200
+
+/** Statuses by which an upstream says that it has too much to do. */
+const OVERLOADED = new Set([429, 503])
+
+const log = createLog('runs')
+
+/** Starts runs and follows them to their end. */
+export class Runner implements Service {
+  readonly #client: UpstreamClient
+  readonly #settings: AgentSettings
+  #timer: Timer | undefined
+
+  constructor (
+    readonly context: ProcessContext,
+    hub: LinkHub,
+    readonly configuration: ConfigurationService,
+    readonly fairness: FairnessService,
+    readonly limits: LimitService,
+    readonly slots: Slots,
+    readonly table: RunTable,
+    readonly keyed: KeyedAnswers,
+    settings: AgentSettings
+  ) {
+    this.#settings = settings
+    this.#client = new UpstreamClient(settings.upstreamUrl)
+    hub.table.on('request-body', (link, message) => { table.heldFor(message.request, link)?.addBody(message.data, message.ended) })
+    hub.table.on('credit', (link, message) => {
+      if (message.direction === 'response') table.heldFor(message.request, link)?.addCredit(message.bytes)
+    })
+    hub.table.on('cancel', (link, message) => { this.#onCancel(link, message.request) })
+    onEvent(hub.closed, log, ({ link }) => { this.#onRouterGone(link) })
+  }
+
+  start (): void {
+    this.#timer = this.context.clock.every(REPORT_PERIOD_MS, () => { this.#report() })
+  }
+
+  async close (): Promise<void> {
+    this.#timer?.close()
+    await this.#client.close()
+  }
+
+  /** @returns configuration of the service, when this upstream offers it */
+  serviceOf (handover: HandoverMessage): ServiceConfig | undefined {
+    const config = this.configuration.current?.config
+    const upstream = config?.upstreams[this.#settings.upstream]
+    return upstream?.service === handover.service ? config?.services[handover.service] : undefined
+  }
+
+  /**
+   * Starts a request whose slot is taken.
+   *
+   * @param link - the router
+   * @param handover - the request
+   * @param service - configuration of the service
+   */
+  run (link: FleetLink, handover: HandoverMessage, service: ServiceConfig): void {
+    const now = this.#now()
+    const { request, workspace, estimate } = handover
+    const run = new Run(link, handover, service, now)
+    this.table.add(run)
+    this.keyed.started(run)
+    link.send({ kind: 'accepted', request })
+    this.#record('request-started', run)
+    this.fairness.decide({ kind: 'work-started', request, service: handover.service, workspace, estimate, now })
+    this.limits.decide({ kind: 'started', now, request })
+    run.start(this.#client, this.#events)
+  }
+
+  readonly #events: RunEvents = {
+    head: (run, status, headers) => { this.#onHead(run, status, headers) },
+    data: (run, data) => { this.#onData(run, data) },
+    ended: (run, trailers) => { this.#onEnded(run, trailers) },
+    failed: (run, err, sent) => { this.#onFailed(run, err, sent) }
+  }
+
+  #now (): Millis {
+    return this.context.clock.now()
+  }
+
+  #onHead (run: Run, status: number, headers: HeaderList): void {
+    run.status = status
+    run.meter.head(headers.find(([name]) => name.toLowerCase() === 'content-type')?.[1] ?? '')
+    this.keyed.head(run, status, headers)
+    if (!run.abandoned) run.link.send({ kind: 'response-head', request: run.handover.request, status, headers })
+  }
+
+  #onData (run: Run, data: Buffer): void {
+    const now = this.#now()
+    if (run.firstByteAt === undefined) this.#onFirstByte(run, now)
+    const tokens = run.meter.data(data, now)
+    if (tokens > 0) {
+      run.tokens += tokens
+      run.lastTokenAt = now
+    }
+    this.keyed.data(run, data)
+    if (run.abandoned) return
+    run.spend(data.length)
+    run.link.send({ kind: 'response-body', request: run.handover.request, data })
+  }
+
+  #onFirstByte (run: Run, now: Millis): void {
+    run.firstByteAt = now
+    run.tokensSince = now
+    this.#record('request-first-byte', run)
+    this.limits.decide({ kind: 'first-byte', now, request: run.handover.request, latency: now - run.startedAt })
+  }
+
+  #onEnded (run: Run, trailers: HeaderList): void {
+    if (!this.table.remove(run)) return
+    const now = this.#now()
+    const { request } = run.handover
+    this.#reportGap(run, now)
+    const cost = run.meter.final(now)
+    this.fairness.decide({ kind: 'work-ended', request, cost, now })
+    if (OVERLOADED.has(run.status ?? 0)) this.limits.decide({ kind: 'failed', now, request, reason: 'overloaded' })
+    else this.limits.decide({ kind: 'ended', now, request, ok: true, duration: now - run.startedAt })
+    this.#record('request-ended', run)
+    if (!run.abandoned) run.link.send({ kind: 'response-end', request, trailers, cost })
+    this.keyed.ended(run)
+    this.slots.release(request)
+  }
+
+  #onFailed (run: Run, err: Error, sent: boolean): void {
+    if (!this.table.remove(run)) return
+    const now = this.#now()
+    const { request } = run.handover
+    this.fairness.decide({ kind: 'work-ended', request, cost: sent ? run.meter.soFar(now) : 0, now })
+    this.#record('request-ended', run, `failed: ${err.message}`)
+    this.#judge(run, err, sent).catch(failure => { log.error('a failed run could not be judged', { reason: toError(failure).message }) })
+  }
+
+  /** Finds out why a run failed, tells the router, and frees the slot. */
+  async #judge (run: Run, err: Error, sent: boolean): Promise<void> {
+    const { request } = run.handover
+    const timedOut = 'code' in err && err.code === 'UND_ERR_HEADERS_TIMEOUT'
+    const lives = run.abandoned || timedOut || (sent && await probeUpstream(this.#settings.upstreamUrl))
+    const now = this.#now()
+    if (run.abandoned) this.limits.decide({ kind: 'ended', now, request, ok: false, duration: now - run.startedAt })
+    else this.limits.decide({ kind: 'failed', now, request, reason: failureOf(sent, lives, timedOut) })
+    const outcome: Outcome = sent ? 'unknown' : 'not-run'
+    if (!run.abandoned) run.link.send({ kind: 'response-failed', request, outcome, crashed: sent && !lives, reason: err.message })
+    this.keyed.failed(run, outcome)
+    this.slots.release(request)
+  }
+
+  #onCancel (link: FleetLink, request: HandoverMessage['request']): void {
+    const run = this.table.heldFor(request, link)
+    if (run !== undefined) this.#giveUp(run, 'the caller went away')
+  }
+
+  #onRouterGone (link: FleetLink): void {
+    for (const run of this.table.allHeldFor(link)) this.#giveUp(run, 'the router went away')
+  }
+
+  /** Work with a key that is not idempotent goes on, so that its caller can have the answer when it asks again. */
+  #giveUp (run: Run, reason: string): void {
+    this.#record('request-abandoned', run, reason)
+    if (!run.handover.idempotent && run.handover.key !== undefined) return run.detach()
+    run.cancel(new Error(reason))
+  }
+
+  #report (): void {
+    const now = this.#now()
+    for (const run of this.table.all()) {
+      const { request, estimate } = run.handover
+      this.fairness.decide({ kind: 'work-progressed', request, cost: Math.max(estimate, run.meter.soFar(now)), now })
+      this.#reportGap(run, now)
+    }
+  }
+
+  #reportGap (run: Run, now: Millis): void {
+    if (run.tokens < 2) return
+    const gap = (run.lastTokenAt - run.tokensSince) / run.tokens
+    run.tokensSince = run.lastTokenAt
+    run.tokens = 0
+    this.limits.decide({ kind: 'token-gap', now, request: run.handover.request, gap })
+  }
+
+  #record (kind: RequestEvent['kind'], run: Run, detail?: string): void {
+    const { request, workspace, service } = run.handover
+    this.context.timeLine.record({ kind, request, workspace, service, upstream: this.#settings.upstream, ...(detail === undefined ? {} : { detail }) })
+  }
+}
+
+const failureOf = (sent: boolean, lives: boolean, timedOut: boolean): 'refused' | 'timeout' | 'crashed' | 'overloaded' => {
+  if (!sent) return 'refused'
+  if (timedOut) return 'timeout'
+  return lives ? 'overloaded' : 'crashed'
+}
+
+/** Key of the runner. */
+export const runnerKey: ServiceKey<Runner> = serviceKey('runner')
--- /dev/null
+++ b/packages/agent/src/work/slots.ts
@@ -0,0 +1,114 @@
+/** Fills the slots of the upstream by pulling requests from routers, least served workspace first. */
+import { createLog, type Millis, onEvent, type RequestId, type Service, type ServiceKey, serviceKey, type Timer, type WorkspaceId } from '@fuchsiaworks/kernel'
+import type { FairnessService, FleetLink, LinkHub, MembershipService, ProcessContext } from '@fuchsiaworks/fleet'
+import { type DispatchDb, dispatchDefinition, type DispatchEvent, SLOW_ROUTER_MS } from '@fuchsiaworks/policy'
+import { defaultFleetConfig } from '@fuchsiaworks/settings'
+import type { BacklogMessage } from '@fuchsiaworks/wire'
+import type { LimitService } from '../limits/limitService.js'
+
+/** Milliseconds between two ticks of the policy. */
+const TICK_MS = 50
+
+/** Values of a 32-bit number. */
+const UINT32_RANGE = 2 ** 32
+
+const log = createLog('slots')
+
+/** The slots of one upstream. */
+export class Slots implements Service {
+  readonly #db: DispatchDb
+  #timer: Timer | undefined
+  #pulls = 0
+
+  constructor (
+    readonly context: ProcessContext,
+    readonly hub: LinkHub,
+    readonly fairness: FairnessService,
+    readonly limits: LimitService,
+    readonly membership: MembershipService
+  ) {
+    this.#db = dispatchDefinition.createDb({
+      pullTtl: defaultFleetConfig.links.pullTtlMs,
+      slowAfter: SLOW_ROUTER_MS,
+      seed: Math.floor(context.random() * UINT32_RANGE)
+    })
+    hub.table.on('backlog', (link, message) => { this.#onBacklog(link, message) })
+    hub.table.on('pull-empty', (_link, { pull }) => { this.#decide({ kind: 'pull-empty', pull, now: this.#now() }) })
+    onEvent(hub.closed, log, ({ link }) => { this.#decide({ kind: 'router-gone', router: link.id, now: this.#now() }) })
+    onEvent(limits.changes, log, () => { this.#updateLimit() })
+    onEvent(membership.states, log, () => { this.#updateLimit() })
+  }
+
+  /** Slots in use. */
+  get running (): number {
+    return this.#db.running
+  }
+
+  /** Slots reserved by pulls that are not answered. */
+  get reserved (): number {
+    return this.#db.reserved
+  }
+
+  /** Pulls sent since the start. */
+  get pulls (): number {
+    return this.#pulls
+  }
+
+  start (): void {
+    this.#timer = this.context.clock.every(TICK_MS, () => { this.#decide({ kind: 'tick', now: this.#now() }) })
+  }
+
+  close (): void {
+    this.#timer?.close()
+  }
+
+  /**
+   * Takes the slot of a pull for the request that answers it.
+   *
+   * @param pull - number of the pull
+   * @param request - the request
+   * @returns false when the pull is too old, so that the router may have given the request up
+   */
+  take (pull: number, request: RequestId): boolean {
+    const now = this.#now()
+    const pending = this.#db.pendingPull(pull)
+    const fresh = pending !== undefined && now - pending.sentAt < this.#db.config.pullTtl
+    this.#decide(fresh ? { kind: 'pull-answered', pull, request, now } : { kind: 'tick', now })
+    return fresh
+  }
+
+  /**
+   * Frees the slot of a request.
+   *
+   * @param request - the request
+   */
+  release (request: RequestId): void {
+    this.#decide({ kind: 'request-ended', request, now: this.#now() })
+  }
+
+  #now (): Millis {
+    return this.context.clock.now()
+  }
+
+  #updateLimit (): void {
+    const limit = this.membership.state === 'open' ? this.limits.capacity.limit : 0
+    this.#decide({ kind: 'slots-changed', limit, now: this.#now() })
+  }
+
+  #onBacklog (link: FleetLink, { service, entries }: BacklogMessage): void {
+    const now = this.#now()
+    const workspaces: WorkspaceId[] = entries.map(entry => entry.workspace)
+    if (workspaces.length > 0) this.fairness.decide({ kind: 'backlog-seen', service, workspaces, now })
+    this.#decide({ kind: 'router-backlog', router: link.id, service, entries, now })
+  }
+
+  #decide (event: DispatchEvent): void {
+    for (const { router, service, workspace, pull } of dispatchDefinition.decide(this.#db, this.fairness.db, event)) {
+      this.#pulls += 1
+      this.hub.find(router)?.send({ kind: 'pull', pull, service, workspace })
+    }
+  }
+}
+
+/** Key of the slots. */
+export const slotsKey: ServiceKey<Slots> = serviceKey('slots')
--- a/packages/kernel/src/services/services.ts
+++ b/packages/kernel/src/services/services.ts
@@ -3,7 +3,7 @@
 
 /** The life of a part of a process. A service without either is only found by others. */
 export interface Service {
-  /** Begins the work of the service; the services named in `needs` have started. */
+  /** Begins the work of the service; all services are made, and those named in `needs` have started. */
   start?: () => Promise<void> | void
   /** Ends the work and frees what it holds. Called once. */
   close?: () => Promise<void> | void
@@ -64,9 +64,16 @@
     return service as T
   }
 
-  /** Makes and starts every service, each after those it needs. */
+  /**
+   * Makes every service, each after those it needs, and then starts them in the same order. No service starts before all
+   * are made, so that none misses an event of another's start.
+   */
   async start (): Promise<void> {
-    for (const id of this.#definitions.keys()) await this.#startOne(id)
+    for (const id of this.#definitions.keys()) this.#make(id)
+    for (const [id, service] of this.#services) {
+      this.#started.push(id)
+      await service.start?.()
+    }
   }
 
   /** Closes the started services in reverse order. A failure to close one does not keep the rest open. */
@@ -82,14 +89,11 @@
     if (failures.length > 0) throw new AggregateError(failures, 'some services failed to close')
   }
 
-  async #startOne (id: string): Promise<void> {
+  #make (id: string): void {
     if (this.#services.has(id)) return
     const definition = this.#definitions.get(id)
     if (definition === undefined) throw new UnknownServiceError(id)
-    for (const need of definition.needs) await this.#startOne(need)
-    const service: Service = definition.create(this)
-    this.#services.set(id, service)
-    await service.start?.()
-    this.#started.push(id)
+    for (const need of definition.needs) this.#make(need)
+    this.#services.set(id, definition.create(this))
   }
 }
