Let one process hold a group of stand-ins

Change: stand-ins start from plain data by kind; 'group' starts several behind one control port. The engine's whole expected body can be asked for, so that callers compare byte for byte.

--- a/packages/standins/src/engine/engine.ts
+++ b/packages/standins/src/engine/engine.ts
@@ -57,10 +57,10 @@
 
   enter (chat: ChatRequest, run: Run, res: ServerResponse): void {
     const promptTokens = countTokens(chat.prompt)
-    const writer = openChatAnswer(res, chat, `chatcmpl-${run.nonce}`)
+    const writer = openChatAnswer(res, chat)
     const entry: BatchEntry = {
       promptTokens,
-      maxTokens: Math.max(1, chat.maxTokens),
+      maxTokens: chat.maxTokens,
       onToken: index => {
         this.log.serve(run, index === 0 ? promptTokens : 0, 1)
         writer.token(index)
--- a/packages/standins/src/engine/engineText.ts
+++ b/packages/standins/src/engine/engineText.ts
@@ -66,7 +66,7 @@
   }
   return {
     prompt: doc.messages.map(message => message.content).join('\n'),
-    maxTokens: doc.max_completion_tokens ?? doc.max_tokens ?? DEFAULT_MAX_TOKENS,
+    maxTokens: Math.max(1, doc.max_completion_tokens ?? doc.max_tokens ?? DEFAULT_MAX_TOKENS),
     stream: doc.stream === true,
     includeUsage: doc.stream_options?.include_usage === true,
     model: doc.model ?? 'standin'
--- a/packages/standins/src/standin.ts
+++ b/packages/standins/src/standin.ts
@@ -1,19 +1,15 @@
-/** Command line of the stand-ins: one process for each. */
+/** Command line of the stand-ins: one process for one of them, or for a group. */
 import { readFileSync } from 'node:fs'
 import meow from 'meow'
-import { type ConfigurationKnobs, type Documents, startConfiguration } from './configuration/configuration.js'
-import { openControl } from './control/controlServer.js'
-import type { Standin } from './control/standinTypes.js'
-import { type DelayKnobs, startDelay } from './delay/delay.js'
-import { startEngine } from './engine/engine.js'
-import { type HostsKnobs, type ListedHost, startHosts } from './hosts/hosts.js'
-import { startPlain } from './plain/plain.js'
+import { openControl, openGroupControl } from './control/controlServer.js'
+import { STANDIN_KINDS, type StandinSpec, UnknownKindError, startStandin } from './startStandin.js'
 
 const cli = meow(`
   Usage
     $ node packages/standins/dist/standin.js KIND [options]
 
-  KIND is engine, plain, configuration, hosts or delay.
+  KIND is ${STANDIN_KINDS.join(', ')} or group.
+  Prints one line of JSON with the address and the control address once it listens.
 
   Options
     --port          port for its clients (default: a free one)
@@ -22,6 +18,8 @@
     --documents     configuration: file with { base, overlays } as JSON
     --hosts         hosts: file with the list as JSON
     --target        delay: HOST:PORT that it leads to
+    --file          group: file with { NAME: { kind, port, knobs, documents, hosts, target } } as JSON;
+                    the control paths then begin with /NAME
 `, {
   importMeta: import.meta,
   flags: {
@@ -30,47 +28,49 @@
     knobs: { type: 'string', default: '{}' },
     documents: { type: 'string' },
     hosts: { type: 'string' },
-    target: { type: 'string' }
+    target: { type: 'string' },
+    file: { type: 'string' }
   }
 })
 
 const { flags } = cli
 
-const readJsonFile = <T>(path: string): T => JSON.parse(readFileSync(path, 'utf8')) as T
+const readJsonFile = (path: string | undefined): unknown => path === undefined ? undefined : JSON.parse(readFileSync(path, 'utf8'))
 
-const parseTarget = (text: string | undefined): { host: string, port: number } => {
+const parseTarget = (text: string | undefined): unknown => {
   const [host, port] = text?.split(':') ?? []
-  if (host === undefined || port === undefined) throw new TypeError('--target must be HOST:PORT')
-  return { host, port: Number(port) }
+  return host === undefined ? undefined : { host, port: Number(port) }
 }
 
-const start = async (kind: string | undefined): Promise<Standin<unknown>> => {
-  const port = flags.port
-  const knobs: object = JSON.parse(flags.knobs) as object
-  switch (kind) {
-    case 'engine': return await startEngine({ port, knobs }) as Standin<unknown>
-    case 'plain': return await startPlain({ port, knobs }) as Standin<unknown>
-    case 'configuration': {
-      const documents = flags.documents === undefined ? {} : { documents: readJsonFile<Documents>(flags.documents) }
-      return await startConfiguration({ port, knobs: knobs as Partial<ConfigurationKnobs>, ...documents }) as Standin<unknown>
-    }
-    case 'hosts': {
-      const hosts = flags.hosts === undefined ? {} : { hosts: readJsonFile<ListedHost[]>(flags.hosts) }
-      return await startHosts({ port, knobs: knobs as Partial<HostsKnobs>, ...hosts }) as Standin<unknown>
-    }
-    case 'delay':
-      return await startDelay({ port, knobs: knobs as Partial<DelayKnobs>, target: parseTarget(flags.target) }) as Standin<unknown>
-    default:
-      return cli.showHelp(2)
-  }
+const specOf = (kind: string): StandinSpec => {
+  if (!STANDIN_KINDS.some(known => known === kind)) throw new UnknownKindError(kind)
+  const { port, documents, hosts, target } = flags
+  const fields = { kind, port, knobs: JSON.parse(flags.knobs), documents: readJsonFile(documents), hosts: readJsonFile(hosts), target: parseTarget(target) }
+  return Object.fromEntries(Object.entries(fields).filter(([, value]) => value !== undefined)) as unknown as StandinSpec
+}
+
+const startGroup = async (file: string): Promise<Array<{ close: () => Promise<void> }>> => {
+  const specs = readJsonFile(file) as Record<string, StandinSpec>
+  const started = await Promise.all(Object.entries(specs).map(async ([name, spec]) => [name, await startStandin(spec)] as const))
+  const control = await openGroupControl(new Map(started), flags.controlPort)
+  const urls = Object.fromEntries(started.map(([name, standin]) => [name, standin.url]))
+  console.log(JSON.stringify({ urls, controlUrl: control.url }))
+  return [...started.map(([, standin]) => standin), control]
+}
+
+const startOne = async (kind: string): Promise<Array<{ close: () => Promise<void> }>> => {
+  const standin = await startStandin(specOf(kind))
+  const control = await openControl(standin, flags.controlPort)
+  console.log(JSON.stringify({ url: standin.url, controlUrl: control.url }))
+  return [standin, control]
 }
 
-const standin = await start(cli.input[0])
-const control = await openControl(standin, flags.controlPort)
-console.log(JSON.stringify({ url: standin.url, controlUrl: control.url }))
+const [kind] = cli.input
+if (kind === undefined) cli.showHelp(2)
+const open = await (kind === 'group' ? startGroup(flags.file ?? '') : startOne(kind ?? ''))
 
 const stop = (): void => {
-  Promise.all([standin.close(), control.close()]).then(() => { process.exit(0) }, () => { process.exit(1) })
+  Promise.all(open.map(async thing => { await thing.close() })).then(() => { process.exit(0) }, () => { process.exit(1) })
 }
 process.once('SIGTERM', stop)
 process.once('SIGINT', stop)
--- a/packages/standins/src/standins.spec.ts
+++ b/packages/standins/src/standins.spec.ts
@@ -1,7 +1,8 @@
 import { afterEach, describe, it } from 'node:test'
 import { expect } from 'earl'
 import {
-  type Standin, engineAnswer, openControl, plainBytes, startConfiguration, startDelay, startEngine, startHosts, startPlain
+  type Standin, engineAnswer, expectedChatBody, openControl, plainBytes, startConfiguration, startDelay, startEngine, startHosts,
+  startPlain, withoutTimes
 } from './index.js'
 
 const FAST = { tokenInterval: 1, firstToken: 1, loadLag: 0 }
@@ -24,10 +25,13 @@
 describe('the engine stand-in', () => {
   it('streams one event for each token and says the whole answer otherwise', async () => {
     const engine = keep(await startEngine({ knobs: FAST }))
-    const events = (await (await chat(engine.url, 'nonce=a.1 hi', true)).text()).trim().split('\n\n')
+    const text = await (await chat(engine.url, 'nonce=a.1 hi', true)).text()
+    const events = text.trim().split('\n\n')
     const tokens = events.slice(0, -1).map(event => JSON.parse(event.slice('data: '.length)).choices[0].delta.content)
     expect(tokens.join('')).toEqual(engineAnswer('nonce=a.1 hi', 5))
     expect(events.at(-1)).toEqual('data: [DONE]')
+    const request = { prompt: 'nonce=a.1 hi', maxTokens: 5, stream: true, includeUsage: false, model: 'standin' }
+    expect(withoutTimes(text)).toEqual(expectedChatBody(request))
     const whole = await (await chat(engine.url, 'nonce=a.1 hi', false)).json() as { choices: Array<{ message: { content: string } }> }
     expect(whole.choices[0]?.message.content).toEqual(engineAnswer('nonce=a.1 hi', 5))
     expect(factsOf(engine).repeated).toEqual({ 'a.1': 2 })
