Add the local start: a small fleet with checked mixed requests

Cause: npm start is the first thing a newcomer runs.

Change: deployments, settings files, processes, callers that compare answers byte for byte, table of outcomes. The programs that it starts come with the router; until then it ends with their error.

--- /dev/null
+++ b/packages/bench/src/deployment/documents.ts
@@ -0,0 +1,64 @@
+/** Writes the shared configuration of a deployment as an operator would publish it. */
+import { createHash } from 'node:crypto'
+import type { Documents } from '@fuchsiaworks/standins'
+import { type Deployment, type ServiceShape, listUpstreams } from './deploymentTypes.js'
+
+/** What an operator changes during a run. */
+export interface Changes {
+  /** Zones that are out. */
+  readonly zonesOut: readonly string[]
+  /** Upstreams that leave. */
+  readonly leaving: readonly string[]
+}
+
+/** Nothing changed. */
+export const NO_CHANGES: Changes = { zonesOut: [], leaving: [] }
+
+/** Longest wait of the bench's requests for a slot, in milliseconds. */
+export const PATIENCE_MS = 20_000
+
+/**
+ * Says the bearer key of a workspace in the bench.
+ *
+ * @param workspace - its id
+ * @returns the key that its callers send
+ */
+export const keyOf = (workspace: string): string => `bench-key-of-${workspace}`
+
+const sha256 = (text: string): string => createHash('sha256').update(text).digest('hex')
+
+const mapped = <T>(items: readonly T[], entry: (item: T) => [string, unknown]): Record<string, unknown> =>
+  Object.fromEntries(items.map(entry))
+
+const serviceDocument = (service: ServiceShape): object => ({
+  kind: service.kind,
+  notIdempotentPaths: service.notIdempotentPaths,
+  maxConcurrency: service.slots,
+  coldConcurrency: service.coldSlots
+})
+
+/**
+ * Writes the base file and the overlay of the one site.
+ *
+ * @param deployment - the deployment
+ * @param changes - what operators have changed
+ * @returns the texts to publish
+ */
+export const writeDocuments = (deployment: Deployment, changes: Changes): Documents => {
+  const { name, region, zones, services, workspaces, utcOffsetMinutes } = deployment
+  const base = {
+    zones: mapped(zones, zone => [zone, { region, state: changes.zonesOut.includes(zone) ? 'out' : 'in' }]),
+    services: mapped(services, service => [service.id, serviceDocument(service)]),
+    upstreams: mapped(listUpstreams(deployment), ({ id, service, zone, host }) =>
+      [id, { service: service.id, zone, host, state: changes.leaving.includes(id) ? 'leaving' : 'in' }]),
+    workspaces: mapped(workspaces, workspace => [workspace.id, {
+      weight: workspace.weight,
+      keys: [sha256(keyOf(workspace.id))],
+      services: Object.keys(workspace.services),
+      patience: { defaultMs: PATIENCE_MS }
+    }]),
+    sites: { [name]: { zones, utcOffsetMinutes: 0 } }
+  }
+  const overlay = { sites: { [name]: { utcOffsetMinutes } } }
+  return { base: JSON.stringify(base, undefined, 2), overlays: { [name]: JSON.stringify(overlay, undefined, 2) } }
+}
--- /dev/null
+++ b/packages/bench/src/load/callerRequest.ts
@@ -0,0 +1,90 @@
+/** Turns planned requests into HTTP requests, and says what their answers must be. */
+import { createHash } from 'node:crypto'
+import { type ChatRequest, type PlainEcho, expectedChatBody, plainBytes, withoutTimes } from '@fuchsiaworks/standins'
+import { assertNever } from '@fuchsiaworks/kernel'
+import type { PlannedRequest } from './loadTypes.js'
+
+/** An HTTP request to a router. */
+export interface CallerRequest {
+  readonly method: 'GET' | 'POST' | 'PUT'
+  readonly path: string
+  readonly headers: Readonly<Record<string, string>>
+  readonly body: Buffer | undefined
+  /**
+   * Compares a whole answer with what it must be.
+   *
+   * @param answer - the body
+   * @returns empty when it is right, otherwise what differs
+   */
+  readonly check: (answer: Buffer) => string
+}
+
+const sha256 = (data: Buffer): string => createHash('sha256').update(data).digest('hex')
+
+const checkBytes = (expected: Buffer) => (answer: Buffer): string =>
+  answer.equals(expected) ? '' : `${answer.length} bytes differ from the ${expected.length} expected`
+
+const chatRequest = (planned: PlannedRequest): CallerRequest => {
+  const stream = planned.kind === 'stream'
+  const prompt = `nonce=${planned.nonce} ${planned.filler}`
+  const chat: ChatRequest = { prompt, maxTokens: planned.size, stream, includeUsage: false, model: 'bench' }
+  const body = { model: 'bench', messages: [{ role: 'user', content: prompt }], max_tokens: planned.size, stream }
+  return {
+    method: 'POST',
+    path: `/${planned.service}/v1/chat/completions`,
+    headers: { 'content-type': 'application/json' },
+    body: Buffer.from(JSON.stringify(body)),
+    check: answer => {
+      const text = withoutTimes(answer.toString('utf8'))
+      return text === expectedChatBody(chat) ? '' : `the completion differs, beginning ${text.slice(0, 120)}`
+    }
+  }
+}
+
+const checkEcho = (planned: PlannedRequest, method: string, path: string, body: Buffer) => (answer: Buffer): string => {
+  const echo = JSON.parse(answer.toString('utf8')) as PlainEcho
+  if (echo.method !== method) return `ran as ${echo.method}`
+  if (echo.path !== path) return `ran as ${echo.path} instead of ${path}`
+  if (echo.nonce !== planned.nonce) return `answers ${echo.nonce}`
+  if (echo.headers['x-bench'] !== planned.nonce) return 'a header was lost'
+  return echo.bodySha256 === sha256(body) ? '' : 'the body was changed'
+}
+
+const plainRequest = (planned: PlannedRequest, method: 'GET' | 'POST' | 'PUT', path: string, body: Buffer, key: string | undefined): CallerRequest => ({
+  method,
+  path: `/${planned.service}${path}`,
+  headers: {
+    'x-bench': planned.nonce,
+    ...(key === undefined ? {} : { 'idempotency-key': key }),
+    ...(method === 'GET' ? {} : { 'content-type': 'application/octet-stream' })
+  },
+  body: method === 'GET' ? undefined : body,
+  check: checkEcho(planned, method, path, body)
+})
+
+/**
+ * Writes the HTTP request of a planned one.
+ *
+ * @param planned - the plan
+ * @param post - path below the service where its non-idempotent calls go
+ * @param key - makes an Idempotency-Key
+ * @returns the request and the check of its answer
+ */
+export const writeRequest = (planned: PlannedRequest, post: string, key: () => string): CallerRequest => {
+  const { nonce, kind, size } = planned
+  const small = Buffer.from(`{"amount":${nonce.length},"nonce":"${nonce}"}`)
+  switch (kind) {
+    case 'stream':
+    case 'completion':
+      return chatRequest(planned)
+    case 'get': return plainRequest(planned, 'GET', `/members/7?nonce=${nonce}`, Buffer.alloc(0), undefined)
+    case 'post': return plainRequest(planned, 'POST', `${post}?nonce=${nonce}`, small, undefined)
+    case 'post-keyed': return plainRequest(planned, 'POST', `${post}?nonce=${nonce}`, small, key())
+    case 'upload': return plainRequest(planned, 'PUT', `/documents/7?nonce=${nonce}`, plainBytes(nonce, size), undefined)
+    case 'download': {
+      const req = plainRequest(planned, 'GET', `/documents/7?nonce=${nonce}&bytes=${size}`, Buffer.alloc(0), undefined)
+      return { ...req, check: checkBytes(plainBytes(nonce, size)) }
+    }
+    default: return assertNever(kind)
+  }
+}
--- /dev/null
+++ b/packages/bench/src/measures/runFacts.ts
@@ -0,0 +1,20 @@
+/** What the upstreams saw, for the measures that compare it with what callers were told. */
+import type { Run, ServiceStep } from '@fuchsiaworks/standins'
+import type { Fleet, RunningUpstream } from '../processes/fleet.js'
+
+/** Facts of one upstream. */
+export interface UpstreamFacts {
+  readonly upstream: RunningUpstream
+  readonly runs: readonly Run[]
+  readonly service: readonly ServiceStep[]
+  readonly crashes: number
+}
+
+/**
+ * Reads the facts of every upstream.
+ *
+ * @param fleet - the running fleet
+ * @returns one entry for each upstream
+ */
+export const readFacts = async (fleet: Fleet): Promise<UpstreamFacts[]> =>
+  await Promise.all(fleet.upstreams.map(async upstream => ({ upstream, ...await upstream.control.facts<Omit<UpstreamFacts, 'upstream'>>() })))
--- /dev/null
+++ b/packages/bench/src/processes/member.ts
@@ -0,0 +1,71 @@
+/** A router or an agent of the bench, which can be killed, paused and started again. */
+import { Child, ChildEndedError } from './child.js'
+import { FLEET_ENTRY } from './paths.js'
+
+/** One process of the fleet over all its starts. */
+export class Member {
+  #child: Child
+  /** Times that the process ended without being asked to. */
+  failures = 0
+
+  /**
+   * @param name - host and role, for reports
+   * @param role - which binary command
+   * @param zone - zone of its host
+   * @param file - its settings file
+   * @param adminUrl - address of its administration API
+   */
+  constructor (
+    readonly name: string,
+    readonly role: 'router' | 'agent',
+    readonly zone: string,
+    readonly file: string,
+    readonly adminUrl: string
+  ) {
+    this.#child = this.#start()
+  }
+
+  get pid (): number {
+    return this.#child.pid
+  }
+
+  get alive (): boolean {
+    return this.#child.alive
+  }
+
+  /** Last lines of output. */
+  get lines (): readonly string[] {
+    return this.#child.lines
+  }
+
+  /** @throws ChildEndedError when the process has ended by itself */
+  assertAlive (): void {
+    if (!this.alive) throw new ChildEndedError(this.name, null, this.lines)
+  }
+
+  /** Stops or continues the process. */
+  signal (name: 'SIGSTOP' | 'SIGCONT'): void {
+    this.#child.signal(name)
+  }
+
+  /** Ends it at once. */
+  async kill (): Promise<void> {
+    await this.#child.kill()
+  }
+
+  /** Asks it to shut down gracefully and waits. */
+  async close (): Promise<void> {
+    await this.#child.close()
+  }
+
+  /** Starts it again with the same settings and no memory. */
+  restart (): void {
+    if (!this.alive) this.#child = this.#start()
+  }
+
+  #start (): Child {
+    const child = new Child(this.name, [FLEET_ENTRY, this.role, '--settings', this.file])
+    child.ended.then(() => { if (!child.stopping) this.failures += 1 }, () => {})
+    return child
+  }
+}
--- /dev/null
+++ b/packages/bench/src/report/table.ts
@@ -0,0 +1,30 @@
+/** Plain tables for the terminal. */
+
+/** A cell; numbers stand to the right. */
+export type Cell = string | number
+
+/** Decimals of numbers that are not whole. */
+const DECIMALS = 2
+
+const show = (cell: Cell): string => {
+  if (typeof cell === 'string') return cell
+  return Number.isInteger(cell) ? String(cell) : cell.toFixed(DECIMALS)
+}
+
+/**
+ * Lays out a table.
+ *
+ * @param header - names of the columns
+ * @param rows - the cells
+ * @returns lines of text
+ */
+export const formatTable = (header: readonly string[], rows: ReadonlyArray<readonly Cell[]>): string => {
+  const texts = [header, ...rows.map(row => row.map(show))]
+  const widths = header.map((_, column) => Math.max(...texts.map(row => row[column]?.length ?? 0)))
+  const right = header.map((_, column) => rows.length > 0 && rows.every(row => typeof row[column] === 'number'))
+  const lines = texts.map(row => widths.map((width, column) => {
+    const text = row[column] ?? ''
+    return right[column] === true ? text.padStart(width) : text.padEnd(width)
+  }).join('  ').trimEnd())
+  return [lines[0], widths.map(width => '-'.repeat(width)).join('  '), ...lines.slice(1)].join('\n')
+}
