Serve the administration API from a registry of typed routes

Cause: operators and balancers need to see what each process does, and the command line needs answers of a known shape. Change: new package admin: schemas of the answers, a registry of routes (method, path, sentence, query, body, answer), and a server on Node's http. Conclusion: the command line can be built on the same registry.

--- /dev/null
+++ b/packages/admin/src/server/adminErrors.ts
@@ -0,0 +1,44 @@
+/** Errors that the administration API answers with a status of their own. */
+import { FuchsiaError } from '@fuchsiaworks/kernel'
+
+/** A request that is answered with an error status. */
+export class AdminRequestError extends FuchsiaError {
+  /**
+   * @param status - HTTP status
+   * @param code - stable name of the error
+   * @param message - one sentence for the operator
+   * @param headers - further headers of the answer
+   */
+  constructor (readonly status: number, code: string, message: string, readonly headers: Readonly<Record<string, string>> = {}) {
+    super(code, message)
+  }
+}
+
+/** @returns the error for a missing or wrong key */
+export const unauthorized = (): AdminRequestError =>
+  new AdminRequestError(401, 'unauthorized', 'the administration key is missing or wrong', { 'www-authenticate': 'Bearer' })
+
+/** @returns the error for a path that no route has */
+export const unknownRoute = (): AdminRequestError =>
+  new AdminRequestError(404, 'unknown-route', 'no route has this path')
+
+/**
+ * @param allowed - methods of the path
+ * @returns the error for a known path with another method
+ */
+export const wrongMethod = (allowed: readonly string[]): AdminRequestError =>
+  new AdminRequestError(405, 'wrong-method', `this path takes ${allowed.join(' and ')}`, { allow: allowed.join(', ') })
+
+/**
+ * @param message - what is wrong with the query or body
+ * @returns the error for a request that does not fit its route
+ */
+export const badRequest = (message: string): AdminRequestError =>
+  new AdminRequestError(400, 'bad-request', message)
+
+/**
+ * @param limit - bytes of the largest body
+ * @returns the error for a body that is too large
+ */
+export const bodyTooLarge = (limit: number): AdminRequestError =>
+  new AdminRequestError(413, 'body-too-large', `a body may have ${limit} bytes at most`, { connection: 'close' })
--- /dev/null
+++ b/packages/admin/src/server/readBody.ts
@@ -0,0 +1,30 @@
+/** Reads the body of an administration request within a limit. */
+import type { IncomingMessage } from 'node:http'
+import { badRequest, bodyTooLarge } from './adminErrors.js'
+
+/** Bytes of the largest body. */
+const MAX_BODY_BYTES = 65_536
+
+/**
+ * Reads a body as JSON.
+ *
+ * @param req - the request
+ * @returns the value; the empty object for an empty body
+ * @throws AdminRequestError when the body is too large or no JSON
+ */
+export const readBody = async (req: IncomingMessage): Promise<unknown> => {
+  const parts: Buffer[] = []
+  let size = 0
+  // The request stays whole after a throw, so that the answer can still be sent.
+  for await (const part of req.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>) {
+    size += part.length
+    if (size > MAX_BODY_BYTES) throw bodyTooLarge(MAX_BODY_BYTES)
+    parts.push(part)
+  }
+  if (size === 0) return {}
+  try {
+    return JSON.parse(Buffer.concat(parts).toString('utf8'))
+  } catch {
+    throw badRequest('the body is not valid JSON')
+  }
+}
--- /dev/null
+++ b/packages/admin/src/server/startAdmin.ts
@@ -0,0 +1,136 @@
+/** Serves the administration API: JSON over HTTP on a port of its own. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { createLog, type Millis, toError } from '@fuchsiaworks/kernel'
+import type * as z from 'zod'
+import type { ServedRoute } from '../routes/routeTypes.js'
+import { AdminRequestError, badRequest, unauthorized, unknownRoute, wrongMethod } from './adminErrors.js'
+import { keyCheck } from './adminKey.js'
+import { readBody } from './readBody.js'
+
+/** Address that only programs of the same host reach. */
+const LOOPBACK = '127.0.0.1'
+
+/** Milliseconds in which a whole request must have come. */
+const REQUEST_TIMEOUT_MS = 10_000
+
+/** Part of the request timeout after which late requests are looked for. */
+const CHECKS_PER_TIMEOUT = 4
+
+/** Bytes of the largest header section. */
+const MAX_HEADER_BYTES = 8192
+
+/** Connections that are open at once; operators and probes need few. */
+const MAX_CONNECTIONS = 128
+
+const log = createLog('admin')
+
+/** What the server needs. */
+export interface AdminOptions {
+  /** IP number to listen on; loopback where it is missing. */
+  readonly host?: string
+  /** Port; 0 lets the system choose. */
+  readonly port: number
+  readonly key: string
+  readonly routes: readonly ServedRoute[]
+  /** Milliseconds in which a whole request must have come. */
+  readonly requestTimeout?: Millis
+}
+
+/** A running administration API. */
+export interface AdminServer {
+  readonly address: { readonly host: string, readonly port: number }
+  /** Closes the port and every connection. */
+  close: () => Promise<void>
+}
+
+const parseUrl = (req: IncomingMessage): URL => {
+  try {
+    return new URL(req.url ?? '', 'http://admin')
+  } catch {
+    throw badRequest('the request target is not a path')
+  }
+}
+
+const parsePart = (part: string, schema: z.ZodType, value: unknown): unknown => {
+  const result = schema.safeParse(value)
+  if (result.success) return result.data
+  const faults = result.error.issues.map(issue => `${[part, ...issue.path].join('.')}: ${issue.message}`)
+  throw badRequest(faults.join('; '))
+}
+
+const send = (res: ServerResponse, status: number, type: string, value: unknown, headers: Readonly<Record<string, string>> = {}): void => {
+  const text = JSON.stringify(value)
+  res.writeHead(status, { 'content-type': type, 'content-length': Buffer.byteLength(text), 'cache-control': 'no-store', ...headers })
+  res.end(text)
+}
+
+const sendError = (res: ServerResponse, err: unknown): void => {
+  if (res.headersSent || res.destroyed) return
+  if (err instanceof AdminRequestError) {
+    const problem = { type: 'about:blank', title: err.code, status: err.status, detail: err.message }
+    send(res, err.status, 'application/problem+json', problem, err.headers)
+    return
+  }
+  log.error('a route failed', { reason: toError(err).message })
+  send(res, 500, 'application/problem+json', { type: 'about:blank', title: 'internal', status: 500, detail: 'the route failed' })
+}
+
+const findRoute = (routes: readonly ServedRoute[], method: string | undefined, path: string): ServedRoute => {
+  const onPath = routes.filter(route => route.path === path)
+  if (onPath.length === 0) throw unknownRoute()
+  const route = onPath.find(candidate => candidate.method === method)
+  if (route === undefined) throw wrongMethod(onPath.map(candidate => candidate.method))
+  return route
+}
+
+const isOpen = (routes: readonly ServedRoute[], path: string): boolean =>
+  routes.some(route => route.path === path && route.access === 'open')
+
+const answer = async (options: AdminOptions, allows: (header: string | undefined) => boolean, req: IncomingMessage, res: ServerResponse): Promise<void> => {
+  const url = parseUrl(req)
+  // Without the key nobody learns which paths there are.
+  if (!isOpen(options.routes, url.pathname) && !allows(req.headers.authorization)) throw unauthorized()
+  const route = findRoute(options.routes, req.method, url.pathname)
+  const query = parsePart('query', route.query, Object.fromEntries(url.searchParams))
+  const body = parsePart('body', route.body, await readBody(req))
+  const value = await route.handle({ query, body })
+  send(res, route.statusOf?.(value) ?? 200, 'application/json', value)
+}
+
+const listen = async (server: Server, host: string, port: number): Promise<AddressInfo> => {
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(port, host, resolve)
+  })
+  return server.address() as AddressInfo
+}
+
+/**
+ * Opens the administration API.
+ *
+ * @param options - address, key and routes
+ * @returns the server once it listens
+ */
+export const startAdmin = async (options: AdminOptions): Promise<AdminServer> => {
+  const requestTimeout = options.requestTimeout ?? REQUEST_TIMEOUT_MS
+  const allows = keyCheck(options.key)
+  const server = createServer({
+    requestTimeout,
+    headersTimeout: requestTimeout,
+    connectionsCheckingInterval: requestTimeout / CHECKS_PER_TIMEOUT,
+    maxHeaderSize: MAX_HEADER_BYTES
+  }, (req, res) => {
+    answer(options, allows, req, res).catch(err => { sendError(res, err) })
+  })
+  server.maxConnections = MAX_CONNECTIONS
+  const { address, port } = await listen(server, options.host ?? LOOPBACK, options.port)
+  return { address: { host: address, port }, close: async () => { await closeServer(server) } }
+}
+
+const closeServer = async (server: Server): Promise<void> => {
+  await new Promise<void>(resolve => {
+    server.close(() => { resolve() })
+    server.closeAllConnections()
+  })
+}
