Run the whole path on real processes

Cause: the thin path was not joined. Change: address of the platform's services in the bench's settings files; smaller clock-skew allowances for keys, since a key made within the allowance after its home's start is answered unknown.

--- a/packages/agent/src/keys/keyService.ts
+++ b/packages/agent/src/keys/keyService.ts
@@ -8,10 +8,10 @@
 const TICK_MS = 1_000
 
 /** Milliseconds by which a caller's clock may be ahead. */
-const CALLER_SKEW_MS = 5_000
+const CALLER_SKEW_MS = 2_000
 
 /** Largest difference between the clocks of two hosts, in milliseconds. */
-const HOST_SKEW_MS = 1_000
+const HOST_SKEW_MS = 250
 
 /** Milliseconds within which a configuration is in force everywhere. */
 const SPREAD_MS = 5_000
--- a/packages/bench/src/processes/settingsFiles.ts
+++ b/packages/bench/src/processes/settingsFiles.ts
@@ -37,7 +37,7 @@
   zone: settings.zone,
   site: deployment.name,
   admin: { ...loopback(settings.adminPort), key: ADMIN_KEY },
-  platform: { configuration: settings.configurationUrl, hosts: settings.hostsUrl },
+  platform: { configuration: `${settings.configurationUrl}/v1/configuration`, hosts: `${settings.hostsUrl}/v1/hosts` },
   routers: settings.routers,
   linkKey: LINK_KEY,
   logLevel: 'warn'
