Add the two programs: fuchsiaworks runs a process, fuchsiactl asks the fleet

Cause: processes need a program with a graceful end, and operators need to check files and see all processes at once. Change: fuchsiaworks reads settings, starts the role's package, drains on the first signal and closes on the second. fuchsiactl checks and shows configuration files; status, load and timeline ask every named process over the administration API and name those that give no answer. Time lines are merged on the clock of the first process, by the most certain path of link offsets; one request can be written as a Mermaid sequence diagram. Wrong usage and unreached processes exit 2, findings exit 1. startRouter and startAgent are looked up when the program runs, since the packages do not export them yet. Read-only types of admin answers keep branded ids.

--- a/packages/admin/src/routes/routeTypes.ts
+++ b/packages/admin/src/routes/routeTypes.ts
@@ -1,11 +1,12 @@
 /** What a route of the administration API is. */
 import type * as z from 'zod'
 
-/** A value that its receiver does not change. */
+/** A value that its receiver does not change. Strings go first, because a branded one is an object too. */
 export type DeepReadonly<T> =
-  T extends ReadonlyArray<infer Item> ? ReadonlyArray<DeepReadonly<Item>>
-    : T extends object ? { readonly [Key in keyof T]: DeepReadonly<T[Key]> }
-      : T
+  T extends string ? T
+    : T extends ReadonlyArray<infer Item> ? ReadonlyArray<DeepReadonly<Item>>
+      : T extends object ? { readonly [Key in keyof T]: DeepReadonly<T[Key]> }
+        : T
 
 /** A route without its handler. Query and body are the empty object where a route takes none. */
 export interface RouteDefinition<Query extends z.ZodType, Body extends z.ZodType, Answer extends z.ZodType> {
--- /dev/null
+++ b/packages/cli/src/check/checkCommand.ts
@@ -0,0 +1,25 @@
+/** `fuchsiactl check`: reports every finding of a base file with its overlays. */
+import { type Finding, formatFinding } from '@fuchsiaworks/kernel'
+import { checkConfig, hasErrors } from '@fuchsiaworks/settings'
+import { type CommandIo, EXIT, type ExitCode, readText } from '../io/commandIo.js'
+
+const summary = (findings: readonly Finding[]): string => {
+  const errors = findings.filter(finding => finding.severity === 'error').length
+  return findings.length === 0 ? 'no findings' : `errors: ${errors}, warnings: ${findings.length - errors}`
+}
+
+/**
+ * Checks configuration files.
+ *
+ * @param io - where findings go
+ * @param base - path of the base file
+ * @param overlays - paths of overlays
+ * @returns findings when there is an error, ok for warnings only
+ */
+export const checkCommand = async (io: CommandIo, base: string, overlays: readonly string[]): Promise<ExitCode> => {
+  const texts = await Promise.all(overlays.map(readText))
+  const { findings } = checkConfig(await readText(base), texts)
+  for (const finding of findings) io.out(formatFinding(finding))
+  io.out(summary(findings))
+  return hasErrors(findings) ? EXIT.findings : EXIT.ok
+}
--- /dev/null
+++ b/packages/cli/src/fuchsiactl.ts
@@ -0,0 +1,71 @@
+/** The fuchsiactl program: the operators' tool. */
+import meow from 'meow'
+import { checkCommand } from './check/checkCommand.js'
+import { readTargets } from './fleet/targets.js'
+import { type CommandIo, type ExitCode, processIo, runCommand, UsageError } from './io/commandIo.js'
+import { loadCommand } from './load/loadCommand.js'
+import { showCommand } from './show/showCommand.js'
+import { statusCommand } from './status/statusCommand.js'
+import { timelineCommand, type TimelineFormat } from './timeline/timelineCommand.js'
+
+const HELP = `
+  Usage
+    $ fuchsiactl check BASE [--site OVERLAY]...
+    $ fuchsiactl show BASE [--site OVERLAY] [--json]
+    $ fuchsiactl status PROCESSES [--json]
+    $ fuchsiactl load PROCESSES [--json]
+    $ fuchsiactl timeline PROCESSES (--request ID | --since 30s) [--json | --format mermaid]
+
+  Processes
+    --admin URL --key KEY   address of an administration API, repeated; the key is that of all
+    --settings FILE         settings of a process, repeated; address and key are read from it
+    The key may also stand in the variable FUCHSIA_ADMIN_KEY.
+
+  Exit codes
+    0  ok   1  findings   2  wrong usage, or a process that can't be reached
+`
+
+const cli = meow(HELP, {
+  importMeta: import.meta,
+  allowUnknownFlags: false,
+  flags: {
+    site: { type: 'string', isMultiple: true, default: [] },
+    admin: { type: 'string', isMultiple: true, default: [] },
+    settings: { type: 'string', isMultiple: true, default: [] },
+    key: { type: 'string' },
+    request: { type: 'string' },
+    since: { type: 'string' },
+    format: { type: 'string', choices: ['table', 'json', 'mermaid'], default: 'table' },
+    json: { type: 'boolean', default: false }
+  }
+})
+
+const needBase = (base: string | undefined): string => {
+  if (base === undefined) throw new UsageError('the base file is missing')
+  return base
+}
+
+const run = async (io: CommandIo): Promise<ExitCode> => {
+  const [command, base] = cli.input
+  const { site, admin, settings, request, since, json } = cli.flags
+  const targets = async () => await readTargets({ admin, settings, key: cli.flags.key ?? process.env['FUCHSIA_ADMIN_KEY'] })
+  switch (command) {
+    case 'check':
+      return await checkCommand(io, needBase(base), site)
+    case 'show':
+      if (site.length > 1) throw new UsageError('show takes one overlay')
+      return await showCommand(io, needBase(base), site[0], json)
+    case 'status':
+      return await statusCommand(io, await targets(), json)
+    case 'load':
+      return await loadCommand(io, await targets(), json)
+    case 'timeline': {
+      const format = json ? 'json' : cli.flags.format as TimelineFormat
+      return await timelineCommand(io, await targets(), { request, since, format })
+    }
+    default:
+      throw new UsageError(command === undefined ? HELP : `unknown command "${command}"; see fuchsiactl --help`)
+  }
+}
+
+process.exitCode = await runCommand(processIo, async () => await run(processIo))
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,2 +1,7 @@
 /** Public entry of the cli package. */
-export {}
+export * from './io/commandIo.js'
+export * from './process/runUntilSignal.js'
+export * from './process/startProcess.js'
+export * from './check/checkCommand.js'
+export * from './timeline/mergeTimelines.js'
+export * from './timeline/sequenceDiagram.js'
--- /dev/null
+++ b/packages/cli/src/load/loadCommand.ts
@@ -0,0 +1,38 @@
+/** `fuchsiactl load`: backlog, service and share of each workspace over all processes. */
+import { askFleet, listUnreachable, reportUnreachable } from '../fleet/askFleet.js'
+import type { Target } from '../fleet/targets.js'
+import { type CommandIo, EXIT, type ExitCode } from '../io/commandIo.js'
+import { formatTable } from '../io/table.js'
+import { type LoadRow, mergeLoad } from './loadReport.js'
+
+const HEADER = ['SERVICE', 'WORKSPACE', 'WAITING', 'OLDEST MS', 'SERVED', 'SHARE', 'WEIGHT', 'BY WEIGHT']
+
+const percent = (share: number): string => `${(share * 100).toFixed(1)}%`
+
+const cellsOf = (row: LoadRow): string[] => [
+  row.service,
+  row.workspace,
+  String(row.waiting),
+  row.oldestWaitMs.toFixed(0),
+  row.served.toFixed(0),
+  percent(row.share),
+  String(row.weight),
+  percent(row.weightShare)
+]
+
+/**
+ * Shows the load.
+ *
+ * @param io - where it goes
+ * @param targets - the processes
+ * @param json - true for JSON in place of a table
+ * @returns usage when a process can't be reached
+ */
+export const loadCommand = async (io: CommandIo, targets: readonly Target[], json: boolean): Promise<ExitCode> => {
+  const { answered, unreachable } = await askFleet(targets, 'workspaces')
+  const rows = mergeLoad(answered.map(({ answer }) => answer))
+  if (json) io.out(JSON.stringify({ load: rows, notReached: listUnreachable(unreachable) }, null, 2))
+  else formatTable(HEADER, rows.map(cellsOf)).forEach(io.out)
+  reportUnreachable(io, unreachable)
+  return unreachable.length === 0 ? EXIT.ok : EXIT.usage
+}
--- /dev/null
+++ b/packages/cli/src/process/process.spec.ts
@@ -0,0 +1,76 @@
+import { EventEmitter } from 'node:events'
+import { describe, it } from 'node:test'
+import { FindingsError, setLogLevel } from '@fuchsiaworks/kernel'
+import { expect } from 'earl'
+import { runUntilSignal } from './runUntilSignal.js'
+import { type RunningProcess, startProcess, type Starters, WrongRoleError } from './startProcess.js'
+
+/** A process whose drain ends when told to. */
+const createFake = () => {
+  const record: string[] = []
+  let endDrain = (): void => {}
+  const running: RunningProcess = {
+    drain: async () => {
+      record.push('drain')
+      await new Promise<void>(resolve => { endDrain = resolve })
+    },
+    close: async () => { record.push('close') }
+  }
+  return { record, running, endDrain: () => { endDrain() } }
+}
+
+setLogLevel('error')
+
+describe('signals', () => {
+  it('drain first and close when the work has ended', async () => {
+    const { record, running, endDrain } = createFake()
+    const signals = new EventEmitter()
+    const whole = runUntilSignal(running, signals)
+    signals.emit('SIGTERM')
+    expect(record).toEqual(['drain'])
+    endDrain()
+    expect(await whole).toEqual(true)
+    expect(record).toEqual(['drain', 'close'])
+    expect(signals.listenerCount('SIGTERM')).toEqual(0)
+  })
+
+  it('close at once the second time', async () => {
+    const { record, running } = createFake()
+    const signals = new EventEmitter()
+    const whole = runUntilSignal(running, signals)
+    signals.emit('SIGTERM')
+    signals.emit('SIGINT')
+    expect(await whole).toEqual(false)
+    expect(record).toEqual(['drain', 'close'])
+  })
+
+  it('end a process whose drain fails, and say so', async () => {
+    const signals = new EventEmitter()
+    const whole = runUntilSignal({ drain: async () => { throw new Error('x') }, close: async () => {} }, signals)
+    signals.emit('SIGTERM')
+    expect(await whole).toEqual(false)
+  })
+})
+
+describe('starting a process', () => {
+  const text = JSON.stringify({
+    role: 'router',
+    host: 'r1',
+    zone: 'east',
+    site: 'main',
+    admin: { key: '0123456789abcdef' },
+    linkKey: '0123456789abcdef',
+    platform: { configuration: 'http://127.0.0.1:1', hosts: 'http://127.0.0.1:1' },
+    callers: {},
+    links: {},
+    logLevel: 'error'
+  })
+  const starters: Starters = { router: async () => createFake().running, agent: async () => await Promise.reject(new Error('not this one')) }
+
+  it('takes settings of its own role only', async () => {
+    const running = await startProcess('router', { name: 'f', text }, starters)
+    expect(typeof running.drain).toEqual('function')
+    await expect(startProcess('agent', { name: 'f', text }, starters)).toBeRejectedWith(WrongRoleError)
+    await expect(startProcess('router', { name: 'f', text: '{}' }, starters)).toBeRejectedWith(FindingsError)
+  })
+})
--- /dev/null
+++ b/packages/cli/src/process/startProcess.ts
@@ -0,0 +1,80 @@
+/** Starts the process that the settings describe. */
+import { assertNever, FuchsiaError, setLogLevel } from '@fuchsiaworks/kernel'
+import { type AgentSettings, type NamedText, parseSettings, type ProcessSettings, type RouterSettings } from '@fuchsiaworks/settings'
+
+/** A running router or agent. */
+export interface RunningProcess {
+  /** Ends at once. */
+  close: () => Promise<void>
+  /** Takes no new work; settles when the running work has ended. */
+  drain: () => Promise<void>
+}
+
+/** What starts each role. */
+export interface Starters {
+  readonly router: (settings: RouterSettings) => Promise<RunningProcess>
+  readonly agent: (settings: AgentSettings) => Promise<RunningProcess>
+}
+
+/** The settings are for another role than the command names. */
+export class WrongRoleError extends FuchsiaError {
+  /**
+   * @param file - the settings file
+   * @param wanted - role of the command
+   * @param found - role in the file
+   */
+  constructor (file: string, wanted: string, found: string) {
+    super('wrong-role', `${file}: the settings are for a process of role "${found}", not "${wanted}"`)
+  }
+}
+
+/** A role package lacks its start function. */
+class MissingStarterError extends FuchsiaError {
+  constructor (name: string) {
+    super('missing-starter', `the package does not export ${name}`)
+  }
+}
+
+interface RouterModule { startRouter?: Starters['router'] }
+interface AgentModule { startAgent?: Starters['agent'] }
+
+/** Loads only the package of the role that runs. */
+export const packageStarters: Starters = {
+  router: async settings => {
+    const module: RouterModule = await import('@fuchsiaworks/router')
+    if (module.startRouter === undefined) throw new MissingStarterError('startRouter')
+    return await module.startRouter(settings)
+  },
+  agent: async settings => {
+    const module: AgentModule = await import('@fuchsiaworks/agent')
+    if (module.startAgent === undefined) throw new MissingStarterError('startAgent')
+    return await module.startAgent(settings)
+  }
+}
+
+const startRole = async (settings: ProcessSettings, starters: Starters): Promise<RunningProcess> => {
+  switch (settings.role) {
+    case 'router':
+      return await starters.router(settings)
+    case 'agent':
+      return await starters.agent(settings)
+    default:
+      return assertNever(settings)
+  }
+}
+
+/**
+ * Reads settings and starts the process.
+ *
+ * @param role - role that the command names
+ * @param source - the settings
+ * @param starters - what starts each role
+ * @returns the running process
+ * @throws FindingsError for wrong settings, WrongRoleError for those of the other role
+ */
+export const startProcess = async (role: ProcessSettings['role'], source: NamedText, starters: Starters): Promise<RunningProcess> => {
+  const settings = parseSettings(source)
+  if (settings.role !== role) throw new WrongRoleError(source.name, role, settings.role)
+  setLogLevel(settings.logLevel)
+  return await startRole(settings, starters)
+}
--- /dev/null
+++ b/packages/cli/src/show/showCommand.ts
@@ -0,0 +1,53 @@
+/** `fuchsiactl show`: the effective configuration of a site, and which file set each value. */
+import { formatFinding } from '@fuchsiaworks/kernel'
+import { checkSite, type FleetConfig, type Origins } from '@fuchsiaworks/settings'
+import { type CommandIo, EXIT, type ExitCode, readText } from '../io/commandIo.js'
+import { formatTable } from '../io/table.js'
+
+/** One value of the effective configuration. */
+export interface ShownValue {
+  readonly path: string
+  readonly value: unknown
+  /** `file:line:column`, or `default`. */
+  readonly origin: string
+}
+
+const isObject = (value: unknown): value is Record<string, unknown> =>
+  typeof value === 'object' && value !== null && !Array.isArray(value)
+
+const flatten = (value: unknown, path: readonly string[]): Array<[string, unknown]> => {
+  if (!isObject(value) || Object.keys(value).length === 0) return [[path.join('.'), value]]
+  return Object.entries(value).flatMap(([key, inner]) => flatten(inner, [...path, key]))
+}
+
+/**
+ * Lists the values of a configuration with their origins.
+ *
+ * @param config - the effective configuration
+ * @param origins - where values were set
+ * @returns the values by path
+ */
+export const listValues = (config: FleetConfig, origins: Origins): ShownValue[] =>
+  flatten(config, []).map(([path, value]) => {
+    const place = origins.get(path)
+    return { path, value, origin: place === undefined ? 'default' : `${place.file}:${place.line}:${place.column}` }
+  })
+
+/**
+ * Shows the effective configuration.
+ *
+ * @param io - where it goes
+ * @param base - path of the base file
+ * @param overlay - path of the overlay, if any
+ * @param json - true for JSON in place of a table
+ * @returns findings when the configuration has an error
+ */
+export const showCommand = async (io: CommandIo, base: string, overlay: string | undefined, json: boolean): Promise<ExitCode> => {
+  const { config, findings, origins } = checkSite(await readText(base), overlay === undefined ? undefined : await readText(overlay))
+  for (const finding of findings) io.err(formatFinding(finding))
+  if (config === undefined) return EXIT.findings
+  const values = listValues(config, origins)
+  if (json) io.out(JSON.stringify(values, null, 2))
+  else formatTable(['PATH', 'VALUE', 'SET IN'], values.map(({ path, value, origin }) => [path, JSON.stringify(value), origin])).forEach(io.out)
+  return EXIT.ok
+}
--- /dev/null
+++ b/packages/cli/src/timeline/sequenceDiagram.ts
@@ -0,0 +1,92 @@
+/** Writes the time line of one request as the text of a Mermaid sequence diagram. */
+import { assertNever, type RequestEvent, type RequestId } from '@fuchsiaworks/kernel'
+import type { MergedEntry } from './mergeTimelines.js'
+
+const CALLER = 'caller'
+
+/** Characters that Mermaid would take as syntax. */
+const SYNTAX = /[^\w .,()/=+-]/g
+
+const plain = (text: string): string => text.replace(SYNTAX, ' ').trim()
+
+/** Aliases of participants by what they stand for. */
+type Aliases = ReadonlyMap<string, string>
+
+/** A request's event with the process that recorded it. */
+type Step = MergedEntry & { readonly event: RequestEvent }
+
+const isStep = (request: RequestId) => (entry: MergedEntry): entry is Step =>
+  'request' in entry.event && entry.event.request === request
+
+const upstreamName = (upstream: string): string => `upstream ${upstream}`
+
+/** Who takes part, in the order of the first step. */
+const participantsOf = (steps: readonly Step[]): string[] => {
+  const routers = steps.filter(step => step.role === 'router').map(step => step.host)
+  const agents = steps.filter(step => step.role === 'agent').map(step => step.host)
+  const upstreams = steps.flatMap(({ event }) => event.upstream === undefined ? [] : [upstreamName(event.upstream)])
+  return [...new Set<string>([CALLER, ...routers, ...agents, ...upstreams])]
+}
+
+/** The agent of an upstream; the upstream itself when its agent told nothing. */
+const agentOf = (steps: readonly Step[], upstream: string | undefined): string => {
+  const agent = steps.find(step => step.role === 'agent' && step.event.upstream === upstream)?.host
+  return agent ?? (upstream === undefined ? CALLER : upstreamName(upstream))
+}
+
+/** The router that handed the request over last before a step of an agent. */
+const routerBefore = (steps: readonly Step[], step: Step): string => {
+  const routers = steps.filter(other => other.role === 'router')
+  return routers.findLast(other => other.time <= step.time)?.host ?? routers[0]?.host ?? step.host
+}
+
+const arrow = (from: string, sign: string, to: string, text: string): string => `  ${from}${sign}${to}: ${text}`
+
+const lineOf = (steps: readonly Step[], aliases: Aliases, step: Step): string => {
+  const { event, host, role } = step
+  const alias = (name: string): string => aliases.get(name) ?? CALLER
+  const self = alias(host)
+  const upstream = event.upstream === undefined ? self : alias(upstreamName(event.upstream))
+  const text = plain([event.kind.replace('request-', '').replaceAll('-', ' '), event.detail ?? ''].join(' '))
+  switch (event.kind) {
+    case 'request-received':
+      return arrow(alias(CALLER), '->>', self, text)
+    case 'request-handed-over':
+      return role === 'router' ? arrow(self, '->>', alias(agentOf(steps, event.upstream)), text) : `  Note over ${self}: ${text}`
+    case 'request-started':
+      return arrow(self, '->>', upstream, text)
+    case 'request-first-byte':
+    case 'request-ended':
+      return role === 'router' ? arrow(self, '-->>', alias(CALLER), text) : arrow(upstream, '-->>', self, text)
+    case 'request-refused':
+      return arrow(self, '-->>', alias(CALLER), text)
+    case 'request-declined':
+      return role === 'agent' ? arrow(self, '-->>', alias(routerBefore(steps, step)), text) : `  Note over ${self}: ${text}`
+    case 'request-abandoned':
+      return arrow(alias(CALLER), '-x', self, text)
+    case 'request-offered':
+    case 'request-resumed':
+    case 'request-retried':
+      return `  Note over ${self}: ${text}`
+    default:
+      return assertNever(event.kind)
+  }
+}
+
+/**
+ * Writes the diagram of a request.
+ *
+ * @param entries - merged entries
+ * @param request - the request
+ * @returns the lines of the diagram
+ */
+export const sequenceDiagram = (entries: readonly MergedEntry[], request: RequestId): string[] => {
+  const steps = entries.filter(isStep(request))
+  const names = participantsOf(steps)
+  const aliases = new Map(names.map((name, index) => [name, `p${index}`]))
+  return [
+    'sequenceDiagram',
+    ...names.map((name, index) => `  participant p${index} as ${plain(name)}`),
+    ...steps.map(step => lineOf(steps, aliases, step))
+  ]
+}
--- /dev/null
+++ b/packages/cli/src/timeline/timelineCommand.ts
@@ -0,0 +1,62 @@
+/** `fuchsiactl timeline`: what happened over all processes, in one order. */
+import { asId, assertNever, type RequestId } from '@fuchsiaworks/kernel'
+import { askFleet, listUnreachable, reportUnreachable, type Unreachable } from '../fleet/askFleet.js'
+import type { Target } from '../fleet/targets.js'
+import { type CommandIo, EXIT, type ExitCode, UsageError } from '../io/commandIo.js'
+import { type MergedTimeline, mergeTimelines } from './mergeTimelines.js'
+import { parseSpan } from './parseSpan.js'
+import { sequenceDiagram } from './sequenceDiagram.js'
+import { timelineTable } from './timelineTable.js'
+
+/** How the time line is written. */
+export type TimelineFormat = 'table' | 'json' | 'mermaid'
+
+/** What is shown, and how. */
+export interface TimelineFlags {
+  readonly request: string | undefined
+  readonly since: string | undefined
+  readonly format: TimelineFormat
+}
+
+const queryOf = ({ request, since }: TimelineFlags): Record<string, string> => ({
+  ...request === undefined ? {} : { request },
+  ...since === undefined ? {} : { since: String(parseSpan(since)) }
+})
+
+const checkFlags = ({ request, since, format }: TimelineFlags): void => {
+  if (request === undefined && since === undefined) throw new UsageError('give --request ID or --since SPAN')
+  if (format === 'mermaid' && request === undefined) throw new UsageError('--format mermaid needs --request ID')
+}
+
+const toJson = ({ entries, clocks }: MergedTimeline, unreachable: readonly Unreachable[]): string =>
+  JSON.stringify({ entries, clocks: Object.fromEntries(clocks), notReached: listUnreachable(unreachable) }, null, 2)
+
+const linesOf = (timeline: MergedTimeline, flags: TimelineFlags, unreachable: readonly Unreachable[]): string[] => {
+  switch (flags.format) {
+    case 'table':
+      return timelineTable(timeline)
+    case 'json':
+      return [toJson(timeline, unreachable)]
+    case 'mermaid':
+      return sequenceDiagram(timeline.entries, asId<RequestId>(flags.request ?? ''))
+    default:
+      return assertNever(flags.format)
+  }
+}
+
+/**
+ * Shows the time line.
+ *
+ * @param io - where it goes
+ * @param targets - the processes; the clock of the first that answers is the reference
+ * @param flags - what is shown, and how
+ * @returns usage when a process can't be reached
+ */
+export const timelineCommand = async (io: CommandIo, targets: readonly Target[], flags: TimelineFlags): Promise<ExitCode> => {
+  checkFlags(flags)
+  const { answered, unreachable } = await askFleet(targets, 'timeline', queryOf(flags))
+  const timeline = mergeTimelines(answered.map(({ answer }) => answer))
+  linesOf(timeline, flags, unreachable).forEach(line => { io.out(line) })
+  reportUnreachable(io, unreachable)
+  return unreachable.length === 0 ? EXIT.ok : EXIT.usage
+}
