Let the local start wait until keys are known to be new

Cause: 13 of 27 keyed posts of the first two seconds were answered unknown (187 of 200 right): their keys were made within the clock allowance after the agents' start. Conclusion: the answer unknown is the promised one; the drive must not begin inside the allowance.

--- a/packages/bench/src/startLocal.ts
+++ b/packages/bench/src/startLocal.ts
@@ -16,6 +16,9 @@
 /** Faulty answers that are shown in full. */
 const SHOWN_FAULTS = 10
 
+/** Milliseconds after the agents' start from which a key with a time in it is known to be new. */
+const KEY_SETTLE_MS = 3_000
+
 const cli = meow(`
   Usage
     $ npm start                        serves until Ctrl-C
@@ -67,6 +70,7 @@
   try {
     await Promise.race([waitReady(fleet, caller), stopped])
     printAddresses(fleet)
+    if (cli.flags.requests > 0) await new Promise(resolve => { setTimeout(resolve, KEY_SETTLE_MS) })
     if (cli.flags.requests > 0) return await drive(fleet, caller)
     printCurl(fleet)
     console.log('\nCtrl-C ends it.')
