Add the measurement bench with faults, measures and verdicts

Cause: fairness, use of slots, control and service under faults have to be measured on real processes.

Change: the shapes of both deployments, open-loop load from a seeded generator, faults on a schedule, measures in modules of their own, verdicts by bounds of the design and the targets, tables, JSON and an SVG plot.

--- /dev/null
+++ b/packages/bench/src/benchRun.ts
@@ -0,0 +1,120 @@
+/** One run of the bench: load, faults and measures. */
+import type { Deployment } from './deployment/deploymentTypes.js'
+import { leavingUpstreams, zoneTakenOut } from './faults/applyFault.js'
+import { type FaultKind, type ScheduledFault, spanOfFaults } from './faults/faultTypes.js'
+import { type FaultRecord, runFaults } from './faults/runFaults.js'
+import { type Span, joinPlans, planFlood, planLoad } from './load/benchPlan.js'
+import type { Caller } from './load/caller.js'
+import type { PlannedRequest, RequestResult } from './load/loadTypes.js'
+import { runOpenLoop } from './load/openLoop.js'
+import { wallNow } from './load/wallClock.js'
+import { type OutSpan, measureCorrectness } from './measures/correctness.js'
+import { measureFairness } from './measures/fairness.js'
+import { type MemberUse, fleetUseSince, readFleet } from './measures/fleetUse.js'
+import type { Interval } from './measures/intervals.js'
+import { summarisePhases } from './measures/phases.js'
+import { readFacts } from './measures/runFacts.js'
+import { measureUtilisation } from './measures/utilisation.js'
+import type { Measures } from './measures/verdicts.js'
+import type { Fleet } from './processes/fleet.js'
+
+/** Milliseconds without load in which the control of the processes is measured. */
+const IDLE_SPAN_MS = 5000
+
+/** Part of the time before the first fault that counts as warm-up and is left out. */
+const WARM_UP_SHARE = 1 / 3
+
+/** Share of the remaining capacity up to which it counts as sufficient. */
+const SUFFICIENT_SHARE = 0.85
+
+/** What to run. */
+export interface RunOptions {
+  readonly faults: readonly ScheduledFault[]
+  /** Milliseconds of load. */
+  readonly length: number
+  readonly load: number
+  readonly seed: number
+}
+
+/** What a run gave. */
+export interface BenchRun {
+  readonly run: Interval
+  readonly faults: readonly FaultRecord[]
+  readonly results: readonly RequestResult[]
+  readonly measures: Measures
+  readonly loadedUse: readonly MemberUse[]
+}
+
+const sleep = async (span: number): Promise<void> => {
+  await new Promise(resolve => { setTimeout(resolve, span) })
+}
+
+const planRun = (deployment: Deployment, { faults, length, load, seed }: RunOptions): PlannedRequest[] => {
+  const floods = faults.filter(({ kind }) => kind === 'flood').flatMap(({ spans }) => spans)
+  return joinPlans([
+    planLoad(deployment, { load, span: { from: 0, to: length }, seed }),
+    ...floods.map((span: Span) => planFlood(deployment, span, seed))
+  ])
+}
+
+const upstreamsOut = (fleet: Fleet, kind: FaultKind): string[] => {
+  if (kind === 'leaving') return leavingUpstreams(fleet)
+  if (kind !== 'zone-out') return []
+  return fleet.upstreams.filter(({ zone }) => zone === zoneTakenOut(fleet)).map(({ id }) => id)
+}
+
+const isSufficient = (fleet: Fleet, { faults, load }: RunOptions): boolean => {
+  const out = new Set(faults.flatMap(({ kind }) => upstreamsOut(fleet, kind)))
+  return fleet.deployment.services.every(service => {
+    const all = fleet.upstreams.filter(upstream => upstream.service.id === service.id)
+    const left = all.filter(({ id }) => !out.has(id))
+    return load * all.length <= SUFFICIENT_SHARE * left.length
+  })
+}
+
+const outSpansOf = (fleet: Fleet, records: readonly FaultRecord[]): OutSpan[] => records
+  .map(({ kind, from, to }) => ({ from, to, upstreams: upstreamsOut(fleet, kind) }))
+  .filter(({ upstreams }) => upstreams.length > 0)
+
+const measureIdle = async (fleet: Fleet): Promise<MemberUse[]> => {
+  const before = readFleet(fleet)
+  await sleep(IDLE_SPAN_MS)
+  return fleetUseSince(fleet, before)
+}
+
+/**
+ * Runs load and faults against a fleet that is ready, and measures.
+ *
+ * @param fleet - the running fleet
+ * @param caller - sends the load
+ * @param options - what to run
+ * @returns results and measures
+ */
+export const runBench = async (fleet: Fleet, caller: Caller, options: RunOptions): Promise<BenchRun> => {
+  const { deployment } = fleet
+  const idleUse = await measureIdle(fleet)
+  const plan = planRun(deployment, options)
+  const reading = readFleet(fleet)
+  const start = wallNow()
+  let loadedUse: MemberUse[] = []
+  const useTimer = setTimeout(() => { loadedUse = fleetUseSince(fleet, reading) }, options.length)
+  const [results, faultRun] = await Promise.all([runOpenLoop(plan, caller), runFaults(fleet, caller, options.faults, start)])
+  clearTimeout(useTimer)
+  const facts = await readFacts(fleet)
+  const span = spanOfFaults(options.faults)
+  const faults = { from: start + span.from, to: start + span.to }
+  const warmUp = start + span.from * WARM_UP_SHARE
+  const run = { from: start, to: start + options.length }
+  const measures: Measures = {
+    faults: options.faults.map(({ kind }) => kind),
+    sufficient: isSufficient(fleet, options),
+    correctness: measureCorrectness(results, facts, outSpansOf(fleet, faultRun.records)),
+    fairness: measureFairness(deployment, facts, results, run),
+    utilisation: measureUtilisation(deployment, facts, results, { from: warmUp, to: faults.from }),
+    idleUse,
+    phases: summarisePhases(results.filter(({ intendedAt }) => intendedAt >= warmUp), deployment.services.map(({ id }) => id), faults),
+    crashes: facts.reduce((sum, { crashes }) => sum + crashes, 0),
+    memberFailures: [...fleet.routers, ...fleet.agents].reduce((sum, { failures }) => sum + failures, 0)
+  }
+  return { run, faults: faultRun.records, results, measures, loadedUse }
+}
--- a/packages/bench/src/deployment/documents.ts
+++ b/packages/bench/src/deployment/documents.ts
@@ -25,6 +25,9 @@
  */
 export const keyOf = (workspace: string): string => `bench-key-of-${workspace}`
 
+/** Milliseconds after which a session without a connection ends; pauses of the bench last longer. */
+export const SESSION_EXPIRY_MS = 8000
+
 const sha256 = (text: string): string => createHash('sha256').update(text).digest('hex')
 
 const mapped = <T>(items: readonly T[], entry: (item: T) => [string, unknown]): Record<string, unknown> =>
@@ -57,7 +60,8 @@
       services: Object.keys(workspace.services),
       patience: { defaultMs: PATIENCE_MS }
     }]),
-    sites: { [name]: { zones, utcOffsetMinutes: 0 } }
+    sites: { [name]: { zones, utcOffsetMinutes: 0 } },
+    links: { expiryMs: SESSION_EXPIRY_MS }
   }
   const overlay = { sites: { [name]: { utcOffsetMinutes } } }
   return { base: JSON.stringify(base, undefined, 2), overlays: { [name]: JSON.stringify(overlay, undefined, 2) } }
--- /dev/null
+++ b/packages/bench/src/faults/runFaults.ts
@@ -0,0 +1,55 @@
+/** Runs the schedule of faults beside the load. */
+import type { Caller } from '../load/caller.js'
+import type { RequestResult } from '../load/loadTypes.js'
+import { wallNow } from '../load/wallClock.js'
+import type { Fleet } from '../processes/fleet.js'
+import { endFault, startFault } from './applyFault.js'
+import { resendCrashing } from './crashCaller.js'
+import type { FaultKind, ScheduledFault } from './faultTypes.js'
+import { Operators } from './operators.js'
+
+/** A fault that held, with wall-clock times after it was brought about and before it was taken back. */
+export interface FaultRecord {
+  readonly kind: FaultKind
+  readonly from: number
+  readonly to: number
+}
+
+/** What the faults gave. */
+export interface FaultRun {
+  readonly records: readonly FaultRecord[]
+  /** Results of requests that crash engines; they are not part of the load. */
+  readonly crashing: readonly RequestResult[]
+}
+
+const sleepUntil = async (time: number): Promise<void> => {
+  await new Promise(resolve => { setTimeout(resolve, Math.max(0, time - wallNow())) })
+}
+
+/**
+ * Brings the faults about at their times.
+ *
+ * @param fleet - the running fleet
+ * @param caller - sends the requests that crash engines
+ * @param faults - the schedule
+ * @param start - wall-clock time of the start of the load
+ * @returns when each held
+ */
+export const runFaults = async (fleet: Fleet, caller: Caller, faults: readonly ScheduledFault[], start: number): Promise<FaultRun> => {
+  const operators = new Operators(fleet)
+  const records: FaultRecord[] = []
+  const crashing: RequestResult[] = []
+  const runOne = async ({ kind, spans }: ScheduledFault): Promise<void> => {
+    for (const span of spans) {
+      await sleepUntil(start + span.from)
+      await startFault(kind, operators)
+      const from = wallNow()
+      if (kind === 'engine-crash-request') crashing.push(...await resendCrashing(fleet, caller, start + span.to))
+      await sleepUntil(start + span.to)
+      records.push({ kind, from, to: wallNow() })
+      await endFault(kind, operators)
+    }
+  }
+  await Promise.all(faults.map(runOne))
+  return { records, crashing }
+}
--- /dev/null
+++ b/packages/bench/src/load/benchPlan.ts
@@ -0,0 +1,136 @@
+/** Plans the open-loop load of a bench run. */
+import type { Deployment, ServiceShape, WorkspaceShape } from '../deployment/deploymentTypes.js'
+import { MAX_BUSY_FACTOR, MAX_TOKENS, MEAN_TOKENS, capacityOf } from './capacity.js'
+import type { PlannedRequest, RequestKind } from './loadTypes.js'
+import { type Random, drawInterval, pickWeighted, seededRandom } from './random.js'
+
+/** A span of the run, in milliseconds from its start. */
+export interface Span {
+  readonly from: number
+  readonly to: number
+}
+
+/** What load to plan. */
+export interface LoadOptions {
+  /** Offered load as a multiple of the capacity of each service. */
+  readonly load: number
+  readonly span: Span
+  readonly seed: number
+}
+
+/** Offered load of a flooding workspace, as a multiple of the capacity of each service it calls. */
+const FLOOD_LOAD = 4
+
+/** Bytes of the bodies that are uploaded and downloaded. */
+const BODY_BYTES = 50_000
+
+/** Characters in the prompt of one request; some carry ten times as many. */
+const PROMPT_CHARACTERS = 400
+
+const KINDS: Readonly<Record<ServiceShape['kind'], ReadonlyArray<readonly [RequestKind, number]>>> = {
+  engine: [['stream', 7], ['completion', 3]],
+  plain: [['get', 10], ['post', 4], ['post-keyed', 4], ['upload', 1], ['download', 1]]
+}
+
+/** One workspace that calls one service at a rate. */
+interface Flow {
+  readonly workspace: WorkspaceShape
+  readonly service: ServiceShape
+  /** Requests a second. */
+  readonly rate: number
+  readonly span: Span
+  /** Part of the nonces, so that flows of one workspace differ. */
+  readonly mark: string
+}
+
+const drawCapped = (random: Random, mean: number, cap: number): number =>
+  Math.min(cap, Math.max(1, Math.round(drawInterval(random, mean))))
+
+const drawRequest = (random: Random, flow: Flow, at: number, index: number): PlannedRequest => {
+  const { workspace, service, mark } = flow
+  const kind = pickWeighted(random, KINDS[service.kind])
+  const engine = service.kind === 'engine'
+  const router = workspace.routers[Math.floor(random() * workspace.routers.length)] ?? 0
+  const characters = PROMPT_CHARACTERS * (random() < 0.1 ? 10 : 1)
+  const busy = drawCapped(random, service.pace, service.pace * MAX_BUSY_FACTOR)
+  return {
+    nonce: `${workspace.id}.${mark}-${service.id}-${index}`,
+    workspace: workspace.id,
+    service: service.id,
+    kind,
+    router,
+    at,
+    size: engine ? drawCapped(random, MEAN_TOKENS, MAX_TOKENS) : BODY_BYTES,
+    filler: engine ? 'x'.repeat(characters) : '',
+    ...(engine ? {} : { busy })
+  }
+}
+
+const planFlow = (random: Random, flow: Flow): PlannedRequest[] => {
+  const planned: PlannedRequest[] = []
+  const mean = 1000 / flow.rate
+  for (let at = flow.span.from + drawInterval(random, mean); at < flow.span.to; at += drawInterval(random, mean)) {
+    planned.push(drawRequest(random, flow, at, planned.length))
+  }
+  return planned
+}
+
+const flowsOf = (deployment: Deployment, service: ServiceShape, options: LoadOptions): Flow[] => {
+  const calling = deployment.workspaces.filter(workspace => service.id in workspace.services)
+  const demand = (workspace: WorkspaceShape): number => workspace.share * (workspace.services[service.id] ?? 0)
+  const total = calling.reduce((sum, workspace) => sum + demand(workspace), 0)
+  const rate = options.load * capacityOf(service)
+  return calling.map(workspace =>
+    ({ workspace, service, rate: rate * demand(workspace) / total, span: options.span, mark: `s${options.seed}` }))
+}
+
+const inOrder = (plan: PlannedRequest[]): PlannedRequest[] => plan.sort((a, b) => a.at - b.at)
+
+/**
+ * Plans the load of all workspaces.
+ *
+ * @param deployment - the deployment
+ * @param options - load, span and seed
+ * @returns the requests in order of their times
+ */
+export const planLoad = (deployment: Deployment, options: LoadOptions): PlannedRequest[] => {
+  const random = seededRandom(options.seed)
+  return inOrder(deployment.services.flatMap(service => flowsOf(deployment, service, options)).flatMap(flow => planFlow(random, flow)))
+}
+
+/**
+ * Names the workspace that floods: the last one.
+ *
+ * @param deployment - the deployment
+ * @returns the workspace
+ */
+export const floodingWorkspace = (deployment: Deployment): WorkspaceShape => {
+  const workspace = deployment.workspaces.at(-1)
+  if (workspace === undefined) throw new RangeError('the deployment has no workspace')
+  return workspace
+}
+
+/**
+ * Plans the flood of one workspace, to be joined to the load of all.
+ *
+ * @param deployment - the deployment
+ * @param span - when it floods
+ * @param seed - equal seeds give equal plans
+ * @returns the requests in order of their times
+ */
+export const planFlood = (deployment: Deployment, span: Span, seed: number): PlannedRequest[] => {
+  const workspace = floodingWorkspace(deployment)
+  const random = seededRandom(seed + 1)
+  const services = deployment.services.filter(service => service.id in workspace.services)
+  const flows = services.map((service): Flow =>
+    ({ workspace, service, rate: FLOOD_LOAD * capacityOf(service), span, mark: `flood${span.from}` }))
+  return inOrder(flows.flatMap(flow => planFlow(random, flow)))
+}
+
+/**
+ * Joins plans.
+ *
+ * @param plans - each in order
+ * @returns all requests in order of their times
+ */
+export const joinPlans = (plans: ReadonlyArray<readonly PlannedRequest[]>): PlannedRequest[] => inOrder(plans.flat())
--- a/packages/bench/src/load/callerRequest.ts
+++ b/packages/bench/src/load/callerRequest.ts
@@ -72,17 +72,18 @@
  */
 export const writeRequest = (planned: PlannedRequest, post: string, key: () => string): CallerRequest => {
   const { nonce, kind, size } = planned
+  const query = planned.busy === undefined ? `nonce=${nonce}` : `nonce=${nonce}&busy=${planned.busy}`
   const small = Buffer.from(`{"amount":${nonce.length},"nonce":"${nonce}"}`)
   switch (kind) {
     case 'stream':
     case 'completion':
       return chatRequest(planned)
-    case 'get': return plainRequest(planned, 'GET', `/members/7?nonce=${nonce}`, Buffer.alloc(0), undefined)
-    case 'post': return plainRequest(planned, 'POST', `${post}?nonce=${nonce}`, small, undefined)
-    case 'post-keyed': return plainRequest(planned, 'POST', `${post}?nonce=${nonce}`, small, key())
-    case 'upload': return plainRequest(planned, 'PUT', `/documents/7?nonce=${nonce}`, plainBytes(nonce, size), undefined)
+    case 'get': return plainRequest(planned, 'GET', `/members/7?${query}`, Buffer.alloc(0), undefined)
+    case 'post': return plainRequest(planned, 'POST', `${post}?${query}`, small, undefined)
+    case 'post-keyed': return plainRequest(planned, 'POST', `${post}?${query}`, small, key())
+    case 'upload': return plainRequest(planned, 'PUT', `/documents/7?${query}`, plainBytes(nonce, size), undefined)
     case 'download': {
-      const req = plainRequest(planned, 'GET', `/documents/7?nonce=${nonce}&bytes=${size}`, Buffer.alloc(0), undefined)
+      const req = plainRequest(planned, 'GET', `/documents/7?${query}&bytes=${size}`, Buffer.alloc(0), undefined)
       return { ...req, check: checkBytes(plainBytes(nonce, size)) }
     }
     default: return assertNever(kind)
--- a/packages/bench/src/load/loadTypes.ts
+++ b/packages/bench/src/load/loadTypes.ts
@@ -18,6 +18,8 @@
   readonly size: number
   /** Text that is put into the prompt. */
   readonly filler: string
+  /** Milliseconds for which a plain service is busy; undefined for its own time. */
+  readonly busy?: number
 }
 
 /**
--- /dev/null
+++ b/packages/bench/src/measures/processUse.ts
@@ -0,0 +1,73 @@
+/** Processor time and bytes of processes, read from /proc. */
+import { readFileSync } from 'node:fs'
+
+/** Clock ticks a second in /proc/PID/stat. */
+const TICKS_PER_SECOND = 100
+
+/** Bytes in a page of /proc/PID/statm. */
+const PAGE_BYTES = 4096
+
+/** A reading of one process. */
+export interface ProcessReading {
+  readonly at: number
+  /** Milliseconds of processor time since its start. */
+  readonly processor: number
+  /** Bytes that it has written by system calls, sockets among them. */
+  readonly written: number
+  /** Bytes that it has read by system calls, sockets among them. */
+  readonly read: number
+  readonly residentBytes: number
+}
+
+/** Use of one process between two readings. */
+export interface ProcessUse {
+  /** Share of one core, from 0. */
+  readonly processorShare: number
+  /** Bytes a second, written and read. */
+  readonly bytesPerSecond: number
+  readonly residentBytes: number
+}
+
+const field = (text: string, name: string): number => Number(new RegExp(`^${name}: (\\d+)$`, 'm').exec(text)?.[1] ?? 0)
+
+/**
+ * Reads one process.
+ *
+ * @param pid - its id
+ * @returns the reading, or undefined when there is no such process
+ */
+export const readProcess = (pid: number): ProcessReading | undefined => {
+  try {
+    const stat = readFileSync(`/proc/${pid}/stat`, 'utf8')
+    // The command in brackets may hold spaces; the fields after it are counted from the state.
+    const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ')
+    const ticks = Number(fields[11]) + Number(fields[12])
+    const io = readFileSync(`/proc/${pid}/io`, 'utf8')
+    const pages = Number(readFileSync(`/proc/${pid}/statm`, 'utf8').split(' ')[1])
+    return {
+      at: performance.now(),
+      processor: ticks * 1000 / TICKS_PER_SECOND,
+      written: field(io, 'wchar'),
+      read: field(io, 'rchar'),
+      residentBytes: pages * PAGE_BYTES
+    }
+  } catch {
+    return undefined
+  }
+}
+
+/**
+ * Works out the use between two readings.
+ *
+ * @param before - the earlier one
+ * @param after - the later one
+ * @returns rates over the time between
+ */
+export const useBetween = (before: ProcessReading, after: ProcessReading): ProcessUse => {
+  const span = after.at - before.at
+  return {
+    processorShare: (after.processor - before.processor) / span,
+    bytesPerSecond: (after.written - before.written + after.read - before.read) * 1000 / span,
+    residentBytes: after.residentBytes
+  }
+}
--- a/packages/bench/src/processes/member.ts
+++ b/packages/bench/src/processes/member.ts
@@ -33,6 +33,11 @@
     return this.#child.alive
   }
 
+  /** True while it lives and was not asked to end; a balancer sends to it then. */
+  get accepting (): boolean {
+    return this.alive && !this.#child.stopping
+  }
+
   /** Last lines of output. */
   get lines (): readonly string[] {
     return this.#child.lines
--- /dev/null
+++ b/packages/bench/src/report/runReport.ts
@@ -0,0 +1,107 @@
+/** Writes a bench run as JSON, as a plot and as tables. */
+import { mkdirSync, writeFileSync } from 'node:fs'
+import { join } from 'node:path'
+import type { FaultRecord } from '../faults/runFaults.js'
+import type { RequestResult } from '../load/loadTypes.js'
+import type { MemberUse } from '../measures/fleetUse.js'
+import type { Interval } from '../measures/intervals.js'
+import { summariseLatency } from '../measures/latency.js'
+import type { Measures, Verdict } from '../measures/verdicts.js'
+import { ROOT } from '../processes/paths.js'
+import { type PlotLine, type PlotPanel, drawPlot } from './plot.js'
+import { formatTable } from './table.js'
+
+/** A finished run. */
+export interface RunReport {
+  readonly name: string
+  readonly options: Readonly<Record<string, string | number | boolean>>
+  /** Wall-clock time of the load. */
+  readonly run: Interval
+  readonly faults: readonly FaultRecord[]
+  readonly results: readonly RequestResult[]
+  readonly measures: Measures
+  /** Use of the processes under load. */
+  readonly loadedUse: readonly MemberUse[]
+  readonly verdicts: readonly Verdict[]
+}
+
+const FOLDER = join(ROOT, 'bench-results')
+
+const secondsOf = ({ from, to }: Interval): number => Math.ceil((to - from) / 1000)
+
+const bySecond = (report: RunReport, value: (results: RequestResult[]) => number | undefined, accept: (result: RequestResult) => boolean): Array<number | undefined> => {
+  const buckets = Array.from({ length: secondsOf(report.run) }, (): RequestResult[] => [])
+  for (const result of report.results.filter(accept)) buckets[Math.floor((result.intendedAt - report.run.from) / 1000)]?.push(result)
+  return buckets.map(value)
+}
+
+const p95 = (results: RequestResult[]): number | undefined => results.length === 0
+  ? undefined
+  : summariseLatency(results.map(({ endedAt, intendedAt }) => endedAt - intendedAt)).p95
+
+const latencyPanel = (report: RunReport): PlotPanel => ({
+  title: 'p95 of whole answers by second of sending, ms',
+  lines: report.measures.fairness.map(({ service }): PlotLine =>
+    ({ name: service, values: bySecond(report, p95, ({ planned, result }) => planned.service === service && result === 'right') }))
+})
+
+const outcomePanel = (report: RunReport): PlotPanel => ({
+  title: 'Requests by second of sending',
+  lines: [
+    { name: 'right', values: bySecond(report, items => items.length, ({ result }) => result === 'right') },
+    { name: 'not-run', values: bySecond(report, items => items.length, ({ result }) => result === 'not-run') },
+    { name: 'other', values: bySecond(report, items => items.length, ({ result }) => result !== 'right' && result !== 'not-run') }
+  ]
+})
+
+const fairnessPanels = (report: RunReport): PlotPanel[] => report.measures.fairness.map(({ service, series, bound }) =>
+  ({ title: `Fairness gap at ${service}, cost by weight (bound ${bound.toFixed(0)})`, bound, lines: [{ name: 'largest gap', values: series }] }))
+
+/**
+ * Writes the JSON and the SVG of a run.
+ *
+ * @param report - the run
+ * @returns paths of the files
+ */
+export const writeReport = (report: RunReport): string[] => {
+  mkdirSync(FOLDER, { recursive: true })
+  const seconds = secondsOf(report.run)
+  const shades = report.faults.map(({ kind, from, to }) =>
+    ({ name: kind, from: (from - report.run.from) / 1000, to: Math.min(seconds, (to - report.run.from) / 1000) }))
+  const { results, ...rest } = report
+  const files = { json: join(FOLDER, `${report.name}.json`), svg: join(FOLDER, `${report.name}.svg`) }
+  const faulty = results.filter(({ result }) => result !== 'right').map(({ planned, result, status, detail }) =>
+    ({ nonce: planned.nonce, kind: planned.kind, result, status, detail }))
+  writeFileSync(files.json, JSON.stringify({ ...rest, faulty }, undefined, 2))
+  writeFileSync(files.svg, drawPlot([latencyPanel(report), outcomePanel(report), ...fairnessPanels(report)], seconds, shades))
+  return [files.json, files.svg]
+}
+
+/**
+ * Lays a run out as tables.
+ *
+ * @param report - the run
+ * @returns text for the terminal
+ */
+export const formatReport = (report: RunReport): string => {
+  const { phases, fairness, utilisation, idleUse } = report.measures
+  const phaseRows = phases.map(({ service, phase, count, results, latency, firstByte }) => {
+    const right = results.right ?? 0
+    const notRun = results['not-run'] ?? 0
+    return [service, phase, count, right, notRun, results.unknown ?? 0, count - right - notRun - (results.unknown ?? 0), latency.p50, latency.p95, latency.p99, firstByte.p95]
+  })
+  const useRows = report.loadedUse.map(({ name, processorShare, bytesPerSecond, residentBytes }) => {
+    const idle = idleUse.find(use => use.name === name)
+    return [name, (idle?.bytesPerSecond ?? 0) / 1000, 100 * (idle?.processorShare ?? 0), bytesPerSecond / 1000, 100 * processorShare, residentBytes / 1e6]
+  })
+  const serviceRows = fairness.map(({ service, gap, bound, backlogged, pair }, index) =>
+    [service, gap, bound, backlogged, pair?.join(' and ') ?? '', (utilisation[index]?.waited ?? 0) / 1000, 100 * (utilisation[index]?.idleShare ?? 0)])
+  const verdictRows = report.verdicts.map(({ name, value, bound, pass }) => [pass ? 'pass' : 'FAIL', name, value, bound])
+  return [
+    formatTable(['service', 'phase', 'requests', 'right', 'not-run', 'unknown', 'other', 'p50 ms', 'p95 ms', 'p99 ms', 'first byte p95 ms'], phaseRows),
+    formatTable(['service', 'gap', 'bound', 'backlogged', 'pair', 'waited s (before)', 'idle % (before)'], serviceRows),
+    'Processes; bytes are those of all system calls in /proc/PID/io, without load (control only) and under load:',
+    formatTable(['process', 'idle KB/s', 'idle core %', 'load KB/s', 'load core %', 'memory MB'], useRows),
+    formatTable(['verdict', 'measure', 'value', 'bound'], verdictRows)
+  ].join('\n\n')
+}
--- a/packages/router/src/requests/estimate.ts
+++ b/packages/router/src/requests/estimate.ts
@@ -34,4 +34,3 @@
   if (service.kind === 'plain') return Math.max(1, DEFAULT_BUSY_MS * cost.busyMilli)
   return Math.max(1, length / BYTES_PER_TOKEN * cost.promptToken + outputTokens(body) * cost.outputToken)
 }
-
