--- /dev/null
+++ b/packages/bench/src/faults/faultTypes.spec.ts
@@ -0,0 +1,19 @@
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import { UnknownFaultError, scheduleFaults, spanOfFaults } from './faultTypes.js'
+
+describe('the schedule of faults', () => {
+  it('starts the second of a pair a second after the first', () => {
+    const faults = scheduleFaults('zone-out+config-down', false, 60_000)
+    expect(faults.map(({ kind, spans }) => [kind, spans[0]?.from])).toEqual([['zone-out', 18_000], ['config-down', 19_000]])
+    expect(spanOfFaults(faults)).toEqual({ from: 18_000, to: 37_000 })
+  })
+
+  it('lets each come twice', () => {
+    expect(scheduleFaults('flood', true, 100)[0]?.spans).toEqual([{ from: 25, to: 40 }, { from: 50, to: 65 }])
+  })
+
+  it('refuses a name that is no fault', () => {
+    expect(() => scheduleFaults('none+nope', false, 1)).toThrow(UnknownFaultError)
+  })
+})
