--- /dev/null
+++ b/packages/bench/src/overhead/loadGenerator.ts
@@ -0,0 +1,84 @@
+/** Closed-loop load for rates, and one request at a time for latencies. */
+import type { Pool } from 'undici'
+
+/** A request that is sent over and over. */
+export interface RepeatedRequest {
+  readonly method: 'GET' | 'POST'
+  readonly path: string
+  readonly headers: Readonly<Record<string, string>>
+  readonly body?: string
+}
+
+/** What a closed loop did. */
+export interface ClosedLoop {
+  readonly requests: number
+  readonly bytes: number
+  /** Pieces of answers that begin with `data:`. */
+  readonly events: number
+  readonly failures: number
+  /** Milliseconds. */
+  readonly span: number
+}
+
+const EVENT = Buffer.from('data:')
+
+const countEvents = (part: Buffer): number => {
+  let count = 0
+  for (let at = part.indexOf(EVENT); at >= 0; at = part.indexOf(EVENT, at + EVENT.length)) count += 1
+  return count
+}
+
+const sendOnce = async (pool: Pool, request: RepeatedRequest): Promise<{ status: number, bytes: number, events: number }> => {
+  const res = await pool.request({ ...request, body: request.body ?? null })
+  let bytes = 0
+  let events = 0
+  for await (const part of res.body) {
+    bytes += (part as Buffer).length
+    events += countEvents(part as Buffer)
+  }
+  return { status: res.statusCode, bytes, events }
+}
+
+/**
+ * Measures latencies one request at a time, over two targets in turn, so that both meet the same state of the machine.
+ *
+ * @param pairs - pool and request of each target
+ * @param count - requests to each target
+ * @returns latencies of each target in milliseconds
+ */
+export const measureInTurn = async (pairs: ReadonlyArray<readonly [Pool, RepeatedRequest]>, count: number): Promise<number[][]> => {
+  const latencies: number[][] = pairs.map(() => [])
+  for (let index = 0; index < count; index++) {
+    for (const [target, [pool, request]] of pairs.entries()) {
+      const start = performance.now()
+      await sendOnce(pool, request)
+      latencies[target]?.push(performance.now() - start)
+    }
+  }
+  return latencies
+}
+
+/**
+ * Keeps a number of requests in progress for a time.
+ *
+ * @param pool - the target
+ * @param request - what is sent
+ * @param width - requests in progress
+ * @param span - milliseconds
+ * @returns what was done
+ */
+export const runClosedLoop = async (pool: Pool, request: RepeatedRequest, width: number, span: number): Promise<ClosedLoop> => {
+  const start = performance.now()
+  const done = { requests: 0, bytes: 0, events: 0, failures: 0 }
+  const one = async (): Promise<void> => {
+    while (performance.now() - start < span) {
+      const { status, bytes, events } = await sendOnce(pool, request)
+      if (status !== 200) done.failures += 1
+      done.requests += 1
+      done.bytes += bytes
+      done.events += events
+    }
+  }
+  await Promise.all(Array.from({ length: width }, one))
+  return { ...done, span: performance.now() - start }
+}
