Exchange of counters: totals by origin, or sums over a tree by service

Change: each peer is told by its relation and only what changed; rounds stretch to a budget of bytes; one function chooses the level by the sizes of the fleet; an agent with free slots dials routers where requests wait, and a draw by its seed keeps all agents from dialling one router.

--- a/packages/policy/src/dispatch/dispatch.ts
+++ b/packages/policy/src/dispatch/dispatch.ts
@@ -3,6 +3,7 @@
 import type { FairnessDb } from '../fairness/fairnessDb.js'
 import { FLOOR_SHARE, leastServed } from '../fairness/order.js'
 import type { DispatchDb, Offer } from './dispatchDb.js'
+import { tieRank } from './tieRank.js'
 import type { DispatchCommand, DispatchEvent, RouterLink } from './dispatchTypes.js'
 
 /**
@@ -86,20 +87,3 @@
   const rank = (offer: Offer): number => tieRank(db.config.seed, offer.router)
   return [...offers].sort((a, b) => a.oldestSince - b.oldestSince || rank(a) - rank(b))[0]
 }
-
-/** FNV-1a parameters. */
-const FNV_OFFSET = 0x811c9dc5
-const FNV_PRIME = 0x01000193
-
-/**
- * Orders names differently for each seed, so that agents do not all choose the same one.
- *
- * @param seed - of the agent
- * @param name - what is ranked
- * @returns an unsigned 32-bit number
- */
-export const tieRank = (seed: number, name: RouterLink): number => {
-  let hash = (FNV_OFFSET ^ seed) >>> 0
-  for (let i = 0; i < name.length; i++) hash = Math.imul(hash ^ name.charCodeAt(i), FNV_PRIME) >>> 0
-  return hash
-}
--- /dev/null
+++ b/packages/policy/src/dispatch/tieRank.ts
@@ -0,0 +1,18 @@
+/** Breaks ties by a seeded hash. */
+
+/** FNV-1a parameters. */
+const FNV_OFFSET = 0x811c9dc5
+const FNV_PRIME = 0x01000193
+
+/**
+ * Orders names differently for each seed, so that agents do not all choose the same one.
+ *
+ * @param seed - of the agent
+ * @param name - what is ranked
+ * @returns an unsigned 32-bit number
+ */
+export const tieRank = (seed: number, name: string): number => {
+  let hash = (FNV_OFFSET ^ seed) >>> 0
+  for (let i = 0; i < name.length; i++) hash = Math.imul(hash ^ name.charCodeAt(i), FNV_PRIME) >>> 0
+  return hash
+}
--- /dev/null
+++ b/packages/policy/src/exchange/exchange.spec.ts
@@ -0,0 +1,128 @@
+import { describe, it } from 'node:test'
+import { asId, type HostId, type Incarnation, type RequestId, type ServiceId, type WorkspaceId } from '@fuchsiaworks/kernel'
+import { expect } from 'earl'
+import { decideFairness } from '../fairness/fairness.js'
+import { fairnessDefinition } from '../fairness/fairnessDefinition.js'
+import type { FairnessDb } from '../fairness/fairnessDb.js'
+import { decideExchange } from './exchange.js'
+import type { ExchangeDb } from './exchangeDb.js'
+import { exchangeDefinition } from './exchangeDefinition.js'
+import { bytesPerRound, exchangeLevel, type FleetSizes } from './exchangeLevel.js'
+import type { ExchangeCommand, Relation } from './exchangeTypes.js'
+
+const service = asId<ServiceId>('scribe')
+const a = asId<WorkspaceId>('a')
+
+class Process {
+  readonly fairness: FairnessDb
+  readonly exchange: ExchangeDb
+  #request = 0
+
+  constructor (readonly name: string) {
+    this.fairness = fairnessDefinition.createDb(asId<Incarnation>(name), 0)
+    this.exchange = exchangeDefinition.createDb(asId<HostId>(name), 1)
+  }
+
+  serve (cost: number): void {
+    decideFairness(this.fairness, { kind: 'work-started', request: asId<RequestId>(`${this.#request++}`), service, workspace: a, estimate: cost, now: 0 })
+  }
+
+  get served (): number { return this.fairness.virtualTime(service, a) }
+}
+
+const deliver = (from: Process, to: Process, commands: ExchangeCommand[], now: number): void => {
+  for (const command of commands) {
+    if (command.kind === 'tell' && command.link === to.name) decideExchange(to.exchange, to.fairness, { kind: 'counters-received', link: from.name, counters: command.counters, now })
+  }
+}
+
+const link = (one: Process, oneIs: Relation, other: Process, otherIs: Relation, now = 0): void => {
+  const pairs = [[one, other, otherIs], [other, one, oneIs]] as const
+  const told = pairs.map(([from, to, relation]) => decideExchange(from.exchange, from.fairness, { kind: 'peer-joined', link: to.name, relation, incarnation: asId(to.name), now }))
+  pairs.forEach(([from, to], i) => { deliver(from, to, told[i] ?? [], now) })
+}
+
+const unlink = (one: Process, other: Process): void => {
+  decideExchange(one.exchange, one.fairness, { kind: 'peer-gone', link: other.name, now: 0 })
+  decideExchange(other.exchange, other.fairness, { kind: 'peer-gone', link: one.name, now: 0 })
+}
+
+const runRounds = (processes: Process[], from: number): void => {
+  for (let now = from; now < from + 5_000; now += 1_000) {
+    for (const process of processes) {
+      const commands = decideExchange(process.exchange, process.fairness, { kind: 'tick', now })
+      for (const to of processes) deliver(process, to, commands, now)
+    }
+  }
+}
+
+const TWO_YEARS: FleetSizes = { routers: 390, agents: 4200, zones: 23, services: 17, linksPerAgent: 4, backloggedPairs: 56, activePairs: 560 }
+const PRAIRIE: FleetSizes = { routers: 3, agents: 10, zones: 4, services: 2, linksPerAgent: 3, backloggedPairs: 8, activePairs: 32 }
+
+describe('the exchange of counters', () => {
+  it('tells a process that starts empty everything at once, and later only what changed', () => {
+    const [r, x, y] = [new Process('r'), new Process('x'), new Process('y')]
+    x.serve(7)
+    link(r, 'hub', x, 'leaf')
+    link(r, 'hub', y, 'leaf')
+    expect(y.served).toEqual(7)
+    runRounds([r, x, y], 0)
+    expect(decideExchange(r.exchange, r.fairness, { kind: 'tick', now: 20_000 })).toEqual([])
+  })
+
+  it('counts each service once in a tree of sums, and goes on after a child moves to another parent', () => {
+    const [root, other, child, leaf] = [new Process('root'), new Process('other'), new Process('child'), new Process('leaf')]
+    const all = [root, other, child, leaf]
+    all.forEach((process, i) => { process.serve(10 ** i) })
+    link(root, 'mesh', other, 'mesh')
+    link(root, 'parent', child, 'child')
+    link(child, 'parent', leaf, 'child')
+    runRounds(all, 0)
+    expect(all.map(process => process.served)).toEqual([1111, 1111, 1111, 1111])
+    unlink(root, child)
+    leaf.serve(5_000)
+    runRounds(all, 10_000)
+    link(other, 'parent', child, 'child', 20_000)
+    runRounds(all, 20_000)
+    expect(all.map(process => process.served)).toEqual([6111, 6111, 6111, 6111])
+  })
+
+  it('counts once what a child served while it was cut off from a parent that it returns to', () => {
+    const [root, child] = [new Process('root'), new Process('child')]
+    link(root, 'parent', child, 'child')
+    child.serve(3)
+    runRounds([root, child], 0)
+    unlink(root, child)
+    child.serve(4)
+    root.serve(10)
+    link(root, 'parent', child, 'child', 10_000)
+    runRounds([root, child], 10_000)
+    expect([root.served, child.served]).toEqual([17, 17])
+  })
+
+  it('stretches its rounds to the budget', () => {
+    const [r, x] = [new Process('r'), new Process('x')]
+    link(r, 'hub', x, 'leaf')
+    for (let i = 0; i < 5_000; i++) decideFairness(r.fairness, { kind: 'work-started', request: asId<RequestId>(`${i}`), service, workspace: asId<WorkspaceId>(`w${i}`), estimate: 1, now: 0 })
+    decideExchange(r.exchange, r.fairness, { kind: 'tick', now: 0 })
+    expect(r.exchange.nextRoundAt >= 3_000).toEqual(true)
+  })
+
+  it('lets an agent with free slots dial a router where requests wait, within bounds', () => {
+    const [r, x] = [new Process('r'), new Process('x')]
+    link(r, 'hub', x, 'leaf')
+    decideExchange(r.exchange, r.fairness, { kind: 'own-backlog', service, entries: [{ workspace: a, waiting: 9 }], now: 0 })
+    runRounds([r, x], 0)
+    const slots = { kind: 'slots', service, upstreams: 4, linked: new Set<HostId>(), now: 5_000 } as const
+    expect(decideExchange(x.exchange, x.fairness, { ...slots, free: 0 })).toEqual([])
+    expect(decideExchange(x.exchange, x.fairness, { ...slots, free: 1 })).toEqual([{ kind: 'dial', router: asId<HostId>('r') }])
+    expect(decideExchange(x.exchange, x.fairness, { ...slots, free: 1 })).toEqual([])
+    decideExchange(x.exchange, x.fairness, { kind: 'tick', now: 40_000 })
+    expect(decideExchange(x.exchange, x.fairness, { ...slots, free: 1, now: 40_000 })).toEqual([{ kind: 'release', router: asId<HostId>('r') }])
+  })
+
+  it('tells totals by agent at the sizes of today and sums by zone at those of the target', () => {
+    expect([exchangeLevel(PRAIRIE, 20_000), exchangeLevel(TWO_YEARS, 20_000)]).toEqual(['agent', 'zone'])
+    expect(bytesPerRound('zone', TWO_YEARS) < 20_000).toEqual(true)
+  })
+})
--- /dev/null
+++ b/packages/policy/src/exchange/exchange.ts
@@ -0,0 +1,169 @@
+/** Decides which process is told which counters and when, and where an agent with free slots finds requests. */
+import { assertNever, type Incarnation, type Millis, type ServiceId, type WorkspaceId } from '@fuchsiaworks/kernel'
+import { decideFairness } from '../fairness/fairness.js'
+import type { FairnessAccount } from '../fairness/fairnessAccount.js'
+import type { FairnessDb } from '../fairness/fairnessDb.js'
+import type { CounterEntry } from '../fairness/fairnessTypes.js'
+import { coverBacklog } from './coverage.js'
+import { type Absorbed, type ExchangeDb, MESH, type Peer } from './exchangeDb.js'
+import type { BackloggedEntry, Counters, ExchangeCommand, ExchangeEvent } from './exchangeTypes.js'
+import { bytesOf, collect, covers } from './tell.js'
+
+/** Milliseconds for which a child that went away may come back and go on. */
+const CHILD_MEMORY_MS = 600_000
+
+/**
+ * Takes one event and returns the commands that follow from it.
+ *
+ * @param db - peers and what they were told; changed in place
+ * @param fairness - totals and lifts; changed in place by what peers tell
+ * @param event - what happened
+ * @returns the commands, in the order in which they are to be carried out
+ */
+export const decideExchange = (db: ExchangeDb, fairness: FairnessDb, event: ExchangeEvent): ExchangeCommand[] => {
+  switch (event.kind) {
+    case 'peer-joined': return join(db, fairness, event)
+    case 'peer-gone':
+      db.dropPeer(event.link, event.now)
+      return []
+    case 'counters-received':
+      receive(db, fairness, event.link, event.counters, event.now)
+      return []
+    case 'own-backlog':
+      db.setOwnBacklog(event.service, event.entries, event.now)
+      seeBacklog(fairness, event.entries.map(({ workspace }) => ({ service: event.service, workspace })), event.now)
+      return []
+    case 'slots': return coverBacklog(db, event)
+    case 'tick': return tick(db, fairness, event.now)
+    default: return assertNever(event)
+  }
+}
+
+/** Tells a new peer all at once, so that a process that starts empty knows the totals within a round trip. */
+const join = (db: ExchangeDb, fairness: FairnessDb, event: ExchangeEvent & { kind: 'peer-joined' }): ExchangeCommand[] => {
+  const { link, relation, incarnation, services, now } = event
+  const peer: Peer = { link, relation, incarnation, services, told: 0, toldAll: 0, heardAt: undefined }
+  db.addPeer(peer)
+  if (relation === 'parent' || relation === 'mesh') {
+    const counter = relation === 'mesh' ? MESH : incarnation
+    for (const service of [...fairness.services()].filter(id => covers(peer, id))) changeCounter(db, fairness, service, counter, now)
+  }
+  const counters = collect(db, fairness, peer, { now, all: true, backlogged: db.backlogged(now) })
+  return counters === undefined ? [] : [{ kind: 'tell', link, counters }]
+}
+
+const tick = (db: ExchangeDb, fairness: FairnessDb, now: Millis): ExchangeCommand[] => {
+  db.refresh(now)
+  if (now < db.nextRoundAt) return []
+  seeBacklog(fairness, db.backlogged(now), now)
+  decideFairness(fairness, { kind: 'tick', now })
+  db.forgetChildren(now - CHILD_MEMORY_MS)
+  return runRound(db, fairness, now)
+}
+
+/** Tells every peer, and waits for longer when that took more bytes than the budget has for one period. */
+const runRound = (db: ExchangeDb, fairness: FairnessDb, now: Millis): ExchangeCommand[] => {
+  const { period, budget, slowRounds } = db.config
+  db.round += 1
+  const round = { now, all: db.round % slowRounds === 0, backlogged: db.backlogged(now) }
+  const commands: ExchangeCommand[] = []
+  let bytes = 0
+  for (const peer of db.peers()) {
+    const counters = collect(db, fairness, peer, round)
+    if (counters === undefined) continue
+    bytes += bytesOf(counters)
+    commands.push({ kind: 'tell', link: peer.link, counters })
+  }
+  db.nextRoundAt = now + Math.max(period, bytes * 1000 / budget)
+  return commands
+}
+
+const receive = (db: ExchangeDb, fairness: FairnessDb, link: string, counters: Counters, now: Millis): void => {
+  const peers = db.peersOf(link)
+  if (peers.length === 0) return
+  const rejoined = peers.map(peer => hear(peer, fairness.config.idleGrace, now)).includes(true)
+  const merged = peers.flatMap(peer => {
+    const entries = counters.entries.filter(entry => covers(peer, entry.service))
+    return takeEntries(db, fairness, peer, entries, now)
+  })
+  decideFairness(fairness, { ...counters, kind: 'counters-received', entries: merged, link, rejoined, now })
+  for (const entry of counters.backlogged) db.see(entry, now)
+  seeBacklog(fairness, counters.backlogged, now)
+}
+
+/** Notes a message; true when the peer may tell of a part of the fleet that was out of reach until now. */
+const hear = (peer: Peer, grace: Millis, now: Millis): boolean => {
+  const gap = now - (peer.heardAt ?? Number.NEGATIVE_INFINITY)
+  peer.heardAt = now
+  return gap > grace && peer.relation !== 'leaf' && peer.relation !== 'child'
+}
+
+/** Counts what must not be merged by origin, and returns the rest. */
+const takeEntries = (db: ExchangeDb, fairness: FairnessDb, peer: Peer, entries: readonly CounterEntry[], now: Millis): readonly CounterEntry[] => {
+  switch (peer.relation) {
+    case 'child':
+      absorb(db, fairness, peer, entries, now)
+      return []
+    case 'parent':
+      for (const { origin, service } of entries) followSums(db, fairness, service, origin)
+      return entries
+    case 'mesh':
+      for (const { service } of entries) followSums(db, fairness, service, MESH)
+      return entries
+    case 'router':
+    case 'leaf':
+    case 'hub':
+      return entries
+    default:
+      return assertNever(peer.relation)
+  }
+}
+
+const seeBacklog = (fairness: FairnessDb, backlogged: ReadonlyArray<Pick<BackloggedEntry, 'service' | 'workspace'>>, now: Millis): void => {
+  const byService = new Map<ServiceId, Set<WorkspaceId>>()
+  for (const { service, workspace } of backlogged) byService.set(service, (byService.get(service) ?? new Set()).add(workspace))
+  for (const [service, workspaces] of byService) decideFairness(fairness, { kind: 'backlog-seen', service, workspaces: [...workspaces], now })
+}
+
+/** Counts a child's increments as this process's own; a total that was counted before adds nothing. */
+const absorb = (db: ExchangeDb, fairness: FairnessDb, peer: Peer, entries: readonly CounterEntry[], now: Millis): void => {
+  const child = db.child(peer.incarnation)
+  for (const { origin, service, workspace, total } of entries) {
+    const account = fairness.account(service, workspace)
+    const totals = child.totals.get(origin) ?? new Map()
+    const increment = total - (totals.get(account) ?? 0)
+    const sums = presentSums(child, account, origin)
+    if (increment <= 0) continue
+    child.totals.set(origin, totals.set(account, total))
+    sums.sum += increment
+    fairness.addOwn(service, workspace, increment, now)
+  }
+}
+
+/** What was counted under a former origin is part of the rest that the child is told. */
+const presentSums = (child: Absorbed, account: FairnessAccount, origin: Incarnation): { sum: number } => {
+  const present = child.sums.get(account)
+  if (present?.origin === origin) return present
+  const fresh = { origin, sum: 0 }
+  child.sums.set(account, fresh)
+  return fresh
+}
+
+/** Lets a new parent, or the other roots, count this process from now on, and only what nobody has counted yet. */
+const changeCounter = (db: ExchangeDb, fairness: FairnessDb, service: ServiceId, counter: Incarnation, now: Millis): void => {
+  if (db.countedBy.get(service) === counter) return
+  db.countedBy.set(service, counter)
+  const own = (account: FairnessAccount): number => account.origins.get(fairness.originOf(service))?.total ?? 0
+  const untold = new Map([...fairness.accountsOf(service)].map(account => [account, own(account) - (db.toldUp.get(account) ?? 0)]))
+  fairness.moveUntold(service, account => untold.get(account) ?? 0, now)
+  db.forgetTold(service)
+  db.restOrigins.delete(service)
+}
+
+/** Goes over to other sums of what was served elsewhere. */
+const followSums = (db: ExchangeDb, fairness: FairnessDb, service: ServiceId, source: Incarnation): void => {
+  if (db.restOrigins.get(service) === source) return
+  db.restOrigins.set(service, source)
+  fairness.keepOwn(service)
+  db.renewSums(service)
+}
--- /dev/null
+++ b/packages/policy/src/exchange/exchangeDb.ts
@@ -0,0 +1,153 @@
+/** State of the exchange of counters in one process, and the only functions that change it. */
+import { asId, getOrMake, type HostId, type Incarnation, type Millis, type ServiceId, type WorkspaceId } from '@fuchsiaworks/kernel'
+import type { FairnessAccount } from '../fairness/fairnessAccount.js'
+import type { BackloggedEntry, ExchangeConfig, OwnBacklogEntry, Relation } from './exchangeTypes.js'
+
+/** Milliseconds after which backlog that nobody repeated is forgotten. */
+export const BACKLOGGED_TTL_MS = 3_000
+
+/** Stands for the roots of all trees, which count each other by origin. */
+export const MESH: Incarnation = asId<Incarnation>('mesh')
+
+/** Routers that are told for one workspace and service. */
+const ROUTERS_PER_ENTRY = 2
+
+/** One linked process. */
+export interface Peer {
+  readonly link: string
+  readonly relation: Relation
+  readonly incarnation: Incarnation
+  readonly services: ReadonlySet<ServiceId> | undefined
+  /** Change up to which it was told of backlogged workspaces. */
+  told: number
+  /** Change up to which it was told of all workspaces. */
+  toldAll: number
+  heardAt: Millis | undefined
+}
+
+/** What one child has had counted. */
+export interface Absorbed {
+  /** Last total by origin and account. */
+  readonly totals: Map<Incarnation, Map<FairnessAccount, number>>
+  /** Sum of what was counted under its present origin, by account. */
+  readonly sums: Map<FairnessAccount, { origin: Incarnation, sum: number }>
+  /** Reading at which its link ended; undefined while linked. */
+  goneAt: Millis | undefined
+}
+
+interface Sighting {
+  readonly waiting: number
+  readonly service: ServiceId
+  readonly workspace: WorkspaceId
+  readonly router: HostId
+  /** Reading at which the router said so. */
+  readonly at: Millis
+}
+
+/** Peers, what they were told, and where workspaces wait. */
+export class ExchangeDb {
+  readonly #peers = new Map<string, Peer[]>()
+  readonly #children = new Map<Incarnation, Absorbed>()
+  readonly #sightings = new Map<string, Sighting>()
+  /** Routers dialled for their backlog, with the reading of the last use. */
+  readonly extraLinks = new Map<HostId, Millis>()
+  /** Process that counts this one's service, or MESH, by service. */
+  readonly countedBy = new Map<ServiceId, Incarnation>()
+  /** Name of the sums that hold the service given elsewhere, or MESH; another name means other sums. */
+  readonly restOrigins = new Map<ServiceId, Incarnation>()
+  /** Number of the sums that this process tells its children, by service. */
+  readonly generations = new Map<ServiceId, number>()
+  /** Own total that a process which counts it was told last. */
+  readonly toldUp = new Map<FairnessAccount, number>()
+  round = 0
+  nextRoundAt: Millis = 0
+
+  /** @param config - settings */
+  constructor (readonly config: ExchangeConfig) {}
+
+  peers (): Peer[] {
+    return [...this.#peers.values()].flat()
+  }
+
+  /** @returns what the process at the other end of a link is; more than one when it differs by service */
+  peersOf (link: string): readonly Peer[] {
+    return this.#peers.get(link) ?? []
+  }
+
+  addPeer (peer: Peer): void {
+    getOrMake(this.#peers, peer.link, () => []).push(peer)
+    if (peer.relation === 'child') this.child(peer.incarnation).goneAt = undefined
+  }
+
+  dropPeer (link: string, now: Millis): void {
+    for (const { relation, incarnation } of this.peersOf(link)) {
+      if (relation === 'child') this.child(incarnation).goneAt = now
+    }
+    this.#peers.delete(link)
+  }
+
+  /** Forgets what was told of the own totals of a service. */
+  forgetTold (service: ServiceId): void {
+    for (const account of [...this.toldUp.keys()]) {
+      if (account.service === service) this.toldUp.delete(account)
+    }
+  }
+
+  /** Begins new sums of a service for the children, which are then told all of them. */
+  renewSums (service: ServiceId): void {
+    this.generations.set(service, (this.generations.get(service) ?? 0) + 1)
+    for (const peer of this.peers()) {
+      if (peer.relation === 'child') peer.toldAll = 0
+    }
+  }
+
+  /** @returns what a child has had counted */
+  child (incarnation: Incarnation): Absorbed {
+    return getOrMake(this.#children, incarnation, () => ({ totals: new Map(), sums: new Map(), goneAt: undefined }))
+  }
+
+  /** Forgets children that have been away for long. */
+  forgetChildren (before: Millis): void {
+    for (const [incarnation, { goneAt }] of this.#children) {
+      if (goneAt !== undefined && goneAt < before) this.#children.delete(incarnation)
+    }
+  }
+
+  /** Notes that a workspace waits at a router. */
+  see (entry: BackloggedEntry, now: Millis): void {
+    const { service, workspace, router, waiting, age } = entry
+    const key = `${service} ${workspace} ${router}`
+    const at = now - age
+    if ((this.#sightings.get(key)?.at ?? Number.NEGATIVE_INFINITY) >= at) return
+    this.#sightings.delete(key)
+    this.#sightings.set(key, { service, workspace, router, waiting, at })
+  }
+
+  /** Replaces what waits at this router for a service. */
+  setOwnBacklog (service: ServiceId, entries: readonly OwnBacklogEntry[], now: Millis): void {
+    for (const [key, sighting] of this.#sightings) {
+      if (sighting.router === this.config.host && sighting.service === service) this.#sightings.delete(key)
+    }
+    for (const { workspace, waiting } of entries) this.see({ service, workspace, router: this.config.host, waiting, age: 0 }, now)
+  }
+
+  /** Keeps this router's own backlog from growing old between changes, and forgets what nobody repeated. */
+  refresh (now: Millis): void {
+    for (const [key, sighting] of this.#sightings) {
+      if (sighting.router === this.config.host) this.#sightings.set(key, { ...sighting, at: now })
+      else if (now - sighting.at > BACKLOGGED_TTL_MS) this.#sightings.delete(key)
+    }
+  }
+
+  /** @returns where workspaces wait, the newest few routers for each */
+  backlogged (now: Millis): BackloggedEntry[] {
+    const counts = new Map<string, number>()
+    const newest = [...this.#sightings.values()].sort((a, b) => b.at - a.at)
+    return newest.flatMap(({ at, ...sighting }) => {
+      const key = `${sighting.service} ${sighting.workspace}`
+      const count = counts.get(key) ?? 0
+      counts.set(key, count + 1)
+      return count < ROUTERS_PER_ENTRY ? [{ ...sighting, age: now - at }] : []
+    })
+  }
+}
--- /dev/null
+++ b/packages/policy/src/exchange/exchangeLevel.ts
@@ -0,0 +1,69 @@
+/** Chooses, by the sizes of the fleet, which sums are told: one function for all processes. */
+import { ENTRY_BYTES, MESSAGE_BYTES } from './tell.js'
+
+/** Totals by agent incarnation; sums by home router; or sums by zone, gathered by one router for each service. */
+export type ExchangeLevel = 'agent' | 'router' | 'zone'
+
+/** Sizes that decide. */
+export interface FleetSizes {
+  readonly routers: number
+  readonly agents: number
+  readonly zones: number
+  readonly services: number
+  /** Links that an agent keeps. */
+  readonly linksPerAgent: number
+  /** Pairs of workspace and service with backlog. */
+  readonly backloggedPairs: number
+  /** Pairs of workspace and service in use. */
+  readonly activePairs: number
+}
+
+/** Rounds after which workspaces without backlog are told as well, when sums are told. */
+export const SLOW_ROUNDS = 8
+
+/** Milliseconds between rounds up to which a finer level is preferred. */
+const MAX_FINE_PERIOD_MS = 1_000
+
+/**
+ * Works out what the busiest process sends in one round when every entry has changed.
+ *
+ * @param level - which sums are told
+ * @param sizes - sizes of the fleet
+ * @returns bytes
+ */
+export const bytesPerRound = (level: ExchangeLevel, sizes: FleetSizes): number => {
+  const { routers, agents, zones, services, linksPerAgent, activePairs, backloggedPairs } = sizes
+  const pairsPerService = activePairs / services
+  const agentsPerService = agents / services
+  const pairs = backloggedPairs + (activePairs - backloggedPairs) / SLOW_ROUNDS
+  const homed = message(pairs / services) * agents / routers
+  switch (level) {
+    case 'agent': {
+      const leaves = agents * Math.min(linksPerAgent, routers) / routers
+      return (routers - 1) * message(agents * pairsPerService) + leaves * message(agentsPerService * pairsPerService)
+    }
+    case 'router':
+      return (routers - 1) * message(pairs) + homed
+    case 'zone': {
+      const zoneRouters = routers / zones
+      const rootShare = Math.max(1 / zoneRouters, 1 / services)
+      const asRoot = (zones - 1 + zoneRouters - 1) * message(pairs * rootShare)
+      return asRoot + Math.min(services, zoneRouters) * message(pairs / Math.min(services, zoneRouters)) + homed
+    }
+  }
+}
+
+/**
+ * Chooses the finest level that the budget lets be told often enough.
+ *
+ * @param sizes - sizes of the fleet
+ * @param budget - bytes a second that a process may send
+ * @returns the level
+ */
+export const exchangeLevel = (sizes: FleetSizes, budget: number): ExchangeLevel => {
+  const fits = (level: ExchangeLevel): boolean => bytesPerRound(level, sizes) * 1000 / budget <= MAX_FINE_PERIOD_MS
+  if (fits('agent')) return 'agent'
+  return fits('router') ? 'router' : 'zone'
+}
+
+const message = (entries: number): number => MESSAGE_BYTES + entries * ENTRY_BYTES
--- /dev/null
+++ b/packages/policy/src/exchange/tell.ts
@@ -0,0 +1,124 @@
+/** What one peer is told: by its relation, and only what changed. */
+import { asId, type Incarnation, type Millis, type ServiceId } from '@fuchsiaworks/kernel'
+import type { FairnessAccount } from '../fairness/fairnessAccount.js'
+import { FLEET, type FairnessDb } from '../fairness/fairnessDb.js'
+import type { CounterEntry, LiftEntry } from '../fairness/fairnessTypes.js'
+import { type ExchangeDb, MESH, type Peer } from './exchangeDb.js'
+import type { BackloggedEntry, Counters } from './exchangeTypes.js'
+
+/** Bytes of one entry on the wire. */
+export const ENTRY_BYTES = 12
+
+/** Bytes of a message beside its entries. */
+export const MESSAGE_BYTES = 24
+
+/** What is told in one round. */
+export interface Round {
+  readonly now: Millis
+  /** True when workspaces without backlog are told as well. */
+  readonly all: boolean
+  readonly backlogged: readonly BackloggedEntry[]
+}
+
+/**
+ * Collects the message for one peer and notes that it was told.
+ *
+ * @param db - peers; changed in place
+ * @param fairness - totals and lifts
+ * @param peer - who is told
+ * @param round - what the round tells
+ * @returns the message, or undefined when there is nothing to tell
+ */
+export const collect = (db: ExchangeDb, fairness: FairnessDb, peer: Peer, round: Round): Counters | undefined => {
+  const all = round.all || peer.toldAll === 0
+  const accounts = accountsFor(fairness, peer).filter(account => all || isBacklogged(fairness, account, round.now))
+  const since = all ? peer.toldAll : peer.told
+  const entries = accounts.filter(({ service }) => service !== FLEET).flatMap(account => entriesFor(db, fairness, peer, account, since))
+  const lifts = accounts.flatMap(account => liftFor(peer, account, since))
+  const backlogged = round.backlogged.filter(entry => covers(peer, entry.service))
+  const base = tellsOrigins(peer) && fairness.baseSeq > peer.toldAll ? fairness.baseSnapshot() : undefined
+  peer.told = fairness.seq
+  if (all) peer.toldAll = fairness.seq
+  if (entries.length + lifts.length + backlogged.length === 0 && base === undefined) return undefined
+  return { entries, lifts, backlogged, ...base === undefined ? {} : { base } }
+}
+
+/**
+ * Estimates the size of a message.
+ *
+ * @param counters - the message
+ * @returns bytes on the wire
+ */
+export const bytesOf = ({ entries, lifts, backlogged, base }: Counters): number => {
+  const baseItems = base === undefined ? 0 : base.entries.length + base.folded.length
+  return MESSAGE_BYTES + ENTRY_BYTES * (entries.length + lifts.length + backlogged.length + baseItems)
+}
+
+const tellsOrigins = ({ relation }: Peer): boolean => relation === 'router' || relation === 'leaf'
+
+/**
+ * Tells whether a peer's relation holds for a service.
+ *
+ * @param peer - the peer
+ * @param service - the service
+ * @returns true when it is told of the service and tells of it
+ */
+export const covers = ({ services }: Peer, service: ServiceId): boolean => services === undefined || service === FLEET || services.has(service)
+
+const accountsFor = (fairness: FairnessDb, peer: Peer): FairnessAccount[] =>
+  [...fairness.services()].filter(service => covers(peer, service)).flatMap(service => [...fairness.accountsOf(service)])
+
+const isBacklogged = (fairness: FairnessDb, account: FairnessAccount, now: Millis): boolean =>
+  now - account.backloggedAt <= fairness.config.idleGrace
+
+const liftFor = (peer: Peer, { service, workspace, lift, liftSeq, liftSource }: FairnessAccount, since: number): LiftEntry[] =>
+  liftSeq > since && liftSource !== peer.link ? [{ service, workspace, lift }] : []
+
+const entriesFor = (db: ExchangeDb, fairness: FairnessDb, peer: Peer, account: FairnessAccount, since: number): CounterEntry[] => {
+  switch (peer.relation) {
+    case 'router':
+    case 'leaf':
+      return originEntries(peer, account, since, () => true)
+    case 'hub':
+      return upEntries(db, fairness, account, originEntries(peer, account, since, own => own || peer.toldAll === 0))
+    case 'mesh': {
+      const exact = db.restOrigins.get(account.service) === MESH
+      return upEntries(db, fairness, account, originEntries(peer, account, since, own => own || (exact && peer.toldAll === 0)))
+    }
+    case 'parent':
+      return parentEntries(db, fairness, peer, account, since)
+    case 'child':
+      return restEntry(db, fairness, peer, account, since)
+  }
+}
+
+const originEntries = (peer: Peer, account: FairnessAccount, since: number, accept: (own: boolean) => boolean): CounterEntry[] =>
+  [...account.origins]
+    .filter(([, { seq, source }]) => seq > since && source !== peer.link && accept(source === undefined))
+    .map(([origin, { total }]) => ({ origin, service: account.service, workspace: account.workspace, total }))
+
+const upEntries = (db: ExchangeDb, fairness: FairnessDb, account: FairnessAccount, entries: CounterEntry[]): CounterEntry[] => {
+  const own = entries.find(({ origin }) => origin === fairness.originOf(account.service))
+  if (own !== undefined) db.toldUp.set(account, own.total)
+  return entries
+}
+
+/** A new parent is told every account, also at zero, so that it knows under which origin to count from now on. */
+const parentEntries = (db: ExchangeDb, fairness: FairnessDb, peer: Peer, account: FairnessAccount, since: number): CounterEntry[] => {
+  const entries = upEntries(db, fairness, account, originEntries(peer, account, since, own => own))
+  const origin = fairness.originOf(account.service)
+  if (peer.toldAll > 0 || entries.some(entry => entry.origin === origin)) return entries
+  return [...entries, { origin, service: account.service, workspace: account.workspace, total: 0 }]
+}
+
+/** One sum of all that others were served, without the child's own part. */
+const restEntry = (db: ExchangeDb, fairness: FairnessDb, peer: Peer, account: FairnessAccount, since: number): CounterEntry[] => {
+  const { service, workspace, served } = account
+  const changed = [...account.origins.values()].some(({ seq, source }) => seq > since && source !== peer.link)
+  if (!changed) return []
+  const total = served - (db.child(peer.incarnation).sums.get(account)?.sum ?? 0)
+  return total <= 0 ? [] : [{ origin: restOrigin(db, fairness, service), service, workspace, total }]
+}
+
+const restOrigin = (db: ExchangeDb, fairness: FairnessDb, service: ServiceId): Incarnation =>
+  asId<Incarnation>(`${fairness.incarnation}:${db.generations.get(service) ?? 0}`)
--- a/packages/policy/src/fairness/fairness.spec.ts
+++ b/packages/policy/src/fairness/fairness.spec.ts
@@ -54,7 +54,7 @@
     receive(db, [{ origin: peer, service: s, workspace: a, total: 500 }])
     decideFairness(db, { kind: 'backlog-seen', service: s, workspaces: [a], now: 9_000 })
     const commands = decideFairness(db, { kind: 'backlog-seen', service: s, workspaces: [a, b], now: 9_100 })
-    expect(commands.length).toEqual(2)
+    expect(commands.map(command => command.reason)).toEqual(['idle'])
     expect(db.virtualTime(s, b)).toEqual(500)
     expect(db.virtualTime(s, a)).toEqual(500)
   })
--- a/packages/policy/src/fairness/fairness.ts
+++ b/packages/policy/src/fairness/fairness.ts
@@ -46,12 +46,14 @@
 }
 
 const seeBacklog = (db: FairnessDb, service: ServiceId, workspaces: readonly WorkspaceId[], now: Millis): FairnessCommand[] =>
-  [service, FLEET].flatMap(scope => {
+  scopesOf(db, service).flatMap(scope => {
     const commands = workspaces.flatMap(workspace => forfeitIdle(db, db.account(scope, workspace), now))
     for (const workspace of workspaces) db.account(scope, workspace).backloggedAt = now
     return commands
   })
 
+const scopesOf = (db: FairnessDb, service: ServiceId): ServiceId[] => db.config.scope === 'fleet' ? [service, FLEET] : [service]
+
 /** Raises a workspace that comes back after idleness to the least of the backlogged ones. */
 const forfeitIdle = (db: FairnessDb, account: FairnessAccount, now: Millis): FairnessCommand[] => {
   const knownSince = Math.max(account.backloggedAt, db.observingSince)
--- a/packages/policy/src/fairness/fairnessDb.ts
+++ b/packages/policy/src/fairness/fairnessDb.ts
@@ -16,6 +16,15 @@
 /** Folded origins that are remembered. */
 const MAX_FOLDED = 4096
 
+/** Source of own totals that another process has counted as part of its sums. */
+const COUNTED = 'counted'
+
+interface OwnOrigin {
+  origin: Incarnation
+  epoch: number
+  touchedAt: Millis
+}
+
 interface Charge {
   readonly account: FairnessAccount
   readonly weight: number
@@ -36,9 +45,8 @@
   #baseSum = 0
   #baseSeq = 0
   #seq = 0
-  #epoch = 0
-  #ownTouched: Millis
-  #origin: Incarnation
+  /** Own origins by service. */
+  readonly #own = new Map<ServiceId, OwnOrigin>()
   /** Reading since which this process has heard of the whole fleet without a long gap. */
   observingSince: Millis
 
@@ -48,8 +56,6 @@
    * @param now - monotonic reading at the start
    */
   constructor (readonly incarnation: Incarnation, readonly config: FairnessConfig, now: Millis) {
-    this.#origin = incarnation
-    this.#ownTouched = now
     this.observingSince = now
   }
 
@@ -59,8 +65,10 @@
   /** Number of the last change of the base. */
   get baseSeq (): number { return this.#baseSeq }
 
-  /** Origin that this process charges under now. */
-  get origin (): Incarnation { return this.#origin }
+  /** @returns the origin that this process charges a service under now */
+  originOf (service: ServiceId): Incarnation {
+    return this.#own.get(service)?.origin ?? this.incarnation
+  }
 
   /** @returns the accounts of a service */
   accountsOf (service: ServiceId): Iterable<FairnessAccount> {
@@ -167,7 +175,7 @@
 
   /** Moves origins that have not changed for long into the base. */
   foldOldOrigins (now: Millis): void {
-    const old = [...this.#touched].filter(([origin, at]) => origin !== this.#origin && now - at > this.config.foldAfter)
+    const old = [...this.#touched].filter(([, at]) => now - at > this.config.foldAfter)
     if (old.length === 0) return
     for (const [origin] of old) this.#forget(origin, true)
     this.#trimFolded()
@@ -182,6 +190,39 @@
     return { sum: this.#baseSum, entries, folded: [...this.#folded] }
   }
 
+  /**
+   * Begins a new own origin for a service, so that whoever counts this process from now on counts nothing twice.
+   *
+   * @param untold - what of the own total nobody has counted yet, in virtual cost; it goes over to the new origin
+   */
+  moveUntold (service: ServiceId, untold: (account: FairnessAccount) => number, now: Millis): void {
+    const former = this.#touchOwn(service, now)
+    const own = this.#own.get(service)
+    if (own !== undefined) this.#renew(own)
+    for (const account of this.accountsOf(service)) {
+      const kept = account.origins.get(former)
+      if (kept === undefined) continue
+      kept.source = COUNTED
+      const moved = Math.max(0, untold(account))
+      if (moved === 0) continue
+      kept.total -= moved
+      account.served -= moved
+      this.account(FLEET, account.workspace).served -= moved
+      this.#publish(account, moved, now)
+    }
+  }
+
+  /** Forgets every total of a service but those of the own origin, for sums that hold them all. */
+  keepOwn (service: ServiceId): void {
+    const own = this.originOf(service)
+    for (const account of this.accountsOf(service)) {
+      for (const origin of [...account.origins.keys()]) {
+        if (origin !== own) this.account(FLEET, account.workspace).served -= account.drop(origin)
+      }
+      this.#setBase(account, 0)
+    }
+  }
+
   #correct (charge: Charge, cost: number, now: Millis): void {
     const target = toSteps(cost / charge.weight)
     const change = target - charge.charged
@@ -198,23 +239,27 @@
   }
 
   #publish (account: FairnessAccount, amount: number, now: Millis): void {
-    this.#renewOrigin(now)
-    const known = account.origins.get(this.#origin)?.total ?? 0
+    const origin = this.#touchOwn(account.service, now)
+    const known = account.origins.get(origin)?.total ?? 0
     this.#seq += 1
-    account.raise(this.#origin, { total: known + amount, seq: this.#seq, source: undefined })
+    account.raise(origin, { total: known + amount, seq: this.#seq, source: undefined })
     this.account(FLEET, account.workspace).served += amount
     this.rateOf(account.service).add(amount, now)
   }
 
   /** Begins a new origin after a long rest, since others may have folded the old one. */
-  #renewOrigin (now: Millis): void {
-    const rested = now - this.#ownTouched > this.config.foldAfter / 2
-    if (rested || this.#folded.has(this.#origin)) {
-      this.#epoch += 1
-      this.#origin = asId<Incarnation>(`${this.incarnation}.${this.#epoch}`)
-    }
-    this.#ownTouched = now
-    this.#touched.set(this.#origin, now)
+  #touchOwn (service: ServiceId, now: Millis): Incarnation {
+    const own = getOrMake(this.#own, service, () => ({ origin: this.incarnation, epoch: 0, touchedAt: now }))
+    const rested = now - own.touchedAt > this.config.foldAfter / 2
+    if (rested || this.#folded.has(own.origin)) this.#renew(own)
+    own.touchedAt = now
+    this.#touched.set(own.origin, now)
+    return own.origin
+  }
+
+  #renew (own: OwnOrigin): void {
+    own.epoch += 1
+    own.origin = asId<Incarnation>(`${this.incarnation}.${own.epoch}`)
   }
 
   #setBase (account: FairnessAccount, base: number): void {
