Specify and measure the concurrency limit; learn no overload as normal

Cause: the first version compared plain services with a base latency that any single quick sample or a request still under way could lower, and that drifted up under lasting load. Change: the base is the median of a window, rises only by what was seen under little load; growth by one between 90 and 96 in 100 of the target; modelled engines in the specification and a measuring script beside it. Conclusion: the limit converges near the knee and a cold engine is never given more than it bears in the generated runs.

--- a/packages/policy/src/limit/latencyWindow.ts
+++ b/packages/policy/src/limit/latencyWindow.ts
@@ -1,60 +1,49 @@
-/** Latency samples at one limit, each as a share of its target. */
+/** Latency samples taken at one limit. */
+import type { Millis } from '@fuchsiaworks/kernel'
 
 /** Samples kept for each kind; older ones are overwritten. */
 const WINDOW_CAPACITY = 256
 
-/** Share of the samples that must lie within the target. */
-const PERCENTILE = 0.95
+/** What a sample measured. */
+export type SampleKind = 'first-byte' | 'token-gap'
 
-const percentile = (samples: readonly number[], share: number): number => {
-  if (samples.length === 0) return 0
+/** Every kind of sample. */
+export const SAMPLE_KINDS: readonly SampleKind[] = ['first-byte', 'token-gap']
+
+/**
+ * Reads a quantile.
+ *
+ * @param samples - in any order
+ * @param share - share of the samples that lie at or below the result
+ * @returns the quantile, 0 without samples
+ */
+export const quantile = (samples: readonly number[], share: number): number => {
   const sorted = [...samples].sort((a, b) => a - b)
-  const index = Math.min(sorted.length - 1, Math.ceil(sorted.length * share) - 1)
-  return sorted[Math.max(0, index)] ?? 0
+  return sorted[Math.max(0, Math.ceil(sorted.length * share) - 1)] ?? 0
 }
 
-/** What a sample measured. */
-export type SampleKind = 'first-byte' | 'token-gap'
-
-/** Samples taken since the limit last changed. A value of 1 is exactly on target. */
+/** Samples since the limit last changed, in milliseconds. */
 export class LatencyWindow {
-  readonly #samples = { 'first-byte': [] as number[], 'token-gap': [] as number[] }
+  readonly #samples: Readonly<Record<SampleKind, Millis[]>> = { 'first-byte': [], 'token-gap': [] }
   #next = 0
 
   /** Number of samples of the kind that has more. */
   get size (): number {
-    return Math.max(this.#samples['first-byte'].length, this.#samples['token-gap'].length)
+    return Math.max(...SAMPLE_KINDS.map(kind => this.#samples[kind].length))
   }
 
-  /**
-   * Adds a sample.
-   *
-   * @param kind - what was measured
-   * @param ratio - measured value divided by its target
-   */
-  add (kind: SampleKind, ratio: number): void {
+  add (kind: SampleKind, value: Millis): void {
     const samples = this.#samples[kind]
-    if (samples.length < WINDOW_CAPACITY) samples.push(ratio)
-    else samples[this.#next++ % WINDOW_CAPACITY] = ratio
-  }
-
-  /** @returns the 95th percentile of the worse kind; above 1 the target is missed */
-  pressure (): number {
-    return Math.max(percentile(this.#samples['first-byte'], PERCENTILE), percentile(this.#samples['token-gap'], PERCENTILE))
+    if (samples.length < WINDOW_CAPACITY) samples.push(value)
+    else samples[this.#next++ % WINDOW_CAPACITY] = value
   }
 
-  /**
-   * Reads the typical sample.
-   *
-   * @param kind - what was measured
-   * @returns the median, 0 without samples
-   */
-  median (kind: SampleKind): number {
-    return percentile(this.#samples[kind], 0.5)
+  /** @returns the quantile of one kind in milliseconds, 0 without samples */
+  quantile (kind: SampleKind, share: number): Millis {
+    return quantile(this.#samples[kind], share)
   }
 
   clear (): void {
-    this.#samples['first-byte'].length = 0
-    this.#samples['token-gap'].length = 0
+    for (const kind of SAMPLE_KINDS) this.#samples[kind].length = 0
   }
 }
--- /dev/null
+++ b/packages/policy/src/limit/limit.measure.ts
@@ -0,0 +1,116 @@
+/** Measures the limit against a fixed one and AIMD on modelled engines: `node packages/policy/dist/limit/limit.measure.js`. */
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import { decideLimit } from './limit.js'
+import { LimitDb } from './limitDb.js'
+import { quantile } from './latencyWindow.js'
+import type { LimitEvent } from './limitTypes.js'
+import { UpstreamModel } from './upstreamModel.js'
+
+/** Milliseconds of one step of the model. */
+const STEP_MS = 50
+
+/** Milliseconds of one run. The engine turns cold at its half. */
+const RUN_MS = 600_000
+
+const FIRST_TOKEN_MS = 1_700
+const TOKEN_GAP_MS = 59
+const KNEES = [10, 20, 40, 80, 160]
+const RUNS_PER_KNEE = 4
+
+/** One way to find the number of slots. */
+interface Limiter {
+  take: (event: LimitEvent, random: number) => void
+  limit: (now: number) => number
+}
+
+const fixed = (limit: number): Limiter => ({ take: () => {}, limit: () => limit })
+
+/** Adds one for each window within target, halves at each late sample, once in a second. */
+const aimd = (): Limiter => {
+  let limit = 2
+  let good = 0
+  let fellAt = 0
+  const isLate = (event: LimitEvent): boolean =>
+    (event.kind === 'first-byte' && event.latency > FIRST_TOKEN_MS) || (event.kind === 'token-gap' && event.gap > TOKEN_GAP_MS) || event.kind === 'failed'
+  return {
+    take: event => {
+      if (isLate(event) && event.now - fellAt > 1_000) {
+        limit = Math.max(1, limit / 2)
+        fellAt = event.now
+      }
+      if (event.kind === 'ended') good += 1
+      if (good < limit) return
+      good = 0
+      limit += 1
+    },
+    limit: () => Math.floor(limit)
+  }
+}
+
+const own = (): Limiter => {
+  const target = { kind: 'model', firstToken: FIRST_TOKEN_MS, tokenGap: TOKEN_GAP_MS } as const
+  const db = new LimitDb({ target, coldConcurrency: 2, hardCap: 1_024, probeBase: 500, probeMax: 10_000 })
+  const send = (event: LimitEvent): void => {
+    const probe = decideLimit(db, event).some(command => command.kind === 'probe')
+    if (probe) send({ kind: 'probe-ended', now: event.now, ok: true })
+  }
+  return { take: send, limit: now => db.effective(now) }
+}
+
+interface Result {
+  readonly late: number
+  readonly gapP95: number
+  readonly completed: number
+  readonly collapses: number
+  readonly lost: number
+}
+
+const run = (knee: number, seed: number, collapseAt: number, limiter: Limiter): Result => {
+  const source = xoroshiro128plus(seed)
+  const random = (): number => (source.next() >>> 0) / 2 ** 32
+  const coldShare = Math.max(0.1, 2 / knee)
+  const model = new UpstreamModel({ knee, coldShare, warmAfter: 100, collapseAt, tokens: 120, random })
+  const gaps: number[] = []
+  let late = 0
+  let samples = 0
+  let lost = 0
+  for (let now = STEP_MS; now <= RUN_MS; now += STEP_MS) {
+    if (now === RUN_MS / 2) model.chill()
+    for (const event of model.step(now, STEP_MS)) {
+      if (event.kind === 'failed') lost += 1
+      if (event.kind === 'token-gap') gaps.push(event.gap / TOKEN_GAP_MS)
+      if (event.kind === 'token-gap' || event.kind === 'first-byte') samples += 1
+      if ((event.kind === 'token-gap' && event.gap > TOKEN_GAP_MS) || (event.kind === 'first-byte' && event.latency > FIRST_TOKEN_MS)) late += 1
+      limiter.take(event, random())
+    }
+    limiter.take({ kind: 'tick', now, random: random() }, random())
+    while (model.running.size < limiter.limit(now)) limiter.take(model.start(now), random())
+  }
+  return { late: late / Math.max(1, samples), gapP95: quantile(gaps, 0.95), completed: model.completed, collapses: model.collapses, lost }
+}
+
+const mean = (values: readonly number[]): number => values.reduce((sum, value) => sum + value, 0) / values.length
+
+const ways: ReadonlyArray<readonly [name: string, make: (knee: number) => Limiter]> = [
+  ['fixed at half the knee', knee => fixed(Math.floor(knee / 2))],
+  ['fixed at the knee', knee => fixed(knee)],
+  ['fixed at twice the knee', knee => fixed(2 * knee)],
+  ['AIMD', () => aimd()],
+  ['this limit', () => own()]
+]
+
+const compare = (collapseAt: number): unknown[] => ways.map(([name, make]) => {
+  const runs = KNEES.flatMap(knee => Array.from({ length: RUNS_PER_KNEE }, (_, n) => ({ knee, ...run(knee, 1_000 * knee + n, collapseAt, make(knee)) })))
+  return {
+    way: name,
+    'late samples %': (100 * mean(runs.map(result => result.late))).toFixed(1),
+    'p95 token gap / target': mean(runs.map(result => result.gapP95)).toFixed(2),
+    'completed per knee': mean(runs.map(result => result.completed / result.knee)).toFixed(0),
+    collapses: mean(runs.map(result => result.collapses)).toFixed(1),
+    'lost requests': mean(runs.map(result => result.lost)).toFixed(0)
+  }
+})
+console.log('engines that end at twice what they bear:')
+console.table(compare(2))
+console.log('engines that only slow down:')
+console.table(compare(Infinity))
--- /dev/null
+++ b/packages/policy/src/limit/limit.spec.ts
@@ -0,0 +1,240 @@
+/** Specification of the concurrency limit. */
+import { describe, it } from 'node:test'
+import { asId, type RequestId } from '@fuchsiaworks/kernel'
+import { expect } from 'earl'
+import fc from 'fast-check'
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import { decideLimit } from './limit.js'
+import { LimitDb } from './limitDb.js'
+import type { LimitCommand, LimitConfig, LimitEvent } from './limitTypes.js'
+import { UpstreamModel, type UpstreamModelConfig } from './upstreamModel.js'
+
+const SEED = 20_261
+const STEP = 50
+
+const uniform = (seed: number): () => number => {
+  const source = xoroshiro128plus(seed)
+  return () => (source.next() >>> 0) / 2 ** 32
+}
+
+const config: LimitConfig = {
+  target: { kind: 'model', firstToken: 1_700, tokenGap: 59 }, coldConcurrency: 2, hardCap: 512, probeBase: 500, probeMax: 10_000
+}
+
+const id = (n: number): RequestId => asId<RequestId>(`q${n}`)
+
+/** An agent with endless work before a modelled engine. */
+class Bench {
+  readonly db: LimitDb
+  readonly random: () => number
+  readonly model: UpstreamModel
+  now = 0
+  started = 0
+  probes: number[] = []
+  lag: Array<{ at: number, running: number }> = []
+
+  constructor (seed: number, model: Partial<UpstreamModelConfig> = {}, readonly reports = false, cfg = config) {
+    this.random = uniform(seed)
+    this.db = new LimitDb(cfg)
+    const coldShare = Math.max(0.1, cfg.coldConcurrency / (model.knee ?? 40))
+    this.model = new UpstreamModel({ knee: 40, coldShare, warmAfter: 60, collapseAt: 1.6, tokens: 60, random: this.random, ...model })
+  }
+
+  send (event: LimitEvent): void {
+    const commands: LimitCommand[] = decideLimit(this.db, event)
+    if (!commands.some(command => command.kind === 'probe')) return
+    this.probes.push(this.now)
+    this.send({ kind: 'probe-ended', now: this.now, ok: true })
+  }
+
+  run (seconds: number, each: () => void = () => {}): void {
+    for (const end = this.now + seconds * 1_000; this.now < end;) {
+      this.now += STEP
+      for (const event of this.model.step(this.now, STEP)) this.send(event)
+      this.send({ kind: 'tick', now: this.now, random: this.random() })
+      if (this.reports) this.report()
+      while (this.model.running.size < this.db.effective(this.now)) {
+        this.send(this.model.start(this.now))
+        this.started += 1
+      }
+      each()
+    }
+  }
+
+  report (): void {
+    this.lag.push({ at: this.now, running: this.model.running.size })
+    if (this.now % 1_000 !== 0 || this.lag.length < 40) return
+    const { at, running } = this.lag.splice(0, this.lag.length - 40)[0] ?? { at: this.now, running: 0 }
+    const batch = Math.floor(this.model.config.knee * 1.2)
+    this.send({ kind: 'load-report', now: this.now, age: this.now - at, running: Math.min(running, batch), waiting: Math.max(0, running - batch) })
+  }
+}
+
+describe('limit', () => {
+  it('starts cold with coldConcurrency and tells so once', () => {
+    const db = new LimitDb(config)
+    expect(decideLimit(db, { kind: 'tick', now: 0, random: 0 })).toEqual([
+      { kind: 'limit-changed', limit: 2, reason: 'start' }, { kind: 'state-changed', state: 'cold', reason: 'start' }
+    ])
+    expect(decideLimit(db, { kind: 'tick', now: 1, random: 0 })).toEqual([])
+  })
+
+  it('does not grow with time alone, nor while slots stay free', () => {
+    const db = new LimitDb(config)
+    for (let n = 0; n < 100; n += 1) {
+      decideLimit(db, { kind: 'started', now: n, request: id(n) })
+      decideLimit(db, { kind: 'first-byte', now: n, request: id(n), latency: 100 })
+      decideLimit(db, { kind: 'ended', now: n, request: id(n), ok: true, duration: 10 })
+    }
+    decideLimit(db, { kind: 'tick', now: 3_600_000, random: 0 })
+    expect(db.limit).toEqual(2)
+  })
+
+  it('converges near the knee, whatever the knee, with or without lagging reports', () => {
+    fc.assert(fc.property(fc.integer({ min: 4, max: 160 }), fc.boolean(), fc.nat(), (knee, reports, seed) => {
+      const bench = new Bench(seed, { knee }, reports)
+      bench.run(240)
+      const limits: number[] = []
+      bench.run(60, () => { limits.push(bench.db.effective(bench.now)) })
+      const mean = limits.reduce((sum, limit) => sum + limit, 0) / limits.length
+      return mean >= 0.8 * knee - 0.5 && mean <= 1.1 * knee && bench.model.collapses === 0
+    }), { seed: SEED, numRuns: 20 })
+  })
+
+  it('never gives a cold engine more than it bears while it warms by what it serves', () => {
+    fc.assert(fc.property(fc.integer({ min: 20, max: 120 }), fc.integer({ min: 10, max: 300 }), fc.nat(), (knee, warmAfter, seed) => {
+      const bench = new Bench(seed, { knee, warmAfter })
+      bench.run(120)
+      return bench.model.collapses === 0
+    }), { seed: SEED, numRuns: 20 })
+  })
+
+  it('sees an engine that turned cold without warning, and starts at most a few requests before that', () => {
+    fc.assert(fc.property(fc.nat(), seed => {
+      const bench = new Bench(seed, { collapseAt: Infinity, tokens: 200 })
+      bench.model.warm()
+      bench.run(240)
+      bench.model.chill()
+      const before = bench.started
+      bench.run(15)
+      return bench.db.state === 'cold' && bench.db.limit <= config.coldConcurrency && bench.started - before <= 10
+    }), { seed: SEED, numRuns: 20 })
+  })
+
+  it('goes down at once when the connection is refused, and probes one at a time with growing, jittered waits', () => {
+    const db = new LimitDb(config)
+    decideLimit(db, { kind: 'started', now: 0, request: id(1) })
+    const failed = decideLimit(db, { kind: 'failed', now: 1, request: id(1), reason: 'refused' })
+    expect(failed.map(command => command.kind)).toEqual(['limit-changed', 'state-changed'])
+    const probes: number[] = []
+    for (let now = 2; now < 20_000; now += 1) {
+      const probe = decideLimit(db, { kind: 'tick', now, random: 0.5 }).some(command => command.kind === 'probe')
+      if (!probe) continue
+      probes.push(now)
+      expect(decideLimit(db, { kind: 'tick', now: now + 0.5, random: 0.5 })).toEqual([])
+      decideLimit(db, { kind: 'probe-ended', now, ok: false })
+    }
+    expect(probes).toEqual([502, 1_503, 3_504, 7_505, 15_506])
+    expect(db.effective(20_000)).toEqual(0)
+  })
+
+  it('returns from down as cold', () => {
+    const bench = new Bench(1)
+    bench.model.warm()
+    bench.run(120)
+    for (const request of bench.model.running.keys()) bench.send({ kind: 'failed', now: bench.now, request, reason: 'crashed' })
+    bench.model.running.clear()
+    bench.model.chill()
+    bench.run(2)
+    expect(bench.probes.length).toEqual(1)
+    expect(bench.db.state).toEqual('cold')
+    expect(bench.model.running.size).toEqual(2)
+  })
+
+  it('holds its invariants over any sequence of events', () => {
+    const span = fc.integer({ min: 0, max: 5_000 })
+    const request = fc.integer({ min: 0, max: 9 }).map(id)
+    const reason = fc.constantFrom('crashed', 'refused', 'timeout', 'overloaded')
+    const event = fc.oneof(
+      fc.record({ kind: fc.constant('started'), request }),
+      fc.record({ kind: fc.constant('first-byte'), request, latency: span }),
+      fc.record({ kind: fc.constant('token-gap'), request, gap: span }),
+      fc.record({ kind: fc.constant('ended'), request, ok: fc.boolean(), duration: span }),
+      fc.record({ kind: fc.constant('failed'), request, reason }),
+      fc.record({ kind: fc.constant('load-report'), age: span, running: fc.nat(20), waiting: fc.nat(3), cold: fc.boolean() }),
+      fc.record({ kind: fc.constant('probe-ended'), ok: fc.boolean() }),
+      fc.record({ kind: fc.constant('restarted') }),
+      fc.record({ kind: fc.constant('tick'), random: fc.constantFrom(0, 0.5, 0.99) }))
+    fc.assert(fc.property(fc.array(fc.tuple(span, event), { maxLength: 200 }), steps => {
+      const db = new LimitDb({ ...config, hardCap: 16 })
+      let now = 0
+      let probing = false
+      for (const [wait, body] of steps) {
+        now += wait
+        const probed = decideLimit(db, { ...body, now } as LimitEvent).filter(command => command.kind === 'probe').length
+        if (body.kind === 'probe-ended' || db.state !== 'down') probing = false
+        if (probed > (probing ? 0 : 1)) return false
+        probing ||= probed > 0
+        const limit = db.effective(now)
+        if (db.state === 'down' ? limit !== 0 : limit < 1 || limit > 16) return false
+        if (body.kind === 'restarted' && db.limit > config.coldConcurrency) return false
+      }
+      return true
+    }), { seed: SEED, numRuns: 500 })
+  })
+
+  it('takes a load report as a bound for its life, and never as leave to grow', () => {
+    const db = new LimitDb({ ...config, coldConcurrency: 8 })
+    decideLimit(db, { kind: 'load-report', now: 2_000, age: 1_000, running: 5, waiting: 3 })
+    expect([db.effective(2_001), db.effective(5_999), db.effective(6_000)]).toEqual([5, 5, 8])
+    decideLimit(db, { kind: 'load-report', now: 7_000, age: 0, running: 50, waiting: 0 })
+    expect(db.effective(7_000)).toEqual(8)
+  })
+
+  it('ignores a load report from before the last change of the limit', () => {
+    const db = new LimitDb({ ...config, coldConcurrency: 8 })
+    decideLimit(db, { kind: 'restarted', now: 1_500 })
+    decideLimit(db, { kind: 'load-report', now: 2_000, age: 1_000, running: 5, waiting: 3 })
+    expect(db.effective(2_000)).toEqual(8)
+  })
+
+  it('learns no base latency from requests that are still under way', () => {
+    const db = new LimitDb({ ...config, target: { kind: 'plain', factor: 2 } })
+    for (let n = 0; n < 6; n += 1) {
+      decideLimit(db, { kind: 'started', now: n * 100, request: id(n) })
+      decideLimit(db, { kind: 'tick', now: n * 100 + 1, random: 0 })
+      decideLimit(db, { kind: 'first-byte', now: n * 100 + 40, request: id(n), latency: 40 })
+      decideLimit(db, { kind: 'ended', now: n * 100 + 40, request: id(n), ok: true, duration: 40 })
+    }
+    expect(db.target('first-byte')).toEqual(80)
+  })
+
+  it('never learns overload as normal', () => {
+    const db = new LimitDb({ ...config, target: { kind: 'plain', factor: 2 }, hardCap: 1_000 })
+    for (let round = 0; round < 2_000; round += 1) {
+      const batch = Array.from({ length: db.effective(round) }, (_, n) => id(round * 1_000 + n))
+      for (const request of batch) decideLimit(db, { kind: 'started', now: round, request })
+      for (const request of batch) {
+        decideLimit(db, { kind: 'first-byte', now: round, request, latency: 20 * Math.max(1, batch.length / 10) })
+        decideLimit(db, { kind: 'ended', now: round, request, ok: true, duration: 1 })
+      }
+    }
+    expect(db.limit <= 20).toEqual(true)
+  })
+
+  it('keeps a plain service within a multiple of what it has shown, and under the hard cap', () => {
+    const plain: LimitConfig = { ...config, target: { kind: 'plain', factor: 2 }, hardCap: 24 }
+    const db = new LimitDb(plain)
+    const random = uniform(7)
+    for (let round = 0; round < 400; round += 1) {
+      const batch = Array.from({ length: db.effective(round) }, (_, n) => id(round * 100 + n))
+      for (const request of batch) decideLimit(db, { kind: 'started', now: round, request })
+      const latency = 20 * Math.max(1, batch.length / 12) * (0.95 + 0.1 * random())
+      for (const request of batch) {
+        decideLimit(db, { kind: 'first-byte', now: round, request, latency })
+        decideLimit(db, { kind: 'ended', now: round, request, ok: true, duration: latency })
+      }
+    }
+    expect(db.limit >= 18 && db.limit <= 24).toEqual(true)
+  })
+})
--- a/packages/policy/src/limit/limit.ts
+++ b/packages/policy/src/limit/limit.ts
@@ -7,9 +7,12 @@
 /** Samples from which a 95th percentile is read. */
 const MIN_SAMPLES = 20
 
-/** Share of the target under which the limit may grow. */
+/** Share of the target under which the limit grows in proportion to the headroom. */
 const GROW_BELOW = 0.9
 
+/** Share of the target from which the limit stays; between the two it grows by one. */
+const HOLD_FROM = 0.96
+
 /** Largest growth of a cold upstream's limit in one step. */
 const COLD_STEP = 1.5
 
@@ -70,6 +73,7 @@
 const grownLimit = (db: LimitDb, pressure: number): number => {
   if (db.state === 'cold') return Math.ceil(db.limit * COLD_STEP)
   const next = db.limit + 1
+  if (pressure >= GROW_BELOW) return next
   if (db.ceiling > 0 && db.limit >= NEAR_CEILING * db.ceiling) return next
   const headroom = Math.min(READY_STEP, 1 + (1 / Math.max(pressure, 0.5) - 1) / 2)
   return Math.max(next, Math.floor(db.limit * headroom))
@@ -93,20 +97,21 @@
 /** Judges the window once it holds enough samples. */
 const evaluate = (db: LimitDb, now: Millis): void => {
   if (db.state === 'down' || !db.settled) return
-  const pressure = db.window.pressure()
+  const pressure = db.pressure()
   const missed = pressure > 1 && db.window.size >= Math.min(MIN_SAMPLES, Math.max(MIN_PROOF, db.limit))
   if (missed) return fall(db, now, pressure, 'target missed')
   if (!enoughSamples(db)) return
-  if (db.state === 'ready') db.learn()
-  if (!db.full) return db.restartWindow()
-  if (pressure < GROW_BELOW) return grow(db, now, pressure)
+  db.learnBase()
+  if (db.state === 'ready') db.learnRecord()
+  if (db.peak < db.effective(now)) return db.restartWindow()
+  if (db.state === 'cold' && pressure >= GROW_BELOW) db.setState('ready', 'knee found')
+  if (pressure < HOLD_FROM) return grow(db, now, pressure)
   db.restartWindow()
-  if (db.state === 'cold') db.setState('ready', 'knee found')
 }
 
 const takeSample = (db: LimitDb, now: Millis, kind: SampleKind, value: Millis): void => {
   if (db.state === 'down') return
-  db.addSample(kind, db.ratio(kind, value))
+  db.addSample(kind, value)
   if (db.state === 'ready' && db.jumped(kind, JUMP_FACTOR)) return goCold(db, now, 'latency jumped above its own record')
   evaluate(db, now)
 }
@@ -152,7 +157,7 @@
 /** Counts requests whose first byte is late as samples before they end. */
 const countOverdue = (db: LimitDb, now: Millis): void => {
   for (const request of db.running.values()) {
-    if (request.sampled || db.ratio('first-byte', now - request.startedAt) < OVERDUE_FACTOR) continue
+    if (request.sampled || now - request.startedAt < OVERDUE_FACTOR * db.target('first-byte')) continue
     request.sampled = true
     takeSample(db, now, 'first-byte', now - request.startedAt)
   }
@@ -182,7 +187,7 @@
   switch (event.kind) {
     case 'started':
       db.running.set(event.request, { startedAt: event.now, epoch: db.epoch, sampled: false })
-      if (db.running.size >= db.effective(event.now)) db.full = true
+      db.peak = Math.max(db.peak, db.running.size)
       return []
     case 'first-byte': {
       const request = db.running.get(event.request)
--- a/packages/policy/src/limit/limitDb.ts
+++ b/packages/policy/src/limit/limitDb.ts
@@ -1,6 +1,6 @@
 /** State of one upstream's limit, and the only functions that change it. */
-import { clamp, type Millis, type RequestId } from '@fuchsiaworks/kernel'
-import { LatencyWindow, type SampleKind } from './latencyWindow.js'
+import { assertNever, clamp, type Millis, type RequestId } from '@fuchsiaworks/kernel'
+import { LatencyWindow, quantile, SAMPLE_KINDS, type SampleKind } from './latencyWindow.js'
 import type { LimitCommand, LimitConfig, LimitState } from './limitTypes.js'
 
 /** One request that runs at the upstream. */
@@ -18,8 +18,8 @@
 /** Weight of a new window in the record. */
 const RECORD_WEIGHT = 0.2
 
-/** Growth of a plain service's base latency for each window, so that a lasting change is learnt. */
-const BASE_DRIFT = 1.005
+/** Share of the samples that must lie within the target. */
+const TARGET_SHARE = 0.95
 
 /** What the agent knows of its upstream. */
 export class LimitDb {
@@ -31,8 +31,8 @@
   changedAt: Millis = 0
   /** Good completions of requests that started in this epoch. */
   proved = 0
-  /** True once as many requests ran as the limit allows. */
-  full = false
+  /** Most requests that ran at the same time since the window began. */
+  peak = 0
   /** Largest limit that missed its target; 0 when none is known. */
   ceiling = 0
   /** Timeouts since the last good answer. */
@@ -42,8 +42,9 @@
   readonly probe: { due: Millis | undefined, inFlight: boolean, failures: number } = { due: undefined, inFlight: false, failures: 0 }
   /** Upper bound from a load report, until it is too old. */
   bound: { value: number, until: Millis } | undefined
-  readonly #record = { 'first-byte': 0, 'token-gap': 0 }
-  readonly #recent = { 'first-byte': [] as number[], 'token-gap': [] as number[] }
+  readonly #record: Record<SampleKind, Millis> = { 'first-byte': 0, 'token-gap': 0 }
+  readonly #recent: Readonly<Record<SampleKind, Millis[]>> = { 'first-byte': [], 'token-gap': [] }
+  /** Time to first byte of a plain service under little load; 0 until learnt. */
   #base: Millis = 0
   #published: { limit: number, state: LimitState } = { limit: -1, state: 'down' }
 
@@ -85,24 +86,30 @@
   restartWindow (): void {
     this.window.clear()
     this.proved = 0
-    this.full = false
+    this.peak = this.running.size
   }
 
-  /** Turns a latency into a share of the target. */
-  ratio (kind: SampleKind, value: Millis): number {
+  /** @returns the milliseconds that 95 in 100 samples must keep; Infinity while a plain service has shown nothing */
+  target (kind: SampleKind): Millis {
     const { target } = this.config
     switch (target.kind) {
-      case 'model': return value / (kind === 'first-byte' ? target.firstToken : target.tokenGap)
-      case 'plain': return this.#plainRatio(value, target.factor)
+      case 'model': return kind === 'first-byte' ? target.firstToken : target.tokenGap
+      case 'plain': return kind === 'first-byte' && this.#base > 0 ? target.factor * this.#base : Infinity
+      default: return assertNever(target)
     }
   }
 
+  /** @returns the window's 95th percentile as a share of its target, for the worse kind; above 1 the target is missed */
+  pressure (): number {
+    return Math.max(...SAMPLE_KINDS.map(kind => this.window.quantile(kind, TARGET_SHARE) / this.target(kind)))
+  }
+
   /** Keeps a sample for the window and for the comparison with the record. */
-  addSample (kind: SampleKind, ratio: number): void {
+  addSample (kind: SampleKind, value: Millis): void {
     const recent = this.#recent[kind]
-    recent.push(ratio)
+    recent.push(value)
     if (recent.length > RECENT_SAMPLES) recent.shift()
-    if (this.settled) this.window.add(kind, ratio)
+    if (this.settled) this.window.add(kind, value)
   }
 
   /**
@@ -115,24 +122,28 @@
   jumped (kind: SampleKind, factor: number): boolean {
     const recent = this.#recent[kind]
     if (recent.length < RECENT_SAMPLES || this.#record[kind] === 0) return false
-    const median = [...recent].sort((a, b) => a - b)[RECENT_SAMPLES >> 1] ?? 0
-    return median > Math.max(1, factor * this.#record[kind])
+    return quantile(recent, 0.5) > Math.max(this.target(kind), factor * this.#record[kind])
   }
 
-  /** Takes the window's medians into the record. */
-  learn (): void {
-    for (const kind of ['first-byte', 'token-gap'] as const) {
-      const median = this.window.median(kind)
-      if (median === 0) continue
+  /** Takes the medians of a window into the record of a ready upstream. */
+  learnRecord (): void {
+    for (const kind of SAMPLE_KINDS) {
+      const median = this.window.quantile(kind, 0.5)
       const old = this.#record[kind]
-      this.#record[kind] = old === 0 ? median : old + RECORD_WEIGHT * (median - old)
+      if (median > 0) this.#record[kind] = old === 0 ? median : old + RECORD_WEIGHT * (median - old)
     }
-    this.#base *= BASE_DRIFT
+  }
+
+  /** Takes a window into the base latency. It rises only by what was seen under little load, so that overload is never learnt as normal. */
+  learnBase (): void {
+    const median = this.window.quantile('first-byte', 0.5)
+    if (median === 0) return
+    const little = this.peak <= this.config.coldConcurrency
+    if (little || this.#base === 0 || median < this.#base) this.#base = median
   }
 
   forgetRecent (): void {
-    this.#recent['first-byte'].length = 0
-    this.#recent['token-gap'].length = 0
+    for (const kind of SAMPLE_KINDS) this.#recent[kind].length = 0
   }
 
   /** @returns commands for what changed since the last call */
@@ -144,9 +155,4 @@
     this.#published = { limit, state: this.state }
     return commands
   }
-
-  #plainRatio (value: Millis, factor: number): number {
-    if (this.#base === 0 || value < this.#base) this.#base = Math.max(value, Number.MIN_VALUE)
-    return value / (factor * this.#base)
-  }
 }
