--- a/packages/policy/src/keys/homeHistory.ts
+++ b/packages/policy/src/keys/homeHistory.ts
@@ -19,6 +19,7 @@
 /** Upstream lists of a service, newest last. */
 export class HomeHistory {
   readonly #lists: ListedUpstreams[] = []
+  /** Since when nothing is known of earlier lists: the first list, or the oldest that is kept after one was dropped. */
   #dropped: Moment | undefined
 
   /**
@@ -31,6 +32,7 @@
     const newest = this.#lists.at(-1)
     if (newest !== undefined && sameMembers(newest.members, members)) return
     this.#lists.push({ members, since })
+    if (newest === undefined) this.#dropped = since
     if (this.#lists.length <= MAX_LISTS) return
     this.#lists.shift()
     this.#dropped = this.#lists[0]?.since
@@ -52,7 +54,7 @@
    *
    * @param subject - hash of the key
    * @param self - this upstream
-   * @returns the moment; undefined when it was the home under every list that is kept
+   * @returns the moment; undefined when it was the home all the time that counts
    */
   movedAt (subject: number, self: UpstreamId): Moment | undefined {
     for (let i = this.#lists.length - 2; i >= 0; i -= 1) {
--- a/packages/policy/src/keys/keys.ts
+++ b/packages/policy/src/keys/keys.ts
@@ -6,19 +6,19 @@
 
 type KeyPresented = Extract<KeysEvent, { kind: 'key-presented' }>
 
-/** True when a key without an entry may have run before. */
+/** True when a key without an entry may have run before: here before the start, at an earlier home, or before it was forgotten. */
 const mayHaveRun = (db: KeysDb, event: KeyPresented, made: number | undefined): boolean => {
   const { window, callerSkew, hostSkew, spread } = db.config
   const moved = db.history(event.service).movedAt(db.subject(event), db.self)
   const forgotten = db.forgotten(event.workspace)
   if (made === undefined) {
     const movedUntil = moved === undefined ? -Infinity : moved.now + window + spread
-    return event.now < Math.max(db.start.now + window, movedUntil, forgotten.opaqueUntil)
+    return event.now < Math.max(movedUntil, forgotten.opaqueUntil)
   }
   const skew = callerSkew + hostSkew
   const movedWall = moved === undefined ? -Infinity : moved.wall + spread + skew
   const oldest = event.wall - window + skew
-  return made <= Math.max(db.start.wall + skew, movedWall, forgotten.timedUntil, oldest)
+  return made <= Math.max(movedWall, forgotten.timedUntil, oldest)
 }
 
 const onKnown = (db: KeysDb, entry: KeyEntry, event: KeyPresented): KeysCommand[] => {
--- a/packages/policy/src/keys/keysDb.ts
+++ b/packages/policy/src/keys/keysDb.ts
@@ -45,9 +45,8 @@
    * @param self - the upstream beside which the agent runs
    * @param config - bounds
    * @param hash - the fleet's hash
-   * @param start - when the agent started, with nothing remembered
    */
-  constructor (readonly self: UpstreamId, readonly config: KeysConfig, readonly hash: StringHash, readonly start: Moment) {}
+  constructor (readonly self: UpstreamId, readonly config: KeysConfig, readonly hash: StringHash) {}
 
   /** Bytes of the answers that are kept. */
   get bytes (): number {
