Specify retries; tie each word about an attempt to its upstream

Cause: a late declined message of an earlier attempt would have queued a request again that another agent held by then. Change: events of an attempt carry its upstream and are ignored when the request has moved on; a request counts as not run only while no attempt may have run. Conclusion: non-idempotent work that may have run is never started again.

--- /dev/null
+++ b/packages/policy/src/retry/retry.spec.ts
@@ -0,0 +1,151 @@
+/** Specification of what follows from a failed attempt. */
+import { describe, it } from 'node:test'
+import { asId, type RequestId, type ServiceId, type UpstreamId, type WorkspaceId } from '@fuchsiaworks/kernel'
+import { expect } from 'earl'
+import fc from 'fast-check'
+import { decideRetry } from './retry.js'
+import { RetryDb } from './retryDb.js'
+import type { RetryCommand, RetryConfig, RetryEvent } from './retryTypes.js'
+
+const SEED = 77
+const service = asId<ServiceId>('ledger')
+const small = asId<WorkspaceId>('small')
+const large = asId<WorkspaceId>('large')
+const upstream = asId<UpstreamId>('u1')
+const config: RetryConfig = { budgetPercent: 10, floorPerSecond: 0.1, burst: 10, maxAttempts: 3, pullTtl: 2_000, pullMargin: 200 }
+const request = (n: number): RequestId => asId<RequestId>(`r${n}`)
+
+const open = (db: RetryDb, n: number, idempotent: boolean, now = 0, workspace = small): void => {
+  decideRetry(db, { kind: 'request-opened', now, request: request(n), workspace, service, idempotent, deadline: now + 60_000 })
+  decideRetry(db, { kind: 'attempt-started', now, request: request(n), upstream })
+}
+
+const opened = (idempotent: boolean): RetryDb => {
+  const db = new RetryDb(config)
+  open(db, 1, idempotent)
+  return db
+}
+
+const fail = (outcome: 'not-run' | 'unknown' | 'ran', now = 10, n = 1): RetryEvent =>
+  ({ kind: 'response-failed', now, request: request(n), upstream, outcome, crashed: false, quarantined: false })
+
+const kinds = (commands: readonly RetryCommand[]): string[] => commands.map(command => command.kind)
+
+describe('retry', () => {
+  it('queues a declined request again without spending the budget', () => {
+    const db = opened(false)
+    for (let n = 0; n < 20; n += 1) {
+      expect(decideRetry(db, { kind: 'declined', now: n, request: request(1), upstream, reason: 'expired' })).toEqual([{ kind: 'requeue', request: request(1) }])
+      decideRetry(db, { kind: 'attempt-started', now: n, request: request(1), upstream })
+    }
+  })
+
+  it('answers a declined request as not run once its deadline has passed', () => {
+    const answer = decideRetry(opened(false), { kind: 'declined', now: 60_000, request: request(1), upstream, reason: 'not-accepting' })
+    expect(answer).toEqual([{ kind: 'answer', request: request(1), outcome: 'not-run', status: 504, retryAfter: 1_000, reason: 'deadline' }])
+  })
+
+  it('tries idempotent work again elsewhere, and names the upstreams to avoid', () => {
+    expect(decideRetry(opened(true), fail('unknown'))).toEqual([{ kind: 'retry', request: request(1), attempt: 1, avoid: [upstream] }])
+  })
+
+  it('answers non-idempotent work that may have run as what is known, without Retry-After', () => {
+    const answer = decideRetry(opened(false), fail('unknown'))
+    expect(answer).toEqual([{ kind: 'answer', request: request(1), outcome: 'unknown', status: 502, retryAfter: undefined, reason: 'upstream failed' }])
+  })
+
+  it('tries non-idempotent work again only when it truly did not run', () => {
+    expect(kinds(decideRetry(opened(false), fail('not-run')))).toEqual(['retry'])
+  })
+
+  it('cuts the connection of a caller that has had a part of the answer', () => {
+    const db = opened(true)
+    decideRetry(db, { kind: 'bytes-sent', now: 1, request: request(1) })
+    expect(decideRetry(db, fail('unknown'))).toEqual([{ kind: 'cut', request: request(1) }])
+  })
+
+  it('waits after a lost session until no agent can start the request any more', () => {
+    const db = opened(true)
+    expect(decideRetry(db, { kind: 'session-lost', now: 500, request: request(1), upstream, peer: 'expired' })).toEqual([])
+    expect(decideRetry(db, { kind: 'tick', now: 2_199 })).toEqual([])
+    expect(kinds(decideRetry(db, { kind: 'tick', now: 2_200 }))).toEqual(['retry'])
+  })
+
+  it('decides at once when the process that held the request has ended, or had accepted it', () => {
+    expect(kinds(decideRetry(opened(true), { kind: 'session-lost', now: 500, request: request(1), upstream, peer: 'gone' }))).toEqual(['retry'])
+    const accepted = opened(false)
+    decideRetry(accepted, { kind: 'accepted', now: 1, request: request(1), upstream })
+    expect(kinds(decideRetry(accepted, { kind: 'session-lost', now: 500, request: request(1), upstream, peer: 'expired' }))).toEqual(['answer'])
+  })
+
+  it('never calls a request not run after an attempt that may have run', () => {
+    const db = opened(true)
+    decideRetry(db, fail('unknown'))
+    decideRetry(db, { kind: 'attempt-started', now: 20, request: request(1), upstream })
+    const last = decideRetry(db, { kind: 'declined', now: 70_000, request: request(1), upstream, reason: 'expired' })
+    expect(last).toEqual([{ kind: 'answer', request: request(1), outcome: 'unknown', status: 504, retryAfter: 1_000, reason: 'deadline' }])
+  })
+
+  it('keeps retries within the share of first attempts plus the floor, and one workspace within half', () => {
+    const db = new RetryDb(config)
+    let retries = 0
+    for (let n = 0; n < 1_000; n += 1) {
+      open(db, n, true, n * 10, large)
+      if (decideRetry(db, fail('unknown', n * 10, n))[0]?.kind === 'retry') retries += 1
+    }
+    const allowed = 1_000 * config.budgetPercent / 100 + 10 * config.floorPerSecond + 1
+    expect(retries <= allowed && retries >= 0.9 * allowed).toEqual(true)
+    open(db, 5_000, true, 20_000, small)
+    expect(kinds(decideRetry(db, fail('unknown', 20_000, 5_000)))).toEqual(['retry'])
+  })
+
+  it('ignores what an upstream says of an attempt that has moved on', () => {
+    const db = opened(true)
+    decideRetry(db, fail('unknown'))
+    const second = asId<UpstreamId>('u2')
+    decideRetry(db, { kind: 'attempt-started', now: 20, request: request(1), upstream: second })
+    expect(decideRetry(db, { kind: 'declined', now: 21, request: request(1), upstream, reason: 'expired' })).toEqual([])
+    expect(decideRetry(db, { kind: 'session-lost', now: 22, request: request(1), upstream, peer: 'gone' })).toEqual([])
+  })
+
+  it('never starts non-idempotent work again that may have run, never retries after bytes, and ends each request once', () => {
+    const event = fc.oneof(
+      fc.constant({ kind: 'attempt-started', upstream }),
+      fc.constant({ kind: 'accepted' }),
+      fc.constant({ kind: 'bytes-sent' }),
+      fc.constant({ kind: 'caller-gone' }),
+      fc.constant({ kind: 'tick' }),
+      fc.record({ kind: fc.constant('declined'), reason: fc.constantFrom('expired', 'not-accepting', 'not-home', 'key-running', 'key-unknown', 'quarantined') }),
+      fc.record({ kind: fc.constant('session-lost'), peer: fc.constantFrom('gone', 'expired') }),
+      fc.record({ kind: fc.constant('response-failed'), outcome: fc.constantFrom('not-run', 'unknown', 'ran'), crashed: fc.boolean(), quarantined: fc.boolean() }))
+    fc.assert(fc.property(fc.boolean(), fc.array(fc.tuple(fc.nat(1_500), event), { maxLength: 40 }), (idempotent, steps) => {
+      const db = opened(idempotent)
+      const seen = { now: 0, held: true, mayHaveRun: false, doubt: false, bytes: false, ended: 0 }
+      for (const [span, body] of steps) {
+        seen.now += span
+        if (body.kind === 'attempt-started' && seen.held) continue
+        if ((body.kind === 'declined' || body.kind === 'response-failed' || body.kind === 'session-lost') && !seen.held) continue
+        if (body.kind === 'bytes-sent' && !seen.held) continue
+        if (body.kind === 'attempt-started') seen.held = true
+        if (body.kind === 'bytes-sent') seen.bytes = true
+        if (body.kind === 'response-failed' && body.outcome !== 'not-run') seen.mayHaveRun = true
+        if (body.kind === 'session-lost') seen.doubt = true
+        if (body.kind === 'declined' || body.kind === 'response-failed') seen.doubt = false
+        for (const command of decideRetry(db, { upstream, ...body, now: seen.now, request: request(1) } as RetryEvent)) {
+          if (seen.doubt) seen.mayHaveRun = true
+          seen.doubt = false
+          if (command.kind === 'requeue' || command.kind === 'retry') {
+            seen.held = false
+            if (seen.ended > 0 || (seen.mayHaveRun && !idempotent)) return false
+            if (command.kind === 'retry' && seen.bytes) return false
+          } else seen.ended += 1
+          if (command.kind === 'answer' && (seen.bytes || (command.outcome === 'not-run' && seen.mayHaveRun))) return false
+          if (command.kind === 'cut' && !seen.bytes) return false
+        }
+        if (seen.ended > 0 && db.requests.size + db.inDoubt.size > 0) return false
+        if (seen.ended > 0) return seen.ended === 1
+      }
+      return seen.ended <= 1
+    }), { seed: SEED, numRuns: 3_000 })
+  })
+})
--- a/packages/policy/src/retry/retry.ts
+++ b/packages/policy/src/retry/retry.ts
@@ -105,6 +105,25 @@
   })
 }
 
+type AttemptEvent = Extract<RetryEvent, { kind: 'accepted' | 'declined' | 'session-lost' | 'response-failed' }>
+
+const onAttemptEvent = (db: RetryDb, request: OpenRequest, event: AttemptEvent): RetryCommand[] => {
+  if (event.upstream !== request.upstream) return []
+  switch (event.kind) {
+    case 'accepted':
+      if (request.state.kind === 'handed-over') request.state = { ...request.state, accepted: true }
+      return []
+    case 'declined':
+      return onDeclined(db, request, event.now, event.reason)
+    case 'session-lost':
+      return onSessionLost(db, request, event.now, event.peer)
+    case 'response-failed':
+      return onResponseFailed(db, request, event)
+    default:
+      return assertNever(event)
+  }
+}
+
 const onRequestEvent = (
   db: RetryDb, request: OpenRequest, event: Exclude<RetryEvent, { kind: 'request-opened' | 'tick' }>
 ): RetryCommand[] => {
@@ -114,17 +133,13 @@
       request.state = { kind: 'handed-over', at: event.now, accepted: false }
       return []
     case 'accepted':
-      if (request.state.kind === 'handed-over') request.state = { ...request.state, accepted: true }
-      return []
     case 'declined':
-      return onDeclined(db, request, event.now, event.reason)
+    case 'session-lost':
+    case 'response-failed':
+      return onAttemptEvent(db, request, event)
     case 'bytes-sent':
       request.bytesSent = true
       return []
-    case 'session-lost':
-      return onSessionLost(db, request, event.now, event.peer)
-    case 'response-failed':
-      return onResponseFailed(db, request, event)
     case 'caller-gone':
       db.forget(request)
       return [{ kind: 'abandon', request: request.id, held: request.state.kind === 'handed-over' }]
--- a/packages/policy/src/retry/retryTypes.ts
+++ b/packages/policy/src/retry/retryTypes.ts
@@ -23,6 +23,12 @@
   readonly pullMargin: Millis
 }
 
+/** Names one attempt; words of an upstream about an attempt that is no longer the present one are ignored. */
+export interface AttemptName {
+  readonly request: RequestId
+  readonly upstream: UpstreamId
+}
+
 /** What happens to requests. `now` is monotonic milliseconds. */
 export type RetryEvent =
   {
@@ -35,32 +41,28 @@
     /** Monotonic milliseconds until which the caller is served. */
     readonly deadline: Millis
   } |
-  {
-    /** The request was handed over to an agent. */
+  AttemptName & {
+    /** The request was handed over to the agent beside the upstream. */
     readonly kind: 'attempt-started'
     readonly now: Millis
-    readonly request: RequestId
-    readonly upstream: UpstreamId
   } |
-  { readonly kind: 'accepted', readonly now: Millis, readonly request: RequestId } |
-  { readonly kind: 'declined', readonly now: Millis, readonly request: RequestId, readonly reason: DeclineReason } |
+  AttemptName & { readonly kind: 'accepted', readonly now: Millis } |
+  AttemptName & { readonly kind: 'declined', readonly now: Millis, readonly reason: DeclineReason } |
   {
     /** The first byte of the answer, its head included, was sent to the caller. */
     readonly kind: 'bytes-sent'
     readonly now: Millis
     readonly request: RequestId
   } |
-  {
+  AttemptName & {
     readonly kind: 'session-lost'
     readonly now: Millis
-    readonly request: RequestId
     /** `gone`: the agent's process ended. `expired`: it may live on unseen. */
     readonly peer: 'gone' | 'expired'
   } |
-  {
+  AttemptName & {
     readonly kind: 'response-failed'
     readonly now: Millis
-    readonly request: RequestId
     readonly outcome: FailureOutcome
     /** True when the upstream ended while it ran the request. */
     readonly crashed: boolean
