Answer a quarantined request by the outcome of all its attempts

Change: the outcome told is that of all attempts also in this case; an example for it beside the property. Conclusion: not-run is said only when no attempt may have run.

--- a/packages/policy/src/retry/retry.spec.ts
+++ b/packages/policy/src/retry/retry.spec.ts
@@ -86,6 +86,16 @@
     expect(last).toEqual([{ kind: 'answer', request: request(1), outcome: 'unknown', status: 504, retryAfter: 1_000, reason: 'deadline' }])
   })
 
+  it('never calls a quarantined request not run after an attempt that may have run', () => {
+    const db = opened(true)
+    decideRetry(db, fail('unknown'))
+    decideRetry(db, { kind: 'attempt-started', now: 20, request: request(1), upstream })
+    const failed = decideRetry(db, { ...fail('not-run', 30), quarantined: true } as RetryEvent)
+    expect(failed[0]).toEqual({
+      kind: 'answer', request: request(1), outcome: 'unknown', status: 422, retryAfter: undefined, reason: 'requests like this one ended upstreams'
+    })
+  })
+
   it('keeps retries within the share of first attempts plus the floor, and one workspace within half', () => {
     const db = new RetryDb(config)
     let retries = 0
--- a/packages/policy/src/retry/retry.ts
+++ b/packages/policy/src/retry/retry.ts
@@ -26,13 +26,14 @@
   return [{ kind: 'answer', request: request.id, outcome, status, retryAfter, reason }]
 }
 
-/** Outcome of the whole request when its last attempt was not started. */
-const outcomeBefore = (request: OpenRequest): FailureOutcome => request.mayHaveRun ? 'unknown' : 'not-run'
+/** Outcome of the whole request: an attempt that did not run says nothing of earlier ones. */
+const wholeOutcome = (request: OpenRequest, last: FailureOutcome): FailureOutcome =>
+  last === 'not-run' && request.mayHaveRun ? 'unknown' : last
 
 const requeue = (db: RetryDb, request: OpenRequest, now: Millis): RetryCommand[] => {
   request.state = { kind: 'queued' }
   request.upstream = undefined
-  if (now >= request.deadline) return answer(db, request, outcomeBefore(request), DEADLINE_STATUS, 'deadline', RETRY_AFTER_MS)
+  if (now >= request.deadline) return answer(db, request, wholeOutcome(request, 'not-run'), DEADLINE_STATUS, 'deadline', RETRY_AFTER_MS)
   return [{ kind: 'requeue', request: request.id }]
 }
 
@@ -48,7 +49,7 @@
     case 'key-unknown':
       return answer(db, request, 'unknown', KEY_STATUS, 'the key may have run before')
     case 'quarantined':
-      return answer(db, request, outcomeBefore(request), QUARANTINED_STATUS, 'requests like this one ended upstreams')
+      return answer(db, request, wholeOutcome(request, 'not-run'), QUARANTINED_STATUS, 'requests like this one ended upstreams')
     default:
       return assertNever(reason)
   }
@@ -59,7 +60,7 @@
   request.attempts += 1
   if (request.upstream !== undefined) request.tried.push(request.upstream)
   request.upstream = undefined
-  const told = outcome === 'not-run' ? outcomeBefore(request) : outcome
+  const told = wholeOutcome(request, outcome)
   if (outcome !== 'not-run') request.mayHaveRun = true
   const refuse = (why: string, status = STATUS[told]): RetryCommand[] => answer(db, request, told, status, why, RETRY_AFTER_MS)
   if (request.bytesSent) return refuse(reason)
@@ -83,7 +84,7 @@
 
 const onResponseFailed = (db: RetryDb, request: OpenRequest, event: Extract<RetryEvent, { kind: 'response-failed' }>): RetryCommand[] => {
   db.inDoubt.delete(request)
-  if (event.quarantined) return answer(db, request, event.outcome, QUARANTINED_STATUS, 'requests like this one ended upstreams')
+  if (event.quarantined) return answer(db, request, wholeOutcome(request, event.outcome), QUARANTINED_STATUS, 'requests like this one ended upstreams')
   return retryOrAnswer(db, request, event.now, event.outcome, event.crashed ? 'upstream ended' : 'upstream failed')
 }
 
