Make sessions reliable, authenticated and checked frame by frame

Change: five-step handshake by HMAC-SHA256 over nonces, identities and the TLS connection; half-open connections bounded in number, age and bytes; messages written as checked arrays; sequence numbers, cumulative confirmation, retransmission over the next connection, heartbeats, silence and expiry in a pure module (reliability); a session table that knows new incarnations. An end by too many unconfirmed bytes is 'overflow' rather than 'protocol-error', because the peer did nothing wrong.

--- /dev/null
+++ b/packages/wire/src/codec/frameCodec.ts
@@ -0,0 +1,69 @@
+/** Frames to bytes and back. A frame is a header array, in a data frame followed by the messages. */
+import { assertNever } from '@fuchsiaworks/kernel'
+import type { Message } from '../protocol/protocolTypes.js'
+import { amount, type Field, type FieldFinding, type Fields, oneOf, readFields, whole } from './fields.js'
+import type { AckFrame, ByeFrame, ByeReason, DataFrame, Frame, OutgoingFrame, PingFrame, PongFrame } from './frameTypes.js'
+import { readMessage } from './messageCodec.js'
+import { MalformedFrameError, pack, unpackAll } from './packer.js'
+
+type Header<F> = Fields<Omit<F, 'kind' | 'payloads'>>
+
+/** Numbers of the frame kinds on the wire. */
+const KIND = { data: 0, ack: 1, ping: 2, pong: 3, bye: 4 } as const
+
+const dataHeader: Header<DataFrame<unknown>> = { ack: whole, first: whole }
+const ackHeader: Header<AckFrame> = { ack: whole }
+const pingHeader: Header<PingFrame> = { ack: whole, sentAt: amount, roundTrip: amount, offset: amount }
+const pongHeader: Header<PongFrame> = { ack: whole, sentAt: amount, wall: amount }
+const byeReason: Field<ByeReason> = oneOf('closed', 'expired', 'protocol-error', 'overflow')
+const byeHeader: Header<ByeFrame> = { reason: byeReason }
+
+/**
+ * Encodes a frame.
+ *
+ * @param frame - what is sent
+ * @returns the bytes of one WebSocket message
+ */
+export const encodeFrame = (frame: OutgoingFrame): Uint8Array => {
+  switch (frame.kind) {
+    case 'data': return Buffer.concat([pack([KIND.data, frame.ack, frame.first]), ...frame.payloads])
+    case 'ack': return pack([KIND.ack, frame.ack])
+    case 'ping': return pack([KIND.ping, frame.ack, frame.sentAt, frame.roundTrip, frame.offset])
+    case 'pong': return pack([KIND.pong, frame.ack, frame.sentAt, frame.wall])
+    case 'bye': return pack([KIND.bye, frame.reason])
+    default: return assertNever(frame)
+  }
+}
+
+const readHeader = <T>(fields: Fields<T>, values: readonly unknown[]): T => {
+  const header: Partial<T> = {}
+  const findings: FieldFinding[] = []
+  readFields(fields, values, 1, header, findings)
+  if (findings.length > 0) throw new MalformedFrameError(findings.map(({ path, message }) => `${path} ${message}`))
+  return header as T
+}
+
+const readFrame = (header: readonly unknown[], rest: readonly unknown[]): Frame<Message> => {
+  if (rest.length > 0 && header[0] !== KIND.data) throw new MalformedFrameError(['messages outside a data frame'])
+  switch (header[0]) {
+    case KIND.data: return { kind: 'data', ...readHeader(dataHeader, header), payloads: rest.map(readMessage) }
+    case KIND.ack: return { kind: 'ack', ...readHeader(ackHeader, header) }
+    case KIND.ping: return { kind: 'ping', ...readHeader(pingHeader, header) }
+    case KIND.pong: return { kind: 'pong', ...readHeader(pongHeader, header) }
+    case KIND.bye: return { kind: 'bye', ...readHeader(byeHeader, header) }
+    default: throw new MalformedFrameError(['unknown frame kind'])
+  }
+}
+
+/**
+ * Decodes and checks a frame.
+ *
+ * @param bytes - one WebSocket message of the peer
+ * @returns the frame
+ * @throws MalformedFrameError when the bytes are not a frame
+ */
+export const decodeFrame = (bytes: Uint8Array): Frame<Message> => {
+  const [header, ...rest] = unpackAll(bytes)
+  if (!Array.isArray(header)) throw new MalformedFrameError(['no header'])
+  return readFrame(header, rest)
+}
--- /dev/null
+++ b/packages/wire/src/codec/messageFields.ts
@@ -0,0 +1,72 @@
+/**
+ * Fields of every kind of message. The order of kinds and of fields is the order on the wire: new kinds go to the end, new
+ * fields go to the end of their kind and are optional, so that processes of two versions understand each other.
+ */
+import type { HeaderList, Message } from '../protocol/protocolTypes.js'
+import { amount, bytes, type Field, type Fields, flag, list, maybe, oneOf, optional, pair, record, text, whole } from './fields.js'
+
+/** Any kind of message. */
+export type MessageKind = Message['kind']
+
+/** The message of one kind. */
+export type MessageOf<K extends MessageKind> = Extract<Message, { readonly kind: K }>
+
+type MessageFields = { readonly [K in MessageKind]: Fields<Omit<MessageOf<K>, 'kind'>> }
+
+const headers: Field<HeaderList> = list(pair(text(), text()))
+
+/** Fields by kind, in the order of the wire. */
+export const messageFields: MessageFields = {
+  backlog: {
+    service: text(),
+    entries: list(record({ workspace: text(), waiting: amount, oldestWait: amount, headCost: amount }))
+  },
+  pull: { pull: whole, service: text(), workspace: text(), keyedOnly: optional(flag) },
+  'pull-empty': { pull: whole },
+  handover: {
+    pull: whole,
+    request: text(),
+    service: text(),
+    workspace: text(),
+    method: text(),
+    path: text(),
+    headers,
+    idempotent: flag,
+    key: maybe(text()),
+    fingerprint: text(),
+    estimate: amount,
+    body: bytes,
+    bodyEnded: flag,
+    attempt: whole
+  },
+  accepted: { request: text() },
+  declined: {
+    request: text(),
+    reason: oneOf('expired', 'not-accepting', 'not-home', 'key-running', 'key-unknown', 'quarantined')
+  },
+  'request-body': { request: text(), data: bytes, ended: flag },
+  cancel: { request: text() },
+  credit: { request: text(), direction: oneOf('request', 'response'), bytes: whole },
+  'response-head': { request: text(), status: whole, headers },
+  'response-body': { request: text(), data: bytes },
+  'response-end': { request: text(), trailers: headers, cost: amount },
+  'response-failed': { request: text(), outcome: oneOf('not-run', 'unknown', 'ran'), crashed: flag, reason: text() },
+  'agent-state': {
+    upstream: text(),
+    service: text(),
+    zone: text(),
+    state: oneOf('ready', 'cold', 'draining', 'leaving', 'zone-out', 'down'),
+    reason: text(),
+    limit: amount,
+    running: amount
+  },
+  counters: {
+    entries: list(record({ origin: text(), service: text(), workspace: text(), total: amount })),
+    lifts: list(record({ service: text(), workspace: text(), lift: amount })),
+    backlogged: list(record({ service: text(), workspace: text() }))
+  },
+  revision: { revision: whole, documents: optional(text()) },
+  leaving: { hosts: list(text()) },
+  quarantine: { workspace: text(), fingerprint: text(), remaining: amount },
+  'crash-report': { workspace: text(), fingerprint: text(), upstream: text() }
+}
--- /dev/null
+++ b/packages/wire/src/handshake/handshake.ts
@@ -0,0 +1,124 @@
+/** The two ends of the handshake, without sockets: each takes the peer's bytes and says what to send. */
+import { FuchsiaError } from '@fuchsiaworks/kernel'
+import {
+  answerField, challengeFields, confirmFields, helloFields, NONCE_BYTES, offerField, proofFields, readStep, VERSION, welcomeFields, writeStep
+} from './handshakeCodec.js'
+import type {
+  Answer, DialerResult, HandshakeContext, HandshakeStep, ListenerResult, Offer
+} from './handshakeTypes.js'
+import { isProof, prove } from './proofs.js'
+
+/** The peer did not prove that it holds the link key, or said something out of order. */
+export class HandshakeError extends FuchsiaError {
+  /** @param reason - what was wrong, for the log only */
+  constructor (reason: string) {
+    super('handshake-failed', reason)
+  }
+}
+
+/** The dialing end. */
+export class DialerHandshake {
+  readonly #nonce: Uint8Array
+  #peerNonce: Uint8Array | undefined
+
+  /**
+   * @param context - own identity and key
+   * @param offer - the session that is asked for
+   * @param received - reads the last sequence number received of that session
+   */
+  constructor (readonly context: HandshakeContext, readonly offer: Offer, readonly received: () => number) {
+    this.#nonce = context.randomBytes(NONCE_BYTES)
+  }
+
+  /** @returns the first message */
+  start (): Uint8Array {
+    return writeStep(helloFields, { version: VERSION, nonce: this.#nonce })
+  }
+
+  /**
+   * Takes a message of the listening end.
+   *
+   * @param data - its bytes
+   * @returns what to send, and the result with the last message
+   * @throws HandshakeError or MalformedFrameError when the peer is not what it should be
+   */
+  receive (data: Uint8Array): HandshakeStep<DialerResult> {
+    return this.#peerNonce === undefined ? this.#answerChallenge(data) : this.#checkWelcome(data, this.#peerNonce)
+  }
+
+  #answerChallenge (data: Uint8Array): HandshakeStep<DialerResult> {
+    this.#peerNonce = Uint8Array.from(readStep(challengeFields, data).nonce)
+    const proof = prove(this.context.linkKey, 'dialer', this.#transcript(this.#peerNonce))
+    return { reply: writeStep(proofFields, { offer: this.offer, proof }) }
+  }
+
+  #checkWelcome (data: Uint8Array, peerNonce: Uint8Array): HandshakeStep<DialerResult> {
+    const { answer, proof } = readStep(welcomeFields, data)
+    const transcript = [...this.#transcript(peerNonce), answerField.write(answer)]
+    if (!isProof(prove(this.context.linkKey, 'listener', transcript), proof)) throw new HandshakeError('the listener has another link key')
+    if (answer.identity.incarnation === this.context.identity.incarnation) throw new HandshakeError('dialed itself')
+    const received = this.received()
+    const confirm = { received, proof: prove(this.context.linkKey, 'confirm', [...transcript, received]) }
+    return { reply: writeStep(confirmFields, confirm), result: { answer } }
+  }
+
+  #transcript (peerNonce: Uint8Array): unknown[] {
+    return [this.#nonce, peerNonce, this.context.binding, offerField.write(this.offer)]
+  }
+}
+
+/** The listening end. It says who it is only to a peer that has proved the link key. */
+export class ListenerHandshake {
+  readonly #nonce: Uint8Array
+  #peerNonce: Uint8Array | undefined
+  #offer: Offer | undefined
+  #answer: Answer | undefined
+
+  /**
+   * @param context - own identity and key
+   * @param judge - says what becomes of a proved offer
+   */
+  constructor (readonly context: HandshakeContext, readonly judge: (offer: Offer) => Omit<Answer, 'identity'>) {
+    this.#nonce = context.randomBytes(NONCE_BYTES)
+  }
+
+  /**
+   * Takes a message of the dialing end.
+   *
+   * @param data - its bytes
+   * @returns what to send, and the result with the last message
+   * @throws HandshakeError or MalformedFrameError when the peer is not what it should be
+   */
+  receive (data: Uint8Array): HandshakeStep<ListenerResult> {
+    if (this.#peerNonce === undefined) return this.#challenge(data)
+    if (this.#offer === undefined || this.#answer === undefined) return this.#checkProof(data, this.#peerNonce)
+    return this.#checkConfirm(data, this.#peerNonce, this.#offer, this.#answer)
+  }
+
+  #challenge (data: Uint8Array): HandshakeStep<ListenerResult> {
+    this.#peerNonce = Uint8Array.from(readStep(helloFields, data).nonce)
+    return { reply: writeStep(challengeFields, { nonce: this.#nonce }) }
+  }
+
+  #checkProof (data: Uint8Array, peerNonce: Uint8Array): HandshakeStep<ListenerResult> {
+    const { offer, proof } = readStep(proofFields, data)
+    const transcript = this.#transcript(peerNonce, offer)
+    if (!isProof(prove(this.context.linkKey, 'dialer', transcript), proof)) throw new HandshakeError('the dialer has another link key')
+    if (offer.identity.incarnation === this.context.identity.incarnation) throw new HandshakeError('dialed itself')
+    this.#offer = offer
+    this.#answer = { identity: this.context.identity, ...this.judge(offer) }
+    const welcome = prove(this.context.linkKey, 'listener', [...transcript, answerField.write(this.#answer)])
+    return { reply: writeStep(welcomeFields, { answer: this.#answer, proof: welcome }) }
+  }
+
+  #checkConfirm (data: Uint8Array, peerNonce: Uint8Array, offer: Offer, answer: Answer): HandshakeStep<ListenerResult> {
+    const { received, proof } = readStep(confirmFields, data)
+    const transcript = [...this.#transcript(peerNonce, offer), answerField.write(answer), received]
+    if (!isProof(prove(this.context.linkKey, 'confirm', transcript), proof)) throw new HandshakeError('the confirmation does not fit')
+    return { result: { offer, received } }
+  }
+
+  #transcript (peerNonce: Uint8Array, offer: Offer): unknown[] {
+    return [peerNonce, this.#nonce, this.context.binding, offerField.write(offer)]
+  }
+}
--- /dev/null
+++ b/packages/wire/src/link/connection.ts
@@ -0,0 +1,89 @@
+/** One authenticated or half-open WebSocket: bytes in and out, and a single word on how it ended. */
+import { toError, type Clock } from '@fuchsiaworks/kernel'
+import type { RawData, WebSocket } from 'ws'
+import { CLOSE_GRACE_MS, SOCKET_BUFFER_BYTES } from './linkConstants.js'
+
+/** Who takes what a connection receives. It changes once, when the handshake is over. */
+export interface ConnectionUser {
+  receive: (data: Uint8Array) => void
+  /** The peer broke the WebSocket protocol, sent a text or a frame that is too long. */
+  malformed: () => void
+  closed: (reason: string) => void
+  /** The socket buffer has room again. */
+  drained: () => void
+}
+
+/** A user that ignores everything. */
+const noUser: ConnectionUser = { receive: () => {}, malformed: () => {}, closed: () => {}, drained: () => {} }
+
+const isProtocolError = (err: Error): boolean => 'code' in err && String(err.code).startsWith('WS_ERR_')
+
+/** Connection beneath a session. */
+export class Connection {
+  user: ConnectionUser = noUser
+  #reason = 'closed by the peer'
+  #full = false
+
+  /**
+   * @param socket - the WebSocket
+   * @param clock - source of time
+   */
+  constructor (readonly socket: WebSocket, readonly clock: Clock) {
+    socket.on('message', (data, isBinary) => { this.#receive(data, isBinary) })
+    socket.on('error', err => { this.#fail(err) })
+    socket.on('close', () => { this.user.closed(this.#reason) })
+  }
+
+  /** Bytes that may be sent before the socket buffer is full. */
+  get room (): number {
+    const room = Math.max(0, SOCKET_BUFFER_BYTES - this.socket.bufferedAmount)
+    if (room === 0) this.#full = true
+    return room
+  }
+
+  /**
+   * Sends one binary message.
+   *
+   * @param data - its bytes
+   */
+  send (data: Uint8Array): void {
+    this.socket.send(data, this.#afterSend)
+  }
+
+  /**
+   * Drops the connection at once.
+   *
+   * @param reason - what its user hears
+   */
+  terminate (reason: string): void {
+    this.#reason = reason
+    this.user = { ...noUser, closed: this.user.closed }
+    this.socket.terminate()
+  }
+
+  /** Closes the connection after what was sent, or after a short time. */
+  hangUp (): void {
+    this.#reason = 'closed here'
+    this.socket.close()
+    const timer = this.clock.after(CLOSE_GRACE_MS, () => { this.socket.terminate() })
+    this.socket.once('close', () => { timer.close() })
+  }
+
+  readonly #afterSend = (): void => {
+    if (!this.#full || this.socket.bufferedAmount > SOCKET_BUFFER_BYTES / 2) return
+    this.#full = false
+    this.user.drained()
+  }
+
+  #receive (data: RawData, isBinary: boolean): void {
+    if (isBinary && data instanceof Uint8Array) this.user.receive(data)
+    else this.user.malformed()
+  }
+
+  #fail (thrown: unknown): void {
+    const err = toError(thrown)
+    this.#reason = err.message
+    if (isProtocolError(err)) this.user.malformed()
+    this.socket.terminate()
+  }
+}
--- a/packages/wire/src/link/dialSessions.ts
+++ b/packages/wire/src/link/dialSessions.ts
@@ -1,36 +1,151 @@
 /** Keeps one peer address connected. */
-import { EventSource } from '@fuchsiaworks/kernel'
+import { randomBytes } from 'node:crypto'
+import { createLog, EventSource, newId, toError, type Timer } from '@fuchsiaworks/kernel'
 import { WebSocket } from 'ws'
-import { decode, encode } from '../codec/codec.js'
-import { BasicSession } from '../session/basicSession.js'
-import type { DialSessions, Identity, Session } from '../session/sessionTypes.js'
+import { DialerHandshake } from '../handshake/handshake.js'
+import type { Answer, Offer } from '../handshake/handshakeTypes.js'
+import { LinkSession } from '../session/linkSession.js'
+import type { DialSessions, LinkOptions, Session } from '../session/sessionTypes.js'
+import { backoffDelay } from './backoff.js'
+import { Connection } from './connection.js'
+import { BUFFER_LIMIT_BYTES, HANDSHAKE_MS, MAX_FRAME_BYTES } from './linkConstants.js'
+import { clientTls, tlsBinding } from './tls.js'
 
-/** Milliseconds before the next attempt. */
-const RETRY_MS = 100
+type DialOptions = LinkOptions & { readonly host: string, readonly port: number }
 
-export const dialSessions: DialSessions = options => {
-  const sessions = new EventSource<Session>()
-  let open = true
-  let current: Session | undefined
-  let socket: WebSocket | undefined
-  const dial = (): void => {
-    if (!open) return
-    const ws = new WebSocket(`ws://${options.host}:${options.port}`, { perMessageDeflate: false })
-    socket = ws
-    ws.on('error', () => { ws.terminate() })
-    ws.on('close', () => { options.clock.after(RETRY_MS, dial) })
-    ws.on('open', () => { ws.send(encode(options.identity)) })
-    ws.once('message', (data: Buffer) => {
-      current = new BasicSession(decode(data) as Identity, ws, options.clock)
-      sessions.emit(current)
+const log = createLog('links')
+
+/** Masking guards caches between browsers and servers; between own processes a mask of zeros saves the work. */
+const generateMask = (): void => {}
+
+const openSocket = ({ host, port, tls }: DialOptions): WebSocket => {
+  const address = `${host.includes(':') ? `[${host}]` : host}:${port}`
+  const options = { perMessageDeflate: false, maxPayload: MAX_FRAME_BYTES, generateMask, handshakeTimeout: HANDSHAKE_MS }
+  if (tls === undefined) return new WebSocket(`ws://${address}`, options)
+  return new WebSocket(`wss://${address}`, { ...options, ...clientTls(tls) })
+}
+
+/** The dialing end of links to one address. */
+class LinkDialer {
+  readonly #sessions = new EventSource<Session>()
+  readonly #name = newId<Offer['identity']['incarnation']>()
+  #open = true
+  #attempt = 0
+  #failures = 0
+  #session: LinkSession | undefined
+  /** Attempt in which the current session was opened. */
+  #sessionNumber = 0
+  #connection: Connection | undefined
+  #timer: Timer | undefined
+
+  readonly sessions = this.#sessions.stream
+
+  constructor (readonly options: DialOptions) {
+    this.#timer = options.clock.after(0, () => { this.#dial() })
+  }
+
+  close = (): void => {
+    if (!this.#open) return
+    this.#open = false
+    this.#timer?.close()
+    if (this.#session === undefined) this.#connection?.terminate('closed here')
+    this.#session?.close()
+    this.#sessions.close()
+  }
+
+  #dial (): void {
+    const { clock, identity, linkKey, silence } = this.options
+    this.#attempt += 1
+    const connection = new Connection(openSocket(this.options), clock)
+    this.#connection = connection
+    const session = this.#session
+    const offer: Offer = {
+      identity, dialer: this.#name, session: session === undefined ? this.#attempt : this.#sessionNumber, attempt: this.#attempt
+    }
+    const limit = clock.after(Math.min(silence, HANDSHAKE_MS), () => { connection.terminate('the handshake took too long') })
+    connection.socket.once('upgrade', res => {
+      const context = { identity, linkKey, binding: tlsBinding(res.socket), randomBytes }
+      this.#shakeHands(connection, new DialerHandshake(context, offer, () => session?.received ?? 0), limit)
+    })
+    connection.socket.once('close', () => {
+      limit.close()
+      this.#retry(connection)
     })
   }
-  dial()
-  const close = (): void => {
-    open = false
-    current?.close()
-    socket?.close()
-    sessions.close()
+
+  #shakeHands (connection: Connection, handshake: DialerHandshake, limit: Timer): void {
+    const fail = (reason: string): void => {
+      log.warn('could not open a link', { host: this.options.host, port: this.options.port, reason })
+      connection.terminate(reason)
+    }
+    const receive = (data: Uint8Array): void => {
+      try {
+        const { reply, result } = handshake.receive(data)
+        if (reply !== undefined) connection.send(reply)
+        if (result === undefined) return
+        limit.close()
+        this.#admit(connection, handshake.offer, result.answer)
+      } catch (err) {
+        fail(toError(err).message)
+      }
+    }
+    connection.user = { receive, malformed: () => { fail('malformed') }, closed: () => {}, drained: () => {} }
+    connection.socket.once('open', () => { connection.send(handshake.start()) })
   }
-  return { sessions: sessions.stream, close }
+
+  /** Takes the proved answer of the listening end. */
+  #admit (connection: Connection, offer: Offer, answer: Answer): void {
+    const resumed = this.#session
+    if (answer.outcome === 'superseded') {
+      resumed?.end('expired')
+      connection.terminate('this host runs a newer process')
+      return
+    }
+    if (answer.outcome === 'gone') {
+      resumed?.end(answer.identity.incarnation === resumed.peer.incarnation ? 'expired' : 'peer-restarted')
+      connection.terminate('the session has ended')
+      this.#failures = 0
+      return
+    }
+    const session = answer.outcome === 'resumed' ? resumed : this.#openSession(offer, answer)
+    if (session === undefined) connection.terminate('the session has ended')
+    else this.#attach(session, connection, answer.received)
+  }
+
+  #attach (session: LinkSession, connection: Connection, received: number): void {
+    const { clock, heartbeat } = this.options
+    session.attach(connection, received)
+    const stable = clock.after(heartbeat, () => { this.#failures = 0 })
+    connection.socket.once('close', () => { stable.close() })
+  }
+
+  #openSession (offer: Offer, answer: Answer): LinkSession {
+    const { clock, heartbeat, silence, expiry, bufferLimit = BUFFER_LIMIT_BYTES } = this.options
+    const limits = { side: 'dialer', heartbeat, silence, expiry, bufferLimit } as const
+    const session: LinkSession = new LinkSession(answer.identity, clock, limits, () => {
+      if (this.#session === session) this.#session = undefined
+    })
+    this.#session = session
+    this.#sessionNumber = offer.session
+    this.#sessions.emit(session)
+    return session
+  }
+
+  #retry (connection: Connection): void {
+    if (!this.#open || this.#connection !== connection) return
+    this.#failures += 1
+    const delay = backoffDelay(this.#failures, this.options.random ?? Math.random)
+    this.#timer = this.options.clock.after(delay, () => { this.#dial() })
+  }
+}
+
+/**
+ * Dials a peer until closed: at once when a connection is lost, then with growing delays.
+ *
+ * @param options - identity, key, bounds and address of the peer
+ * @returns the dialer
+ */
+export const dialSessions: DialSessions = options => {
+  const dialer = new LinkDialer(options)
+  return { sessions: dialer.sessions, close: dialer.close }
 }
