--- /dev/null
+++ b/packages/wire/src/codec/codec.spec.ts
@@ -0,0 +1,102 @@
+/** Frames and messages to bytes and back. */
+import { describe, it } from 'node:test'
+import { asId } from '@fuchsiaworks/kernel'
+import { expect } from 'earl'
+import fc from 'fast-check'
+import { Packr } from 'msgpackr'
+import type { Message } from '../protocol/protocolTypes.js'
+import { decodeFrame, encodeFrame } from './frameCodec.js'
+import type { OutgoingFrame } from './frameTypes.js'
+import { encodeMessage, readMessage } from './messageCodec.js'
+import { MalformedFrameError, pack, unpackAll } from './packer.js'
+
+const id = fc.string({ maxLength: 20 }).map(value => asId<never>(value))
+const whole = fc.maxSafeNat()
+const amount = fc.double({ noNaN: true, noDefaultInfinity: true })
+const data = fc.uint8Array({ maxLength: 300 }).map(value => Buffer.from(value))
+const headers = fc.array(fc.tuple(fc.string(), fc.string()), { maxLength: 20 })
+
+const plain = { noNullPrototype: true } as const
+
+const messages: fc.Arbitrary<Message> = fc.oneof(
+  fc.record({ kind: fc.constant('response-body' as const), request: id, data }, plain),
+  fc.record({ kind: fc.constant('pull' as const), pull: whole, service: id, workspace: id, keyedOnly: fc.boolean() }, { ...plain, requiredKeys: ['kind', 'pull', 'service', 'workspace'] }) as fc.Arbitrary<Message>,
+  fc.record({
+    kind: fc.constant('handover' as const),
+    pull: whole,
+    request: id,
+    service: id,
+    workspace: id,
+    method: fc.string(),
+    path: fc.string({ unit: 'binary' }),
+    headers,
+    idempotent: fc.boolean(),
+    key: fc.option(fc.string(), { nil: undefined }),
+    fingerprint: id,
+    estimate: amount,
+    body: data,
+    bodyEnded: fc.boolean(),
+    attempt: whole
+  }, plain),
+  fc.record({
+    kind: fc.constant('counters' as const),
+    entries: fc.array(fc.record({ origin: id, service: id, workspace: id, total: amount }, plain)),
+    lifts: fc.array(fc.record({ service: id, workspace: id, lift: amount }, plain)),
+    backlogged: fc.array(fc.record({ service: id, workspace: id }, plain))
+  }, plain),
+  fc.record({ kind: fc.constant('revision' as const), revision: whole, documents: fc.string() }, { ...plain, requiredKeys: ['kind', 'revision'] }) as fc.Arbitrary<Message>,
+  fc.record({ kind: fc.constant('leaving' as const), hosts: fc.array(id) }, plain)
+)
+
+const dataFrame = (sent: readonly Message[]): OutgoingFrame => ({ kind: 'data', ack: 3, first: 9, payloads: sent.map(encodeMessage) })
+
+/** Decodes, and lets only the codec's own error pass. */
+const mayFail = (bytes: Uint8Array): void => {
+  try {
+    decodeFrame(bytes)
+  } catch (err) {
+    expect(err).toBeA(MalformedFrameError)
+  }
+}
+
+describe('codec', () => {
+  it('gives back the messages of a frame', () => {
+    fc.assert(fc.property(fc.array(messages, { maxLength: 10 }), sent => {
+      expect(decodeFrame(encodeFrame(dataFrame(sent)))).toEqual({ kind: 'data', ack: 3, first: 9, payloads: sent })
+    }), { seed: 3, numRuns: 500 })
+  })
+
+  it('raises only its own error on random bytes, and on whole frames that are cut or changed', () => {
+    fc.assert(fc.property(fc.uint8Array({ maxLength: 100 }), mayFail), { seed: 4, numRuns: 5000 })
+    fc.assert(fc.property(fc.array(messages, { maxLength: 3 }), fc.nat(), fc.nat(255), (sent, place, value) => {
+      const bytes = Uint8Array.from(encodeFrame(dataFrame(sent)))
+      const at = place % bytes.length
+      mayFail(bytes.subarray(0, at))
+      bytes[at] = value
+      mayFail(bytes)
+    }), { seed: 5, numRuns: 3000 })
+  })
+
+  it('refuses what is not plain: maps, extensions, deep nesting, lengths beyond the end', () => {
+    const foreign = new Packr({ moreTypes: true, useRecords: true })
+    const deep = Array.from({ length: 10 }).reduce<unknown>(inner => [inner], 1)
+    for (const value of [{ a: 1 }, new Map([[1, 2]]), new Set([1]), /x/, new Date(0), new Error('x'), deep, 2n ** 40n]) {
+      expect(() => unpackAll(foreign.pack(value))).toThrow(MalformedFrameError)
+    }
+    for (const bytes of [[0xdd, 0xff, 0xff, 0xff, 0xff], [0xc6, 0xff, 0xff, 0xff, 0xff, 1], [0xdb, 0x7f, 0xff, 0xff, 0xff], []]) {
+      expect(() => unpackAll(Uint8Array.from(bytes))).toThrow(MalformedFrameError)
+    }
+  })
+
+  it('names every wrong field of a message, and unknown kinds', () => {
+    const read = (...values: unknown[]) => () => readMessage(unpackAll(pack(values))[0])
+    expect(read(1, -1, 2, 'small')).toThrow(MalformedFrameError, 'malformed frame: pull.pull is not a whole number; pull.service is not a text')
+    expect(read(0, 'scribe', [['small', 1, 2, 'x']])).toThrow(MalformedFrameError, 'malformed frame: backlog.entries.0.headCost is not a finite number')
+    expect(read(99)).toThrow(MalformedFrameError, 'malformed frame: unknown message kind')
+    expect(read('pull')).toThrow(MalformedFrameError)
+  })
+
+  it('skips fields of a newer version', () => {
+    expect(readMessage([2, 7, 'a field to come'])).toEqual({ kind: 'pull-empty', pull: 7 })
+  })
+})
--- /dev/null
+++ b/packages/wire/src/handshake/handshake.spec.ts
@@ -0,0 +1,83 @@
+/** The handshake without sockets. */
+import { randomBytes } from 'node:crypto'
+import { describe, it } from 'node:test'
+import { asId, newId } from '@fuchsiaworks/kernel'
+import { expect } from 'earl'
+import fc from 'fast-check'
+import { MalformedFrameError } from '../codec/packer.js'
+import type { Identity } from '../session/sessionTypes.js'
+import { DialerHandshake, HandshakeError, ListenerHandshake } from './handshake.js'
+import type { HandshakeContext, HandshakeStep, Offer } from './handshakeTypes.js'
+
+const identity = (host: string): Identity => ({ host: asId(host), incarnation: newId(), role: 'router', zone: asId('zone-a') })
+const context = (host: string, linkKey = 'key', binding = ''): HandshakeContext =>
+  ({ identity: identity(host), linkKey, binding: Buffer.from(binding), randomBytes })
+const dialer = (own: HandshakeContext): DialerHandshake => {
+  const offer: Offer = { identity: own.identity, started: 1, dialer: 'd', session: 1, attempt: 1 }
+  return new DialerHandshake(own, offer, () => 7)
+}
+const listener = (own: HandshakeContext): ListenerHandshake => new ListenerHandshake(own, () => ({ outcome: 'new', received: 5 }))
+
+const reply = (step: HandshakeStep<unknown>): Uint8Array => step.reply ?? new Uint8Array(0)
+
+/** Runs the five messages; `meddle` changes the message of a number on its way. */
+const run = (one: DialerHandshake, two: ListenerHandshake, meddle = (_number: number, data: Uint8Array): Uint8Array => data) => {
+  const challenge = reply(two.receive(meddle(0, one.start())))
+  const proof = reply(one.receive(meddle(1, challenge)))
+  const welcome = reply(two.receive(meddle(2, proof)))
+  const atDialer = one.receive(meddle(3, welcome))
+  return { atDialer: atDialer.result, atListener: two.receive(meddle(4, reply(atDialer))).result }
+}
+
+describe('handshake', () => {
+  it('tells each end who the other is and what it has received', () => {
+    const [one, two] = [context('one'), context('two')]
+    const { atDialer, atListener } = run(dialer(one), listener(two))
+    expect(atDialer?.answer).toEqual({ identity: two.identity, outcome: 'new', received: 5 })
+    expect([atListener?.offer.identity, atListener?.received]).toEqual([one.identity, 7])
+  })
+
+  it('tells a stranger nothing but a nonce', () => {
+    const own = context('two')
+    const challenge = reply(listener(own).receive(dialer(context('one')).start()))
+    expect(Buffer.from(challenge).includes('two')).toEqual(false)
+    expect(() => run(dialer(context('one', 'other key')), listener(own))).toThrow(HandshakeError, 'the dialer has another link key')
+  })
+
+  it('fails when the ends have different TLS connections', () => {
+    expect(() => run(dialer(context('one', 'key', 'a')), listener(context('two', 'key', 'b')))).toThrow(HandshakeError)
+  })
+
+  it('does not take a proof that is sent back to the end that made it', () => {
+    const own = context('one')
+    const victim = dialer(own)
+    const helper = listener(own)
+    const proof = reply(victim.receive(reply(helper.receive(victim.start()))))
+    expect(() => helper.receive(proof)).toThrow(HandshakeError, 'dialed itself')
+    expect(() => victim.receive(proof)).toThrow(Error)
+  })
+
+  it('fails when any bit of any message is changed', () => {
+    const property = fc.property(fc.integer({ min: 0, max: 4 }), fc.nat(), fc.integer({ min: 0, max: 7 }), (message, place, bit) => {
+      const meddle = (number: number, data: Uint8Array): Uint8Array => {
+        const copy = Uint8Array.from(data)
+        const at = place % copy.length
+        if (number === message) copy[at] = (copy[at] ?? 0) ^ (1 << bit)
+        return copy
+      }
+      expect(() => run(dialer(context('one')), listener(context('two')), meddle)).toThrow(Error)
+    })
+    fc.assert(property, { seed: 1, numRuns: 500 })
+  })
+
+  it('raises only its own errors on random bytes', () => {
+    fc.assert(fc.property(fc.array(fc.uint8Array({ maxLength: 200 }), { maxLength: 3 }), messages => {
+      const end = listener(context('two'))
+      try {
+        for (const message of messages) end.receive(message)
+      } catch (err) {
+        expect(err instanceof MalformedFrameError || err instanceof HandshakeError).toEqual(true)
+      }
+    }), { seed: 2, numRuns: 500 })
+  })
+})
--- a/packages/wire/src/handshake/handshakeCodec.ts
+++ b/packages/wire/src/handshake/handshakeCodec.ts
@@ -1,5 +1,5 @@
 /** Messages of the handshake to bytes and back. Each is one array of plain values. */
-import { bytes, type Field, type FieldFinding, type Fields, oneOf, readFields, record, whole, writeFields } from '../codec/fields.js'
+import { amount, bytes, type Field, type FieldFinding, type Fields, oneOf, readFields, record, whole, writeFields } from '../codec/fields.js'
 import { MalformedFrameError, pack, unpackAll } from '../codec/packer.js'
 import type { Identity } from '../session/sessionTypes.js'
 import type { Answer, Offer } from './handshakeTypes.js'
@@ -70,7 +70,7 @@
 }
 
 /** Field of an offer, as it is sent and proved. */
-export const offerField = record<Offer>({ identity, dialer: name(), session: whole, attempt: whole })
+export const offerField = record<Offer>({ identity, started: amount, dialer: name(), session: whole, attempt: whole })
 
 /** Field of an answer, as it is sent and proved. */
 export const answerField = record<Answer>({
--- a/packages/wire/src/handshake/handshakeTypes.ts
+++ b/packages/wire/src/handshake/handshakeTypes.ts
@@ -1,9 +1,12 @@
 /** Messages and results of the handshake that opens a connection. */
+import type { Millis } from '@fuchsiaworks/kernel'
 import type { Identity } from '../session/sessionTypes.js'
 
 /** The session that a dialing end asks for. */
 export interface Offer {
   readonly identity: Identity
+  /** Wall-clock time at which the process started; of two processes of one host the later one counts. */
+  readonly started: Millis
   /** Random name of the dialer within its process. */
   readonly dialer: string
   /** Attempt of the dialer that opened the session. */
@@ -13,8 +16,8 @@
 }
 
 /**
- * What the listening end makes of an offer: `gone` when the session has ended there, `superseded` when the host runs a
- * newer incarnation.
+ * What the listening end makes of an offer: `gone` when the session has ended there, `superseded` while a
+ * process of the same host that started later has a session.
  */
 export type Outcome = 'new' | 'resumed' | 'gone' | 'superseded'
 
--- a/packages/wire/src/link/dialSessions.ts
+++ b/packages/wire/src/link/dialSessions.ts
@@ -60,7 +60,11 @@
     this.#connection = connection
     const session = this.#session
     const offer: Offer = {
-      identity, dialer: this.#name, session: session === undefined ? this.#attempt : this.#sessionNumber, attempt: this.#attempt
+      identity,
+      started: performance.timeOrigin,
+      dialer: this.#name,
+      session: session === undefined ? this.#attempt : this.#sessionNumber,
+      attempt: this.#attempt
     }
     const limit = clock.after(Math.min(silence, HANDSHAKE_MS), () => { connection.terminate('the handshake took too long') })
     connection.socket.once('upgrade', res => {
--- a/packages/wire/src/link/listenSessions.ts
+++ b/packages/wire/src/link/listenSessions.ts
@@ -99,7 +99,7 @@
   #open (offer: Offer): LinkSession {
     const { clock, heartbeat, silence, expiry, bufferLimit = BUFFER_LIMIT_BYTES } = this.options
     const limits = { side: 'listener', heartbeat, silence, expiry, bufferLimit } as const
-    const session: LinkSession = new LinkSession(offer.identity, clock, limits, () => { this.#table.remove(session) })
+    const session: LinkSession = new LinkSession(offer.identity, clock, limits, () => { this.#table.remove(offer) })
     this.#sessions.emit(session)
     return session
   }
--- a/packages/wire/src/link/sessionTable.ts
+++ b/packages/wire/src/link/sessionTable.ts
@@ -1,10 +1,7 @@
 /** The sessions of a listening end, and what becomes of an offer. Knows no sockets. */
-import type { Incarnation } from '@fuchsiaworks/kernel'
+import { getOrMake } from '@fuchsiaworks/kernel'
 import type { Offer, Outcome } from '../handshake/handshakeTypes.js'
-import type { Identity, SessionEnd } from '../session/sessionTypes.js'
-
-/** Processes whose last incarnation is remembered, and superseded incarnations that are refused. */
-const MAX_REMEMBERED = 16_384
+import type { SessionEnd } from '../session/sessionTypes.js'
 
 /** What the table needs of a session. */
 export interface TableSession {
@@ -14,25 +11,19 @@
 }
 
 interface Entry<S> {
-  readonly peer: Identity
-  readonly number: number
+  readonly offer: Offer
   readonly session: S
+  /** Last attempt of the dialer that was accepted. */
   attempt: number
 }
 
 const keyOf = (offer: Offer): string => `${offer.identity.incarnation} ${offer.dialer}`
-const processOf = (peer: Identity): string => `${peer.role} ${peer.host}`
-
-const dropOldest = <K>(remembered: Set<K> | Map<K, unknown>): void => {
-  const [oldest] = remembered.keys()
-  if (remembered.size > MAX_REMEMBERED && oldest !== undefined) remembered.delete(oldest)
-}
+const processOf = ({ identity }: Offer): string => `${identity.role} ${identity.host}`
 
-/** Sessions by the peer's incarnation and dialer. */
+/** Sessions by the peer's incarnation and dialer. Of one process, only one incarnation has sessions. */
 export class SessionTable<S extends TableSession> {
   readonly #entries = new Map<string, Entry<S>>()
-  readonly #incarnations = new Map<string, Incarnation>()
-  readonly #superseded = new Set<Incarnation>()
+  readonly #byProcess = new Map<string, Set<Entry<S>>>()
 
   /** The sessions that have not ended. */
   get sessions (): S[] {
@@ -46,11 +37,12 @@
    * @returns the outcome, with the session when it is resumed
    */
   judge (offer: Offer): { readonly outcome: Outcome, readonly session?: S } {
-    if (this.#superseded.has(offer.identity.incarnation)) return { outcome: 'superseded' }
-    const entry = this.#live(offer)
+    for (const entry of this.#entriesOf(offer)) entry.session.checkExpiry()
+    if (this.#isSuperseded(offer)) return { outcome: 'superseded' }
+    const entry = this.#entries.get(keyOf(offer))
     if (entry !== undefined && offer.attempt <= entry.attempt) return { outcome: 'gone' }
     if (offer.session === offer.attempt) return { outcome: 'new' }
-    if (entry === undefined || entry.number !== offer.session) return { outcome: 'gone' }
+    if (entry === undefined || entry.offer.session !== offer.session) return { outcome: 'gone' }
     return { outcome: 'resumed', session: entry.session }
   }
 
@@ -64,45 +56,49 @@
   accept (offer: Offer, make: () => S): S | undefined {
     const { outcome, session } = this.judge(offer)
     if (outcome === 'gone' || outcome === 'superseded') return undefined
-    this.#supersede(offer.identity)
     const entry = this.#entries.get(keyOf(offer))
     if (session !== undefined && entry !== undefined) {
       entry.attempt = offer.attempt
       return session
     }
     entry?.session.end('expired')
-    const made = make()
-    this.#entries.set(keyOf(offer), { peer: offer.identity, number: offer.session, session: made, attempt: offer.attempt })
-    return made
+    for (const other of this.#entriesOf(offer)) {
+      if (other.offer.identity.incarnation !== offer.identity.incarnation) other.session.end('peer-restarted')
+    }
+    return this.#add(offer, make())
   }
 
   /**
    * Forgets a session that has ended.
    *
-   * @param session - the session
+   * @param offer - the offer that opened it
    */
-  remove (session: S): void {
-    for (const [key, entry] of this.#entries) {
-      if (entry.session === session) this.#entries.delete(key)
-    }
+  remove (offer: Offer): void {
+    const entry = this.#entries.get(keyOf(offer))
+    if (entry?.offer.session !== offer.session) return
+    this.#entries.delete(keyOf(offer))
+    const process = this.#byProcess.get(processOf(offer))
+    process?.delete(entry)
+    if (process?.size === 0) this.#byProcess.delete(processOf(offer))
   }
 
-  #live (offer: Offer): Entry<S> | undefined {
-    this.#entries.get(keyOf(offer))?.session.checkExpiry()
-    return this.#entries.get(keyOf(offer))
+  #add (offer: Offer, session: S): S {
+    const entry = { offer, session, attempt: offer.attempt }
+    this.#entries.set(keyOf(offer), entry)
+    getOrMake(this.#byProcess, processOf(offer), () => new Set()).add(entry)
+    return session
   }
 
-  #supersede (peer: Identity): void {
-    const process = processOf(peer)
-    const before = this.#incarnations.get(process)
-    this.#incarnations.delete(process)
-    this.#incarnations.set(process, peer.incarnation)
-    dropOldest(this.#incarnations)
-    if (before === undefined || before === peer.incarnation) return
-    this.#superseded.add(before)
-    dropOldest(this.#superseded)
-    for (const { peer: other, session } of [...this.#entries.values()]) {
-      if (other.incarnation === before) session.end('peer-restarted')
-    }
+  #entriesOf (offer: Offer): Array<Entry<S>> {
+    return [...this.#byProcess.get(processOf(offer)) ?? []]
+  }
+
+  /**
+   * True while a process of the same host that started later has a session. When that session has ended the offer is good
+   * again, so a clock that was set back can't shut a host out for longer than the expiry.
+   */
+  #isSuperseded (offer: Offer): boolean {
+    return this.#entriesOf(offer).some(({ offer: { identity, started } }) =>
+      identity.incarnation !== offer.identity.incarnation && started > offer.started)
   }
 }
