Join the exchange of totals and the quarantine to the processes

Cause: agents ordered workspaces by their own service only, and crashing requests were not kept apart. Change: counters service on the exchange policy, with calls for links to routers that have work; quarantine service in routers; a gate in agents that runs a suspect alone; crashes carry a name, so that all requests cut off by one end count once.

--- a/packages/agent/src/keys/keyService.ts
+++ b/packages/agent/src/keys/keyService.ts
@@ -43,7 +43,7 @@
       answerBytes: KEPT_ANSWER_BYTES,
       storeBytes: STORE_BYTES,
       maxWaiters: MAX_WAITERS
-    }, context.hash, { now: context.clock.now(), wall: context.clock.wall() })
+    }, context.hash)
     onEvent(configuration.changes, log, force => { this.#configure(force) })
   }
 
--- a/packages/agent/src/process/agentServices.ts
+++ b/packages/agent/src/process/agentServices.ts
@@ -8,6 +8,7 @@
 import { KeyService, keyServiceKey } from '../keys/keyService.js'
 import { LimitService, limitKey } from '../limits/limitService.js'
 import { StateTeller, stateTellerKey } from '../links/stateTeller.js'
+import { AloneGate, aloneGateKey } from '../work/aloneGate.js'
 import { Handovers, handoversKey } from '../work/handovers.js'
 import { KeyedAnswers, keyedAnswersKey } from '../work/keyedAnswers.js'
 import { Runner, runnerKey } from '../work/runner.js'
@@ -35,7 +36,13 @@
     needs: [configurationKey.id],
     create: kernel => new KeyService(context, kernel.get(configurationKey), settings)
   },
-  { id: fairnessKey.id, needs: [configurationKey.id], create: kernel => new FairnessService(context, kernel.get(configurationKey)) },
+  {
+    id: fairnessKey.id,
+    needs: [membershipKey.id],
+    create: kernel => new FairnessService(
+      context, { hub: kernel.get(linkHubKey), membership: kernel.get(membershipKey) }, kernel.get(configurationKey)
+    )
+  },
   { id: runTableKey.id, needs: [], create: () => new RunTable() },
   { id: keyedAnswersKey.id, needs: [keyServiceKey.id], create: kernel => new KeyedAnswers(kernel.get(keyServiceKey)) },
   {
@@ -46,7 +53,9 @@
   {
     id: slotsKey.id,
     needs: [membershipKey.id, fairnessKey.id],
-    create: kernel => new Slots(context, kernel.get(linkHubKey), kernel.get(fairnessKey), kernel.get(limitKey), kernel.get(membershipKey))
+    create: kernel => new Slots(
+      context, kernel.get(linkHubKey), kernel.get(fairnessKey), kernel.get(limitKey), kernel.get(membershipKey), kernel.get(configurationKey)
+    )
   },
   {
     id: runnerKey.id,
@@ -56,12 +65,13 @@
       kernel.get(runTableKey), kernel.get(keyedAnswersKey), settings
     )
   },
+  { id: aloneGateKey.id, needs: [slotsKey.id, runTableKey.id], create: kernel => new AloneGate(kernel.get(runTableKey), kernel.get(slotsKey)) },
   {
     id: handoversKey.id,
-    needs: [runnerKey.id],
+    needs: [runnerKey.id, aloneGateKey.id],
     create: kernel => new Handovers(
       context, kernel.get(linkHubKey), kernel.get(membershipKey), kernel.get(limitKey), kernel.get(slotsKey), kernel.get(keyServiceKey),
-      kernel.get(keyedAnswersKey), kernel.get(runnerKey)
+      kernel.get(keyedAnswersKey), kernel.get(runnerKey), kernel.get(aloneGateKey)
     )
   },
   {
--- a/packages/agent/src/work/handovers.ts
+++ b/packages/agent/src/work/handovers.ts
@@ -1,10 +1,11 @@
 /** Takes handed-over requests: checks that they may still start, looks up their keys, and starts or declines them. */
 import { assertNever, createLog, onEvent, type RequestId, type ServiceKey, serviceKey } from '@fuchsiaworks/kernel'
 import type { FleetLink, LinkHub, MembershipService, ProcessContext } from '@fuchsiaworks/fleet'
-import type { KeysCommand } from '@fuchsiaworks/policy'
+import type { KeyName, KeysCommand } from '@fuchsiaworks/policy'
 import type { DeclinedMessage, HandoverMessage } from '@fuchsiaworks/wire'
 import type { KeyService } from '../keys/keyService.js'
 import type { LimitService } from '../limits/limitService.js'
+import type { AloneGate } from './aloneGate.js'
 import { type KeyedAnswers, keyNameOf } from './keyedAnswers.js'
 import { answerNotKept, keyConflict, keyRefusals, sendAnswer, sendReplyProblem } from './replies.js'
 import type { Runner } from './runner.js'
@@ -30,9 +31,11 @@
     readonly slots: Slots,
     readonly keys: KeyService,
     keyed: KeyedAnswers,
-    readonly runner: Runner
+    readonly runner: Runner,
+    readonly gate: AloneGate
   ) {
     hub.table.on('handover', (link, message) => { this.#onHandover(link, message) })
+    hub.table.on('cancel', (link, message) => { this.#onCancel(link, message.request) })
     keyed.onCommand(command => { this.#runKey(command) })
     onEvent(hub.closed, log, ({ link }) => { this.#dropLink(link) })
   }
@@ -50,7 +53,7 @@
     if (name === undefined) return this.#start(request)
     const { clock } = this.context
     const event = { kind: 'key-presented', ...name, request, fingerprint: handover.fingerprint, now: clock.now(), wall: clock.wall() } as const
-    for (const command of this.keys.decide(event)) this.#runKey(command)
+    this.#runKeys(this.keys.decide(event))
   }
 
   #refusalOf (handover: HandoverMessage): DeclinedMessage['reason'] | undefined {
@@ -85,8 +88,10 @@
     const held = this.#held.get(request)
     const service = held === undefined ? undefined : this.runner.serviceOf(held.handover)
     if (held === undefined || service === undefined) return
-    this.#held.delete(request)
-    this.runner.run(held.link, held.handover, service)
+    this.gate.enter(request, held.handover.alone, () => {
+      this.#held.delete(request)
+      this.runner.run(held.link, held.handover, service)
+    })
   }
 
   #finish (held: Held, answer: () => void): void {
@@ -101,15 +106,38 @@
     link.send({ kind: 'declined', request, reason })
   }
 
+  #onCancel (link: FleetLink, request: RequestId): void {
+    const held = this.#held.get(request)
+    if (held?.link === link) this.#drop(held)
+    else this.runner.cancel(link, request)
+  }
+
   #dropLink (link: FleetLink): void {
-    for (const [request, held] of this.#held) {
-      if (held.link !== link) continue
-      const name = keyNameOf(held.handover)
-      if (name !== undefined) this.keys.decide({ kind: 'waiter-gone', ...name, request })
-      this.#held.delete(request)
-      this.slots.release(request)
+    for (const held of this.#held.values()) {
+      if (held.link === link) this.#drop(held)
     }
   }
+
+  /** Forgets a request that has not started. */
+  #drop ({ handover }: Held): void {
+    const { request } = handover
+    const name = keyNameOf(handover)
+    this.#held.delete(request)
+    if (name !== undefined) this.#dropKey(name, request)
+    this.gate.leave(request)
+    this.slots.release(request)
+  }
+
+  /** The first run of a key that never started has not run; what waits for it may go on. */
+  #dropKey (name: KeyName, request: RequestId): void {
+    const now = this.context.clock.now()
+    if (!this.gate.isWaiting(request)) return this.#runKeys(this.keys.decide({ kind: 'waiter-gone', ...name, request }))
+    this.#runKeys(this.keys.decide({ kind: 'run-failed', ...name, now, outcome: 'not-run' }))
+  }
+
+  #runKeys (commands: readonly KeysCommand[]): void {
+    for (const command of commands) this.#runKey(command)
+  }
 }
 
 /** Key of the handovers. */
--- a/packages/agent/src/work/runTable.ts
+++ b/packages/agent/src/work/runTable.ts
@@ -1,12 +1,14 @@
 /** The requests that run at the upstream. */
-import type { RequestId, ServiceKey } from '@fuchsiaworks/kernel'
-import { serviceKey } from '@fuchsiaworks/kernel'
+import { EventSource, type RequestId, type ServiceKey, serviceKey } from '@fuchsiaworks/kernel'
 import type { FleetLink } from '@fuchsiaworks/fleet'
 import type { Run } from './run.js'
 
 /** Runs by request. */
 export class RunTable {
   readonly #runs = new Map<RequestId, Run>()
+  readonly #removals = new EventSource<RequestId>()
+  /** Requests that run no longer. */
+  readonly removals = this.#removals.stream
   #idle: (() => void) | undefined
 
   get size (): number {
@@ -42,6 +44,7 @@
     const { request } = run.handover
     if (this.#runs.get(request) !== run) return false
     this.#runs.delete(request)
+    this.#removals.emit(request)
     if (this.#runs.size === 0) this.#idle?.()
     return true
   }
--- a/packages/agent/src/work/runner.ts
+++ b/packages/agent/src/work/runner.ts
@@ -1,11 +1,12 @@
 /** Runs requests at the upstream and reports what they show to the policies and to their routers. */
-import { createLog, type Millis, onEvent, type RequestEvent, type Service, type ServiceKey, serviceKey, type Timer, toError } from '@fuchsiaworks/kernel'
+import { createLog, type Millis, onEvent, type RequestEvent, type RequestId, type Service, type ServiceKey, serviceKey, type Timer, toError } from '@fuchsiaworks/kernel'
 import type { ConfigurationService, FairnessService, FleetLink, LinkHub, ProcessContext } from '@fuchsiaworks/fleet'
 import type { AgentSettings, ServiceConfig } from '@fuchsiaworks/settings'
 import type { HandoverMessage, HeaderList, Outcome } from '@fuchsiaworks/wire'
 import type { LimitService } from '../limits/limitService.js'
 import { probeUpstream } from '../upstream/probe.js'
 import { UpstreamClient } from '../upstream/upstreamClient.js'
+import { CrashRecord } from './crashRecord.js'
 import type { KeyedAnswers } from './keyedAnswers.js'
 import { Run, type RunEvents } from './run.js'
 import type { RunTable } from './runTable.js'
@@ -23,6 +24,7 @@
 export class Runner implements Service {
   readonly #client: UpstreamClient
   readonly #settings: AgentSettings
+  readonly #crashes: CrashRecord
   #timer: Timer | undefined
 
   constructor (
@@ -37,12 +39,12 @@
     settings: AgentSettings
   ) {
     this.#settings = settings
+    this.#crashes = new CrashRecord(context.identity.incarnation)
     this.#client = new UpstreamClient(settings.upstreamUrl)
     hub.table.on('request-body', (link, message) => { table.heldFor(message.request, link)?.addBody(message.data, message.ended) })
     hub.table.on('credit', (link, message) => {
       if (message.direction === 'response') table.heldFor(message.request, link)?.addCredit(message.bytes)
     })
-    hub.table.on('cancel', (link, message) => { this.#onCancel(link, message.request) })
     onEvent(hub.closed, log, ({ link }) => { this.#onRouterGone(link) })
   }
 
@@ -137,16 +139,17 @@
   }
 
   #onFailed (run: Run, err: Error, sent: boolean): void {
+    const running = this.table.size
     if (!this.table.remove(run)) return
     const now = this.#now()
     const { request } = run.handover
     this.fairness.decide({ kind: 'work-ended', request, cost: sent ? run.meter.soFar(now) : 0, now })
     this.#record('request-ended', run, `failed: ${err.message}`)
-    this.#judge(run, err, sent).catch(failure => { log.error('a failed run could not be judged', { reason: toError(failure).message }) })
+    this.#judge(run, err, sent, running).catch(failure => { log.error('a failed run could not be judged', { reason: toError(failure).message }) })
   }
 
   /** Finds out why a run failed, tells the router, and frees the slot. */
-  async #judge (run: Run, err: Error, sent: boolean): Promise<void> {
+  async #judge (run: Run, err: Error, sent: boolean, running: number): Promise<void> {
     const { request } = run.handover
     const timedOut = 'code' in err && err.code === 'UND_ERR_HEADERS_TIMEOUT'
     const lives = run.abandoned || timedOut || (sent && await probeUpstream(this.#settings.upstreamUrl))
@@ -154,12 +157,19 @@
     if (run.abandoned) this.limits.decide({ kind: 'ended', now, request, ok: false, duration: now - run.startedAt })
     else this.limits.decide({ kind: 'failed', now, request, reason: failureOf(sent, lives, timedOut) })
     const outcome: Outcome = sent ? 'unknown' : 'not-run'
-    if (!run.abandoned) run.link.send({ kind: 'response-failed', request, outcome, crashed: sent && !lives, reason: err.message })
+    const crash = sent && !lives ? { crash: this.#crashes.note(running, now) } : {}
+    if (!run.abandoned) run.link.send({ kind: 'response-failed', request, outcome, reason: err.message, ...crash })
     this.keyed.failed(run, outcome)
     this.slots.release(request)
   }
 
-  #onCancel (link: FleetLink, request: HandoverMessage['request']): void {
+  /**
+   * Gives up a request that runs, because nobody waits for its answer.
+   *
+   * @param link - the router that handed it over
+   * @param request - the request
+   */
+  cancel (link: FleetLink, request: RequestId): void {
     const run = this.table.heldFor(request, link)
     if (run !== undefined) this.#giveUp(run, 'the caller went away')
   }
--- a/packages/agent/src/work/slots.ts
+++ b/packages/agent/src/work/slots.ts
@@ -1,8 +1,13 @@
 /** Fills the slots of the upstream by pulling requests from routers, least served workspace first. */
-import { createLog, type Millis, onEvent, type RequestId, type Service, type ServiceKey, serviceKey, type Timer, type WorkspaceId } from '@fuchsiaworks/kernel'
-import type { FairnessService, FleetLink, LinkHub, MembershipService, ProcessContext } from '@fuchsiaworks/fleet'
+import {
+  createLog, type Millis, onEvent, type RequestId, type Service, type ServiceId, type ServiceKey, serviceKey,
+  type Timer, type UpstreamId, type WorkspaceId
+} from '@fuchsiaworks/kernel'
+import {
+  type ConfigurationService, type FairnessService, type FleetLink, type LinkHub, listedUpstreams, type MembershipService, type ProcessContext
+} from '@fuchsiaworks/fleet'
 import { type DispatchDb, dispatchDefinition, type DispatchEvent, SLOW_ROUTER_MS } from '@fuchsiaworks/policy'
-import { defaultFleetConfig } from '@fuchsiaworks/settings'
+import { type AgentSettings, defaultFleetConfig, type FleetConfig } from '@fuchsiaworks/settings'
 import type { BacklogMessage } from '@fuchsiaworks/wire'
 import type { LimitService } from '../limits/limitService.js'
 
@@ -17,16 +22,22 @@
 /** The slots of one upstream. */
 export class Slots implements Service {
   readonly #db: DispatchDb
+  readonly #upstream: UpstreamId
+  #offer: { readonly service: ServiceId | undefined, readonly upstreams: number } = { service: undefined, upstreams: 0 }
   #timer: Timer | undefined
   #pulls = 0
+  #held = false
 
   constructor (
     readonly context: ProcessContext,
     readonly hub: LinkHub,
     readonly fairness: FairnessService,
     readonly limits: LimitService,
-    readonly membership: MembershipService
+    readonly membership: MembershipService,
+    configuration: ConfigurationService
   ) {
+    this.#upstream = (context.settings as AgentSettings).upstream
+    onEvent(configuration.changes, log, ({ config }) => { this.#configure(config) })
     this.#db = dispatchDefinition.createDb({
       pullTtl: defaultFleetConfig.links.pullTtlMs,
       slowAfter: SLOW_ROUTER_MS,
@@ -55,7 +66,7 @@
   }
 
   start (): void {
-    this.#timer = this.context.clock.every(TICK_MS, () => { this.#decide({ kind: 'tick', now: this.#now() }) })
+    this.#timer = this.context.clock.every(TICK_MS, () => { this.#tick() })
   }
 
   close (): void {
@@ -77,6 +88,17 @@
     return fresh
   }
 
+  /**
+   * Stops or allows pulling, whatever the limit.
+   *
+   * @param held - true while nothing more may be pulled
+   */
+  hold (held: boolean): void {
+    if (held === this.#held) return
+    this.#held = held
+    this.#updateLimit()
+  }
+
   /**
    * Frees the slot of a request.
    *
@@ -86,12 +108,27 @@
     this.#decide({ kind: 'request-ended', request, now: this.#now() })
   }
 
+  #tick (): void {
+    const now = this.#now()
+    this.#decide({ kind: 'tick', now })
+    const { service, upstreams } = this.#offer
+    if (service === undefined) return
+    const linked = new Set(this.hub.withRole('router').map(link => link.peer.host))
+    this.fairness.exchange({ kind: 'slots', service, free: this.#db.free, upstreams, linked, now })
+  }
+
+  #configure (config: FleetConfig): void {
+    const service = config.upstreams[this.#upstream]?.service
+    this.#offer = { service, upstreams: service === undefined ? 0 : listedUpstreams(config, service).length }
+  }
+
   #now (): Millis {
     return this.context.clock.now()
   }
 
   #updateLimit (): void {
-    const limit = this.membership.state === 'open' ? this.limits.capacity.limit : 0
+    const open = this.membership.state === 'open' && !this.#held
+    const limit = open ? this.limits.capacity.limit : 0
     this.#decide({ kind: 'slots-changed', limit, now: this.#now() })
   }
 
--- a/packages/fleet/src/fairness/fairnessService.ts
+++ b/packages/fleet/src/fairness/fairnessService.ts
@@ -1,27 +1,49 @@
-/** Totals of service by workspace, as this process knows them. */
-import { createLog, type Millis, onEvent, type Service, type ServiceKey, serviceKey, type Timer, type WorkspaceId } from '@fuchsiaworks/kernel'
-import { type FairnessDb, fairnessDefinition, type FairnessEvent } from '@fuchsiaworks/policy'
+/** Totals of service by workspace, as this process knows them and tells them to its peers. */
+import {
+  createLog, type HostId, type Millis, onEvent, type Service, type ServiceId, type ServiceKey, serviceKey, type Timer, type WorkspaceId
+} from '@fuchsiaworks/kernel'
+import {
+  type ExchangeCommand, type ExchangeDb, exchangeDefinition, type ExchangeEvent, type FairnessDb, fairnessDefinition, type FairnessEvent
+} from '@fuchsiaworks/policy'
 import type { FleetConfig } from '@fuchsiaworks/settings'
 import type { ConfigurationService } from '../configuration/configurationService.js'
 import type { ProcessContext } from '../context/processContext.js'
+import type { FleetLink } from '../links/fleetLink.js'
+import type { LinkHub } from '../links/linkHub.js'
+import type { MembershipService } from '../membership/membershipService.js'
 
-/** Milliseconds between two ticks of the policy. */
-const TICK_MS = 250
+/** Milliseconds between two ticks of the policies. */
+const TICK_MS = 50
+
+/** Values of a 32-bit number. */
+const UINT32_RANGE = 2 ** 32
+
+/** What the exchange asks of the links. */
+export interface CounterLinks {
+  readonly hub: LinkHub
+  readonly membership: MembershipService
+}
 
 const log = createLog('fairness')
 
-/** Joins the fairness policy to time and configuration. */
+/** Joins the policies of fair service and of the exchange to time, configuration and links. */
 export class FairnessService implements Service {
   readonly db: FairnessDb
+  readonly #exchange: ExchangeDb
   #timer: Timer | undefined
 
-  constructor (readonly context: ProcessContext, configuration: ConfigurationService) {
+  constructor (readonly context: ProcessContext, readonly links: CounterLinks, configuration: ConfigurationService) {
     this.db = fairnessDefinition.createDb(context.identity.incarnation, context.clock.now())
+    this.#exchange = exchangeDefinition.createDb(context.identity.host, Math.floor(context.random() * UINT32_RANGE))
+    const { hub } = links
+    hub.table.on('counters', (link, counters) => { this.exchange({ kind: 'counters-received', link: link.id, counters, now: this.now() }) })
+    onEvent(hub.opened, log, link => { this.#joinRouter(link) })
+    onEvent(hub.closed, log, ({ link }) => { this.exchange({ kind: 'peer-gone', link: link.id, now: this.now() }) })
     onEvent(configuration.changes, log, ({ config }) => { this.decide({ kind: 'weights-changed', weights: weightsOf(config) }) })
   }
 
   start (): void {
-    this.#timer = this.context.clock.every(TICK_MS, () => { this.decide({ kind: 'tick', now: this.now() }) })
+    this.#timer = this.context.clock.every(TICK_MS, () => { this.exchange({ kind: 'tick', now: this.now() }) })
   }
 
   close (): void {
@@ -34,7 +56,7 @@
   }
 
   /**
-   * Tells the policy of an event.
+   * Tells the policy of fair service of an event.
    *
    * @param event - what happened
    */
@@ -43,6 +65,46 @@
       log.debug('credit was forfeited', { reason, service, workspace, amount })
     }
   }
+
+  /**
+   * Tells the policy of the exchange of an event.
+   *
+   * @param event - what happened
+   */
+  exchange (event: ExchangeEvent): void {
+    for (const command of exchangeDefinition.decide(this.#exchange, this.db, event)) this.#run(command)
+  }
+
+  /**
+   * Takes a linked agent among the peers, once its service is known.
+   *
+   * @param link - link to the agent
+   * @param service - service of its upstream
+   */
+  joinAgent ({ id, peer }: FleetLink, service: ServiceId): void {
+    const services = new Set([service])
+    this.exchange({ kind: 'peer-joined', link: id, relation: 'leaf', incarnation: peer.incarnation, services, now: this.now() })
+  }
+
+  #joinRouter ({ id, peer }: FleetLink): void {
+    if (peer.role !== 'router') return
+    const relation = this.context.identity.role === 'router' ? 'router' : 'hub'
+    this.exchange({ kind: 'peer-joined', link: id, relation, incarnation: peer.incarnation, now: this.now() })
+  }
+
+  #run (command: ExchangeCommand): void {
+    switch (command.kind) {
+      case 'tell': return this.links.hub.find(command.link)?.send({ kind: 'counters', ...command.counters })
+      case 'dial': return this.#callFor(command.router)
+      // The membership lets the link go when nobody calls for it any more.
+      case 'release':
+    }
+  }
+
+  #callFor (router: HostId): void {
+    const zone = this.links.membership.hosts.get(router)?.candidate.zone
+    if (zone !== undefined) this.links.membership.callFor(router, zone)
+  }
 }
 
 /**
--- a/packages/fleet/src/membership/membershipService.ts
+++ b/packages/fleet/src/membership/membershipService.ts
@@ -116,6 +116,16 @@
     this.#timers.push(watchPauses(clock, length => { this.#onPause(length) }))
   }
 
+  /**
+   * Asks for a link to a router that has work which nobody takes.
+   *
+   * @param router - host of the router
+   * @param zone - its availability zone
+   */
+  callFor (router: HostId, zone: ZoneId): void {
+    this.#decide({ kind: 'hunger-told', now: this.#now(), router, zone })
+  }
+
   /** Tells the fleet that this process leaves. */
   drain (): void {
     this.#decide({ kind: 'drain', now: this.#now() })
--- a/packages/router/src/callers/callerServer.ts
+++ b/packages/router/src/callers/callerServer.ts
@@ -160,7 +160,8 @@
       accepted: false,
       mayHaveRun: false,
       attempts: 0,
-      isolate: false
+      upstream: undefined,
+      alone: false
     }
     return request
   }
--- a/packages/router/src/links/agentStates.ts
+++ b/packages/router/src/links/agentStates.ts
@@ -1,6 +1,6 @@
 /** What the agents on the other ends of the links said of themselves last. */
 import { createLog, EventSource, onEvent, type ServiceKey, serviceKey } from '@fuchsiaworks/kernel'
-import type { ConfigurationService, FleetLink, LinkHub, MembershipService } from '@fuchsiaworks/fleet'
+import type { ConfigurationService, FairnessService, FleetLink, LinkHub, MembershipService } from '@fuchsiaworks/fleet'
 import { type AgentStateMessage } from '@fuchsiaworks/wire'
 
 const log = createLog('agents')
@@ -12,8 +12,11 @@
   /** States as agents tell them. */
   readonly changes = this.#changes.stream
 
-  constructor (hub: LinkHub, readonly configuration: ConfigurationService, readonly membership: MembershipService) {
+  constructor (
+    hub: LinkHub, readonly configuration: ConfigurationService, readonly membership: MembershipService, fairness: FairnessService
+  ) {
     hub.table.on('agent-state', (link, message) => {
+      if (!this.#states.has(link)) fairness.joinAgent(link, message.service)
       this.#states.set(link, message)
       this.#changes.emit(message)
     })
--- a/packages/router/src/links/backlogTeller.ts
+++ b/packages/router/src/links/backlogTeller.ts
@@ -1,7 +1,7 @@
 /** Tells the agents of a service what waits for them here. Changes of one turn of the loop are told together. */
 import { createLog, onEvent, type ServiceId, type ServiceKey, serviceKey } from '@fuchsiaworks/kernel'
-import type { FleetLink, LinkHub, ProcessContext } from '@fuchsiaworks/fleet'
-import { type AdmissionDb, backlogFor } from '@fuchsiaworks/policy'
+import type { FairnessService, FleetLink, ProcessContext } from '@fuchsiaworks/fleet'
+import { type AdmissionDb, backlogFor, wholeBacklog } from '@fuchsiaworks/policy'
 import type { AgentStates } from './agentStates.js'
 
 const log = createLog('backlog')
@@ -12,8 +12,10 @@
   readonly #toldEmpty = new Map<FleetLink, boolean>()
   #scheduled = false
 
-  constructor (readonly context: ProcessContext, readonly hub: LinkHub, readonly admission: AdmissionDb, readonly states: AgentStates) {
-    onEvent(hub.closed, log, ({ link }) => { this.#toldEmpty.delete(link) })
+  constructor (
+    readonly context: ProcessContext, readonly admission: AdmissionDb, readonly states: AgentStates, readonly fairness: FairnessService
+  ) {
+    onEvent(fairness.links.hub.closed, log, ({ link }) => { this.#toldEmpty.delete(link) })
     onEvent(states.changes, log, ({ service }) => { this.mark(service) })
   }
 
@@ -34,9 +36,15 @@
     for (const [link, state] of this.states.all()) {
       if (this.#changed.has(state.service)) this.#tell(link, state.service)
     }
+    for (const service of this.#changed) this.#tellExchange(service)
     this.#changed.clear()
   }
 
+  #tellExchange (service: ServiceId): void {
+    const now = this.context.clock.now()
+    this.fairness.exchange({ kind: 'own-backlog', service, entries: wholeBacklog(this.admission, service, now), now })
+  }
+
   #tell (link: FleetLink, service: ServiceId): void {
     const state = this.states.of(link)
     if (state === undefined) return
--- a/packages/router/src/process/routerServices.ts
+++ b/packages/router/src/process/routerServices.ts
@@ -1,7 +1,7 @@
 /** The services of a router, as registered with the kernel. */
 import { type ServiceDefinition, type ServiceKey, serviceKey } from '@fuchsiaworks/kernel'
 import {
-  configurationKey, ConfigurationService, contextKey, LinkHub, linkHubKey, membershipKey, MembershipService, type ProcessContext
+  configurationKey, ConfigurationService, contextKey, fairnessKey, FairnessService, LinkHub, linkHubKey, membershipKey, MembershipService, type ProcessContext
 } from '@fuchsiaworks/fleet'
 import { type AdmissionDb, admissionDefinition } from '@fuchsiaworks/policy'
 import type { RouterSettings } from '@fuchsiaworks/settings'
@@ -9,6 +9,7 @@
 import { AgentStates, agentStatesKey } from '../links/agentStates.js'
 import { BacklogTeller, backlogTellerKey } from '../links/backlogTeller.js'
 import { LinkServer, linkServerKey } from '../links/linkServer.js'
+import { quarantineKey, QuarantineService } from '../quarantine/quarantineService.js'
 import { AnswerRelay, answerRelayKey } from '../requests/answerRelay.js'
 import { HomeFinder, homeFinderKey } from '../requests/homeFinder.js'
 import { RequestFlow, requestFlowKey } from '../requests/requestFlow.js'
@@ -41,23 +42,34 @@
     needs: [configurationKey.id],
     create: kernel => new MembershipService(context, kernel.get(linkHubKey), kernel.get(configurationKey), undefined)
   },
+  {
+    id: fairnessKey.id,
+    needs: [membershipKey.id],
+    create: kernel => new FairnessService(
+      context, { hub: kernel.get(linkHubKey), membership: kernel.get(membershipKey) }, kernel.get(configurationKey)
+    )
+  },
   { id: requestTableKey.id, needs: [], create: () => new RequestTable() },
   { id: queueKey.id, needs: [], create: () => ({ db: admissionDefinition.createDb() }) },
   {
     id: agentStatesKey.id,
-    needs: [membershipKey.id],
-    create: kernel => new AgentStates(kernel.get(linkHubKey), kernel.get(configurationKey), kernel.get(membershipKey))
+    needs: [fairnessKey.id],
+    create: kernel => new AgentStates(
+      kernel.get(linkHubKey), kernel.get(configurationKey), kernel.get(membershipKey), kernel.get(fairnessKey)
+    )
   },
   {
     id: backlogTellerKey.id,
     needs: [agentStatesKey.id, queueKey.id],
-    create: kernel => new BacklogTeller(context, kernel.get(linkHubKey), kernel.get(queueKey).db, kernel.get(agentStatesKey))
+    create: kernel => new BacklogTeller(context, kernel.get(queueKey).db, kernel.get(agentStatesKey), kernel.get(fairnessKey))
   },
+  { id: quarantineKey.id, needs: [linkHubKey.id], create: kernel => new QuarantineService(context, kernel.get(linkHubKey)) },
   {
     id: requestFlowKey.id,
-    needs: [backlogTellerKey.id, requestTableKey.id],
+    needs: [backlogTellerKey.id, requestTableKey.id, quarantineKey.id],
     create: kernel => new RequestFlow(
-      context, kernel.get(linkHubKey), kernel.get(requestTableKey), kernel.get(backlogTellerKey), kernel.get(queueKey).db, kernel.get(agentStatesKey)
+      context, kernel.get(linkHubKey), kernel.get(requestTableKey), kernel.get(backlogTellerKey), kernel.get(quarantineKey),
+      kernel.get(queueKey).db, kernel.get(agentStatesKey)
     )
   },
   {
--- a/packages/router/src/requests/openRequest.ts
+++ b/packages/router/src/requests/openRequest.ts
@@ -1,6 +1,6 @@
 /** One caller's request while the router is responsible for it. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import type { Fingerprint, Millis, RequestId, ServiceId, UpstreamId, WorkspaceId } from '@fuchsiaworks/kernel'
+import { FuchsiaError, type Fingerprint, type Millis, type RequestId, type ServiceId, type UpstreamId, type WorkspaceId } from '@fuchsiaworks/kernel'
 import type { FleetLink } from '@fuchsiaworks/fleet'
 import type { WaitingRequest } from '@fuchsiaworks/policy'
 import type { HeaderList } from '@fuchsiaworks/wire'
@@ -38,6 +38,8 @@
   readonly writer: AnswerWriter
   /** The agent that holds it; undefined while it waits here. */
   holder: FleetLink | undefined
+  /** Upstream of the last handover. */
+  upstream: UpstreamId | undefined
   /** Its place in the queue, to which it returns when it is declined. */
   waiting: WaitingRequest | undefined
   /** True once the agent said that it started it. */
@@ -46,6 +48,13 @@
   mayHaveRun: boolean
   /** Times that it was handed over. */
   attempts: number
-  /** True when it must run alone at its upstream. */
-  readonly isolate: boolean
+  /** True when it may have ended an upstream and must run alone. */
+  alone: boolean
+}
+
+/** Something was said of an attempt at a request that was never handed over. */
+export class NotHandedOverError extends FuchsiaError {
+  constructor (request: RequestId) {
+    super('not-handed-over', `request ${request} was never handed over`)
+  }
 }
--- a/packages/router/src/requests/outcomes.ts
+++ b/packages/router/src/requests/outcomes.ts
@@ -7,18 +7,22 @@
 const REFUSALS: Readonly<Record<string, string>> = {
   'queue-full': 'too many requests of the workspace wait for the service',
   'predicted-wait': 'the request would wait longer than the workspace tolerates',
+  quarantined: 'requests like this one ended upstreams and are refused for a while',
   deadline: 'no upstream took the request within the time that the workspace tolerates'
 }
 
+/** Statuses of refusals other than 503. */
+const REFUSAL_STATUS: Readonly<Record<string, number>> = { 'queue-full': 429, quarantined: 422 }
+
 /**
  * Words a refusal of the queue.
  *
  * @param reason - why it was refused
  * @param retryAfter - milliseconds after which a new try can help
- * @returns the problem; 429 when the workspace itself waits too much, else 503
+ * @returns the problem
  */
 export const problemOfRefusal = (reason: string, retryAfter: Millis): Problem =>
-  notRun(reason === 'queue-full' ? 429 : 503, reason, REFUSALS[reason] ?? reason, retryAfter)
+  notRun(REFUSAL_STATUS[reason] ?? 503, reason, REFUSALS[reason] ?? reason, retryAfter)
 
 /**
  * Words the end of a request whose attempt failed.
--- a/packages/router/src/requests/requestFlow.ts
+++ b/packages/router/src/requests/requestFlow.ts
@@ -13,7 +13,8 @@
 import { notRun, type Problem } from '../callers/problem.js'
 import type { AgentStates } from '../links/agentStates.js'
 import type { BacklogTeller } from '../links/backlogTeller.js'
-import type { OpenRequest } from './openRequest.js'
+import type { QuarantineService } from '../quarantine/quarantineService.js'
+import { NotHandedOverError, type OpenRequest } from './openRequest.js'
 import { problemOfAnswer, problemOfRefusal } from './outcomes.js'
 import { Refusals } from './refusals.js'
 import type { RequestTable } from './requestTable.js'
@@ -51,6 +52,7 @@
     readonly hub: LinkHub,
     readonly table: RequestTable,
     readonly backlog: BacklogTeller,
+    readonly quarantine: QuarantineService,
     admission: AdmissionDb,
     states: AgentStates
   ) {
@@ -96,6 +98,9 @@
     const repeatable = idempotent && request.start.ended
     this.#decide({ kind: 'request-opened', now, request: id, workspace, service, idempotent: repeatable, deadline: now + patience })
     request.res.once('close', () => { this.#onCallerClosed(request) })
+    const treatment = this.quarantine.treatmentOf(request.facts)
+    if (treatment.kind === 'refused') return this.#refuse(id, 'quarantined', treatment.remaining)
+    request.alone = treatment.kind === 'alone'
     this.#admit({
       kind: 'request-arrived', request: id, service, workspace, patience, estimate, idempotent, now, ...(home === undefined ? {} : { home })
     })
@@ -117,6 +122,7 @@
    */
   completed (request: OpenRequest): void {
     this.record('request-ended', request)
+    this.quarantine.completed(request.facts)
     this.#forget(request)
     this.context.metrics.count('requests.ended', 1, { outcome: 'answered', service: request.facts.service })
   }
@@ -180,6 +186,7 @@
     if (link === undefined || state === undefined) return this.#admit({ kind: 'requeue', waiting, now: this.#now() })
     const { facts, start } = request
     request.holder = link
+    request.upstream = state.upstream
     request.waiting = waiting
     request.accepted = false
     request.attempts += 1
@@ -200,7 +207,8 @@
       estimate: facts.estimate,
       body: start.data,
       bodyEnded: start.ended,
-      attempt: request.attempts
+      attempt: request.attempts,
+      alone: request.alone
     })
   }
 
@@ -208,7 +216,7 @@
     const request = this.table.heldBy(message.request, link)
     if (request === undefined || request.accepted) return
     request.accepted = true
-    this.#decide({ kind: 'accepted', now: this.#now(), request: message.request })
+    this.#decide({ kind: 'accepted', now: this.#now(), request: message.request, upstream: this.#upstreamOf(request) })
     if (request.start.ended) return
     request.reader.pump((data, ended) => { link.send({ kind: 'request-body', request: message.request, data, ended }) }, BODY_WINDOW_BYTES)
   }
@@ -216,18 +224,21 @@
   #onDeclined (link: FleetLink, message: DeclinedMessage): void {
     const request = this.table.heldBy(message.request, link)
     if (request === undefined) return
-    this.record('request-declined', request, message.reason)
+    const upstream = this.#upstreamOf(request)
+    this.record('request-declined', request, message.reason, upstream)
     request.holder = undefined
-    this.#decide({ kind: 'declined', now: this.#now(), request: message.request, reason: message.reason })
+    this.#decide({ kind: 'declined', now: this.#now(), request: message.request, upstream, reason: message.reason })
   }
 
-  #onFailed (link: FleetLink, { request: id, outcome, crashed, reason }: ResponseFailedMessage): void {
+  #onFailed (link: FleetLink, { request: id, outcome, crash, reason }: ResponseFailedMessage): void {
     const request = this.table.heldBy(id, link)
     if (request === undefined) return
     log.info('an upstream gave no whole answer', { request: id, outcome, reason })
     request.holder = undefined
     if (outcome !== 'not-run') request.mayHaveRun = true
-    this.#decide({ kind: 'response-failed', now: this.#now(), request: id, outcome, crashed, quarantined: false })
+    const upstream = this.#upstreamOf(request)
+    const quarantined = crash !== undefined && this.quarantine.crashed(request.facts, upstream, crash)
+    this.#decide({ kind: 'response-failed', now: this.#now(), request: id, upstream, outcome, crashed: crash !== undefined, quarantined })
   }
 
   #onLinkClosed ({ link, reason }: ClosedLink): void {
@@ -235,15 +246,22 @@
     for (const request of this.table.allHeldBy(link)) {
       request.holder = undefined
       request.mayHaveRun = true
-      this.#decide({ kind: 'session-lost', now: this.#now(), request: request.facts.id, peer })
+      this.#decide({ kind: 'session-lost', now: this.#now(), request: request.facts.id, upstream: this.#upstreamOf(request), peer })
     }
   }
 
+  /** @returns the upstream of the last handover */
+  #upstreamOf (request: OpenRequest): UpstreamId {
+    if (request.upstream === undefined) throw new NotHandedOverError(request.facts.id)
+    return request.upstream
+  }
+
   #requeue (request: OpenRequest, avoid: readonly UpstreamId[]): void {
     const { waiting } = request
     if (waiting === undefined) return
     request.holder = undefined
     request.accepted = false
+    request.alone = this.quarantine.treatmentOf(request.facts).kind !== 'normal'
     this.#admit({ kind: 'requeue', waiting: { ...waiting, avoid }, now: this.#now() })
   }
 
--- a/packages/wire/src/codec/messageFields.ts
+++ b/packages/wire/src/codec/messageFields.ts
@@ -2,7 +2,7 @@
  * Fields of every kind of message. The order of kinds and of fields is the order on the wire: new kinds go to the end, new
  * fields go to the end of their kind and are optional, so that processes of two versions understand each other.
  */
-import type { HeaderList, Message } from '../protocol/protocolTypes.js'
+import type { Crash, HeaderList, Message } from '../protocol/protocolTypes.js'
 import { amount, bytes, type Field, type Fields, flag, list, maybe, oneOf, optional, pair, record, text, whole } from './fields.js'
 
 /** Any kind of message. */
@@ -13,6 +13,8 @@
 
 type MessageFields = { readonly [K in MessageKind]: Fields<Omit<MessageOf<K>, 'kind'>> }
 
+const crash: Field<Crash> = record({ id: text(), alone: flag })
+
 const headers: Field<HeaderList> = list(pair(text(), text()))
 
 /** Fields by kind, in the order of the wire. */
@@ -21,7 +23,7 @@
     service: text(),
     entries: list(record({ workspace: text(), waiting: amount, oldestWait: amount, headCost: amount }))
   },
-  pull: { pull: whole, service: text(), workspace: text(), keyedOnly: optional(flag) },
+  pull: { pull: whole, service: text(), workspace: text() },
   'pull-empty': { pull: whole },
   handover: {
     pull: whole,
@@ -37,7 +39,8 @@
     estimate: amount,
     body: bytes,
     bodyEnded: flag,
-    attempt: whole
+    attempt: whole,
+    alone: flag
   },
   accepted: { request: text() },
   declined: {
@@ -50,7 +53,7 @@
   'response-head': { request: text(), status: whole, headers },
   'response-body': { request: text(), data: bytes },
   'response-end': { request: text(), trailers: headers, cost: amount },
-  'response-failed': { request: text(), outcome: oneOf('not-run', 'unknown', 'ran'), crashed: flag, reason: text() },
+  'response-failed': { request: text(), outcome: oneOf('not-run', 'unknown', 'ran'), reason: text(), crash: optional(crash) },
   'agent-state': {
     upstream: text(),
     service: text(),
@@ -63,10 +66,15 @@
   counters: {
     entries: list(record({ origin: text(), service: text(), workspace: text(), total: amount })),
     lifts: list(record({ service: text(), workspace: text(), lift: amount })),
-    backlogged: list(record({ service: text(), workspace: text() }))
+    backlogged: list(record({ service: text(), workspace: text(), router: text(), waiting: whole, age: amount })),
+    base: optional(record({
+      sum: amount,
+      entries: list(record({ service: text(), workspace: text(), total: amount })),
+      folded: list(text())
+    }))
   },
   revision: { revision: whole, documents: optional(text()) },
   leaving: { hosts: list(text()) },
   quarantine: { workspace: text(), fingerprint: text(), remaining: amount },
-  'crash-report': { workspace: text(), fingerprint: text(), upstream: text() }
+  'crash-report': { workspace: text(), fingerprint: text(), upstream: text(), crash }
 }
--- a/packages/wire/src/protocol/protocolTypes.ts
+++ b/packages/wire/src/protocol/protocolTypes.ts
@@ -36,8 +36,6 @@
   readonly pull: number
   readonly service: ServiceId
   readonly workspace: WorkspaceId
-  /** Set when the agent asks for requests with these keys' home only. */
-  readonly keyedOnly?: boolean
 }
 
 /** The router has nothing for a pull. */
@@ -65,8 +63,10 @@
   /** First part of the body; the rest follows in request-body messages unless bodyEnded. */
   readonly body: Uint8Array
   readonly bodyEnded: boolean
-  /** Times that the request was started before, on other upstreams. */
+  /** Number of this attempt, from 1. */
   readonly attempt: number
+  /** True for a request that may have ended an upstream: it must run alone. */
+  readonly alone: boolean
 }
 
 /** The agent has started the request. */
@@ -133,9 +133,17 @@
   readonly kind: 'response-failed'
   readonly request: RequestId
   readonly outcome: Outcome
-  /** True when the upstream ended while it ran the request. */
-  readonly crashed: boolean
   readonly reason: string
+  /** Present when the upstream ended while it ran the request. */
+  readonly crash?: Crash
+}
+
+/** One end of an upstream, as told with each request that ran there. */
+export interface Crash {
+  /** Names this end, so that a report that comes twice counts once. */
+  readonly id: string
+  /** True when the upstream ran nothing else. */
+  readonly alone: boolean
 }
 
 /** What an agent is and can take. Sent on every change, at most every few milliseconds. */
@@ -166,13 +174,37 @@
   readonly lift: number
 }
 
+/** A router where a workspace waits. */
+export interface BackloggedEntry {
+  readonly service: ServiceId
+  readonly workspace: WorkspaceId
+  readonly router: HostId
+  readonly waiting: number
+  /** Milliseconds since the router said so. */
+  readonly age: Millis
+}
+
+/** Sum of the folded origins for one workspace and service. */
+export interface BaseEntry {
+  readonly service: ServiceId
+  readonly workspace: WorkspaceId
+  readonly total: number
+}
+
+/** The sums of all folded origins, taken over as a whole from whoever has the larger one. */
+export interface BaseSnapshot {
+  readonly sum: number
+  readonly entries: readonly BaseEntry[]
+  readonly folded: readonly Incarnation[]
+}
+
 /** Counters that changed since the last message, merged by the largest value. */
 export interface CountersMessage {
   readonly kind: 'counters'
   readonly entries: readonly CounterEntry[]
   readonly lifts: readonly LiftEntry[]
-  /** Workspaces that wait at some router that the sender knows of, by service. */
-  readonly backlogged: ReadonlyArray<{ readonly service: ServiceId, readonly workspace: WorkspaceId }>
+  readonly backlogged: readonly BackloggedEntry[]
+  readonly base?: BaseSnapshot
 }
 
 /** The newest configuration revision of the sender, with its documents when the receiver is behind. */
@@ -204,6 +236,7 @@
   readonly workspace: WorkspaceId
   readonly fingerprint: Fingerprint
   readonly upstream: UpstreamId
+  readonly crash: Crash
 }
 
 /** From an agent to a router. */
