Write the pages of configuration and administration from their schemas

Cause: an operator needs every key with its type, unit, default and meaning, and every route with its answer, and the pages must not fall behind.

--- a/packages/settings/src/fleetConfig/configSchema.ts
+++ b/packages/settings/src/fleetConfig/configSchema.ts
@@ -44,7 +44,10 @@
   notIdempotentPaths: z.array(pathPrefix).default([])
     .describe('Path prefixes below `/{service}` that are never idempotent, whatever the method.'),
   idempotentPaths: z.array(pathPrefix).optional()
-    .describe('Path prefixes below `/{service}` where POST is idempotent too. Default: `["/v1/"]` for an engine, `[]` for a plain service.'),
+    .meta({
+      description: 'Path prefixes below `/{service}` where POST is idempotent too.',
+      fallback: '`["/v1/"]` for an engine, `[]` for a plain service'
+    }),
   cost: costSchema.prefault({}).describe('What is charged to a workspace.'),
   targets: targetsSchema.prefault({}).describe('Latency that the concurrency limit of each upstream is held to.'),
   maxConcurrency: wholeNumber('requests', 1, 65_536).default(64).describe('Hard limit of requests in progress at one upstream.'),
--- a/packages/settings/src/fleetConfig/overlayChecks.ts
+++ b/packages/settings/src/fleetConfig/overlayChecks.ts
@@ -4,12 +4,13 @@
 import { findNode, leavesOf } from '../document/nodes.js'
 
 /** A part of the configuration that is the same at every site, and why. `*` stands for any id. */
-interface FleetWideKey {
+export interface FleetWideKey {
   readonly path: readonly string[]
   readonly reason: string
 }
 
-const FLEET_WIDE_KEYS: readonly FleetWideKey[] = [
+/** Parts of the configuration that no overlay may change. */
+export const fleetWideKeys: readonly FleetWideKey[] = [
   { path: ['services', '*', 'cost'], reason: 'service is counted over all sites' },
   { path: ['workspaces', '*', 'weight'], reason: 'shares are compared over all sites' },
   { path: ['upstreams', '*', 'service'], reason: 'the home of an Idempotency-Key is chosen from the same upstreams everywhere' }
@@ -21,7 +22,7 @@
 
 const isRemoval = (node: LocatedNode): boolean => node.kind === 'scalar' && node.value === null
 
-const checkFleetWide = (path: NodePath, node: LocatedNode): Finding[] => FLEET_WIDE_KEYS
+const checkFleetWide = (path: NodePath, node: LocatedNode): Finding[] => fleetWideKeys
   .filter(key => reaches(path, key.path) && (path.length >= key.path.length || isRemoval(node)))
   .slice(0, 1)
   .map(key => ({ severity: 'error', place: node.place, path: path.join('.'), message: `an overlay can't change this: ${key.reason}` }))
--- /dev/null
+++ b/packages/settings/src/page/schemaRows.ts
@@ -0,0 +1,117 @@
+/** Turns a schema into rows for a reference page. */
+import * as z from 'zod'
+
+/** One key of a document. */
+export interface SchemaRow {
+  readonly key: string
+  readonly type: string
+  readonly fallback: string
+  readonly meaning: string
+}
+
+/** The parts of a JSON schema that the page uses. */
+interface SchemaNode {
+  readonly type?: string
+  readonly unit?: string
+  readonly description?: string
+  readonly default?: unknown
+  readonly const?: unknown
+  readonly enum?: readonly unknown[]
+  readonly minimum?: number
+  readonly maximum?: number
+  readonly anyOf?: readonly SchemaNode[]
+  readonly items?: SchemaNode
+  readonly properties?: Readonly<Record<string, SchemaNode>>
+  readonly additionalProperties?: SchemaNode | boolean
+  readonly required?: readonly string[]
+  /** Words in place of a default that depends on other keys. */
+  readonly fallback?: string
+}
+
+/** Stands for the id in the path of a map. */
+const ID_NAMES: Readonly<Record<string, string>> = {
+  zones: 'ZONE',
+  services: 'SERVICE',
+  upstreams: 'UPSTREAM',
+  workspaces: 'WORKSPACE',
+  sites: 'SITE',
+  byService: 'SERVICE'
+}
+
+const code = (value: unknown): string => `\`${JSON.stringify(value)}\``
+
+const numberType = (node: SchemaNode): string => {
+  const kind = node.type === 'integer' ? 'whole number' : 'number'
+  const unit = node.unit === undefined ? '' : ` of ${node.unit}`
+  const range = node.minimum === undefined ? '' : `, ${node.minimum} to ${node.maximum ?? 'any'}`
+  return `${kind}${unit}${range}`
+}
+
+const typeOf = (node: SchemaNode): string => {
+  if (node.const !== undefined) return code(node.const)
+  if (node.enum !== undefined) return node.enum.map(code).join(' or ')
+  if (node.anyOf !== undefined) return node.anyOf.map(typeOf).join(' or ')
+  if (node.type === 'integer' || node.type === 'number') return numberType(node)
+  if (node.type === 'array') return `list of ${node.items === undefined ? 'values' : typeOf(node.items)}`
+  return node.type === 'string' ? 'text' : node.type ?? 'any'
+}
+
+/** What stands in the column of defaults: the default, or whether the key may be missing. */
+const fallbackOf = (node: SchemaNode, missing: string): string => {
+  if (node.fallback !== undefined) return node.fallback
+  return node.default === undefined ? missing : code(node.default)
+}
+
+const rowOf = (key: string, node: SchemaNode, missing: string): SchemaRow =>
+  ({ key, type: typeOf(node), fallback: fallbackOf(node, missing), meaning: node.description ?? '' })
+
+/** Rows of a map from ids to values, or nothing where the node is none. */
+const mapRows = (path: string, name: string, node: SchemaNode): SchemaRow[] => {
+  if (typeof node.additionalProperties !== 'object') return []
+  const entry = node.additionalProperties
+  const entryPath = `${path}.${ID_NAMES[name] ?? 'ID'}`
+  if (entry.properties !== undefined) return rowsOf(entry, entryPath, 'required')
+  return [rowOf(entryPath, { ...entry, description: node.description ?? '' }, 'none')]
+}
+
+const listRows = (path: string, node: SchemaNode, missing: string): SchemaRow[] => {
+  if (node.items?.properties === undefined) return [rowOf(path, node, missing)]
+  return [rowOf(path, { ...node, items: { type: 'objects' } }, missing), ...rowsOf(node.items, `${path}[]`, 'required')]
+}
+
+const rowsFor = (path: string, name: string, node: SchemaNode, isRequired: boolean): SchemaRow[] => {
+  // Keys of an object that may be missing are wanted only where it is given.
+  const inner = isRequired || node.default !== undefined ? 'required' : `required with \`${name}\``
+  if (node.properties !== undefined) return rowsOf(node, path, inner)
+  const entries = mapRows(path, name, node)
+  return entries.length > 0 ? entries : listRows(path, node, isRequired ? 'required' : 'none')
+}
+
+const rowsOf = (node: SchemaNode, path: string, required: string): SchemaRow[] =>
+  Object.entries(node.properties ?? {}).flatMap(([name, child]) => {
+    const childPath = path === '' ? name : `${path}.${name}`
+    const isRequired = node.required?.includes(name) === true
+    if (!isRequired || required === 'required') return rowsFor(childPath, name, child, isRequired)
+    return [rowOf(childPath, child, required)]
+  })
+
+/**
+ * Lists every key that a document of the schema may have.
+ *
+ * @param schema - schema of an object
+ * @returns one row for each key that has a value of its own
+ */
+export const schemaRows = (schema: z.ZodType): SchemaRow[] =>
+  rowsOf(z.toJSONSchema(schema, { io: 'input' }) as SchemaNode, '', 'required')
+
+/**
+ * Writes rows as a Markdown table.
+ *
+ * @param rows - the rows
+ * @returns the lines of the table
+ */
+export const markdownRows = (rows: readonly SchemaRow[]): string[] => [
+  '| Key | Type | Default | Meaning |',
+  '|---|---|---|---|',
+  ...rows.map(({ key, type, fallback, meaning }) => `| \`${key}\` | ${type} | ${fallback} | ${meaning} |`)
+]
