--- /dev/null
+++ b/packages/cli/src/fuchsiaworks.spec.ts
@@ -0,0 +1,64 @@
+import { type ChildProcess, spawn } from 'node:child_process'
+import { mkdtemp, rm, writeFile } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { after, before, describe, it } from 'node:test'
+import { fileURLToPath } from 'node:url'
+import { expect } from 'earl'
+
+const PROGRAM = fileURLToPath(new URL('../bin/fuchsiaworks.js', import.meta.url))
+
+/** The platform is absent: a process has to start and end without it. */
+const common = {
+  host: 'h1',
+  zone: 'east',
+  site: 'main',
+  admin: { key: '0123456789abcdef' },
+  linkKey: '0123456789abcdef',
+  platform: { configuration: 'http://127.0.0.1:1', hosts: 'http://127.0.0.1:1' }
+}
+const router = { ...common, role: 'router', callers: {}, links: {} }
+const agent = { ...common, role: 'agent', upstream: 'u1', upstreamUrl: 'http://127.0.0.1:1' }
+
+let folder = ''
+
+const run = async (role: string, settings: unknown): Promise<ChildProcess> => {
+  const file = join(folder, `${role}.jsonc`)
+  await writeFile(file, JSON.stringify(settings))
+  return spawn(process.execPath, [PROGRAM, role, '--settings', file], { stdio: ['ignore', 'pipe', 'pipe'] })
+}
+
+const exitOf = async (child: ChildProcess): Promise<number | null> =>
+  await new Promise(resolve => { child.once('exit', resolve) })
+
+/** Waits for a log line, then sends the signal. */
+const signalAt = (child: ChildProcess, sentence: string, signal: NodeJS.Signals): void => {
+  let seen = ''
+  const look = (data: Buffer): void => {
+    seen += data.toString()
+    if (!seen.includes(sentence)) return
+    child.stdout?.removeListener('data', look)
+    child.kill(signal)
+  }
+  child.stdout?.on('data', look)
+}
+
+before(async () => { folder = await mkdtemp(join(tmpdir(), 'fuchsiaworks-')) })
+after(async () => { await rm(folder, { recursive: true }) })
+
+describe('fuchsiaworks', () => {
+  it('writes logs, drains on SIGTERM and exits 0, in either role', async () => {
+    const routerChild = await run('router', router)
+    signalAt(routerChild, 'the router runs', 'SIGTERM')
+    expect(await exitOf(routerChild)).toEqual(0)
+    const agentChild = await run('agent', agent)
+    signalAt(agentChild, 'the agent runs', 'SIGTERM')
+    expect(await exitOf(agentChild)).toEqual(0)
+  })
+
+  it('exits 1 for findings and 2 for settings of the other role', async () => {
+    expect(await exitOf(await run('router', { ...router, nope: 1 }))).toEqual(1)
+    expect(await exitOf(await run('router', agent))).toEqual(2)
+    expect(await exitOf(await run('neither', agent))).toEqual(2)
+  })
+})
--- a/packages/cli/src/fuchsiaworks.ts
+++ b/packages/cli/src/fuchsiaworks.ts
@@ -20,9 +20,9 @@
 const run = async (role: string | undefined, file: string | undefined): Promise<ExitCode> => {
   if (role !== 'router' && role !== 'agent') throw new UsageError('name a role: router or agent')
   if (file === undefined) throw new UsageError('--settings FILE is missing')
-  const running = await startProcess(role, await readText(file), packageStarters)
   const alive = keepAlive()
-  const whole = await runUntilSignal(running, process)
+  const start = async () => await startProcess(role, await readText(file), packageStarters)
+  const whole = await runUntilSignal(start(), process)
   alive.close()
   return whole ? EXIT.ok : EXIT.findings
 }
--- a/packages/cli/src/process/process.spec.ts
+++ b/packages/cli/src/process/process.spec.ts
@@ -25,7 +25,8 @@
   it('drain first and close when the work has ended', async () => {
     const { record, running, endDrain } = createFake()
     const signals = new EventEmitter()
-    const whole = runUntilSignal(running, signals)
+    const whole = runUntilSignal(Promise.resolve(running), signals)
+    await Promise.resolve()
     signals.emit('SIGTERM')
     expect(record).toEqual(['drain'])
     endDrain()
@@ -37,7 +38,8 @@
   it('close at once the second time', async () => {
     const { record, running } = createFake()
     const signals = new EventEmitter()
-    const whole = runUntilSignal(running, signals)
+    const whole = runUntilSignal(Promise.resolve(running), signals)
+    await Promise.resolve()
     signals.emit('SIGTERM')
     signals.emit('SIGINT')
     expect(await whole).toEqual(false)
@@ -46,12 +48,41 @@
 
   it('end a process whose drain fails, and say so', async () => {
     const signals = new EventEmitter()
-    const whole = runUntilSignal({ drain: async () => { throw new Error('x') }, close: async () => {} }, signals)
+    const whole = runUntilSignal(Promise.resolve({ drain: async () => { throw new Error('x') }, close: async () => {} }), signals)
     signals.emit('SIGTERM')
     expect(await whole).toEqual(false)
   })
 })
 
+describe('signals while the process starts', () => {
+  it('drain it once it runs', async () => {
+    const { record, running, endDrain } = createFake()
+    const signals = new EventEmitter()
+    let finishStart = (_running: RunningProcess): void => {}
+    const whole = runUntilSignal(new Promise(resolve => { finishStart = resolve }), signals)
+    signals.emit('SIGTERM')
+    finishStart(running)
+    await Promise.resolve()
+    expect(record).toEqual(['drain'])
+    endDrain()
+    expect(await whole).toEqual(true)
+  })
+
+  it('end it at once the second time, also when the start hangs', async () => {
+    const signals = new EventEmitter()
+    const whole = runUntilSignal(new Promise(() => {}), signals)
+    signals.emit('SIGTERM')
+    signals.emit('SIGTERM')
+    expect(await whole).toEqual(false)
+  })
+
+  it('leave the failure of the start to the caller', async () => {
+    const signals = new EventEmitter()
+    await expect(runUntilSignal(Promise.reject(new Error('no port')), signals)).toBeRejectedWith('no port')
+    expect(signals.listenerCount('SIGTERM')).toEqual(0)
+  })
+})
+
 describe('starting a process', () => {
   const text = JSON.stringify({
     role: 'router',
--- a/packages/cli/src/process/runUntilSignal.ts
+++ b/packages/cli/src/process/runUntilSignal.ts
@@ -16,28 +16,58 @@
   log.info('drained and closed')
 }
 
+/** Ends one process. A signal that comes while it starts takes effect once it runs. */
+class SignalledEnd {
+  #count = 0
+  #running: RunningProcess | undefined
+  #finish = (_whole: boolean): void => {}
+  /** Settles with true when all work ended, with false when it was cut short. */
+  readonly finished = new Promise<boolean>(resolve => { this.#finish = resolve })
+
+  started (running: RunningProcess): void {
+    this.#running = running
+    if (this.#count > 0) this.#drain(running)
+  }
+
+  readonly onSignal = (): void => {
+    this.#count += 1
+    if (this.#count === 1 && this.#running !== undefined) this.#drain(this.#running)
+    if (this.#count === 2) this.#force()
+  }
+
+  #drain (running: RunningProcess): void {
+    const isForced = (): boolean => this.#count > 1
+    drainAndClose(running, isForced).then(() => { if (!isForced()) this.#finish(true) }, this.#fail)
+  }
+
+  #force (): void {
+    if (this.#running === undefined) this.#finish(false)
+    else this.#running.close().then(() => { this.#finish(false) }, this.#fail)
+  }
+
+  readonly #fail = (err: unknown): void => {
+    log.error('the process did not end cleanly', { reason: toError(err).message })
+    this.#finish(false)
+  }
+}
+
 /**
- * Waits for signals and ends the process as they ask.
+ * Waits for signals and ends the process as they ask. Signals are taken from the call on, also while the process starts.
  *
- * @param running - the process
+ * @param starting - the process, once it runs; its failure is passed on
  * @param signals - source of the signals, as `process`
  * @returns true when all work ended, false when a second signal or a failure cut it short
  */
-export const runUntilSignal = async (running: RunningProcess, signals: EventEmitter): Promise<boolean> =>
-  await new Promise<boolean>(resolve => {
-    let count = 0
-    const finish = (whole: boolean) => (): void => {
-      for (const signal of SIGNALS) signals.removeListener(signal, onSignal)
-      resolve(whole)
-    }
-    const fail = (err: unknown): void => {
-      log.error('the process did not end cleanly', { reason: toError(err).message })
-      finish(false)()
-    }
-    const onSignal = (): void => {
-      count += 1
-      if (count === 1) drainAndClose(running, () => count > 1).then(() => { if (count === 1) finish(true)() }, fail)
-      if (count === 2) running.close().then(finish(false), fail)
-    }
-    for (const signal of SIGNALS) signals.on(signal, onSignal)
+export const runUntilSignal = async (starting: Promise<RunningProcess>, signals: EventEmitter): Promise<boolean> => {
+  const end = new SignalledEnd()
+  for (const signal of SIGNALS) signals.on(signal, end.onSignal)
+  const ended = starting.then(async running => {
+    end.started(running)
+    return await end.finished
   })
+  try {
+    return await Promise.race([ended, end.finished])
+  } finally {
+    for (const signal of SIGNALS) signals.removeListener(signal, end.onSignal)
+  }
+}
--- a/packages/cli/src/process/startProcess.ts
+++ b/packages/cli/src/process/startProcess.ts
@@ -28,27 +28,15 @@
   }
 }
 
-/** A role package lacks its start function. */
-class MissingStarterError extends FuchsiaError {
-  constructor (name: string) {
-    super('missing-starter', `the package does not export ${name}`)
-  }
-}
-
-interface RouterModule { startRouter?: Starters['router'] }
-interface AgentModule { startAgent?: Starters['agent'] }
-
 /** Loads only the package of the role that runs. */
 export const packageStarters: Starters = {
   router: async settings => {
-    const module: RouterModule = await import('@fuchsiaworks/router')
-    if (module.startRouter === undefined) throw new MissingStarterError('startRouter')
-    return await module.startRouter(settings)
+    const { startRouter } = await import('@fuchsiaworks/router')
+    return await startRouter(settings)
   },
   agent: async settings => {
-    const module: AgentModule = await import('@fuchsiaworks/agent')
-    if (module.startAgent === undefined) throw new MissingStarterError('startAgent')
-    return await module.startAgent(settings)
+    const { startAgent } = await import('@fuchsiaworks/agent')
+    return await startAgent(settings)
   }
 }
 
