--- a/packages/wire/src/link/sessions.spec.ts
+++ b/packages/wire/src/link/sessions.spec.ts
@@ -1,28 +1,34 @@
-/** Sessions over real sockets. */
+/** Sessions over real sockets, through a relay that fails. */
 import { describe, it } from 'node:test'
-import { asId, newId, systemClock } from '@fuchsiaworks/kernel'
+import { ManualClock } from '@fuchsiaworks/kernel'
 import { expect } from 'earl'
 import type { Message } from '../protocol/protocolTypes.js'
-import type { Identity, LinkOptions, Session } from '../session/sessionTypes.js'
+import type { TransportEvent } from '../session/sessionTypes.js'
 import { dialSessions } from './dialSessions.js'
+import { type Link, linkOptions, nextSession, openLink, pull, pulls, take, type Towards } from './linkFixtures.spec.js'
 import { listenSessions } from './listenSessions.js'
 
-const identity = (host: string, role: Identity['role']): Identity =>
-  ({ host: asId(host), incarnation: newId(), role, zone: asId('zone-a') })
+/** Sends the same messages in both directions and waits until all have come. */
+const exchange = async ({ near, far }: Link, count: number, between = (_index: number): void => {}): Promise<void> => {
+  const received = Promise.all([take(near, count), take(far, count)])
+  for (let index = 0; index < count; index++) {
+    near.send(pull(index))
+    far.send(pull(index))
+    between(index)
+    if (index % 50 === 0) await new Promise(resolve => { setImmediate(resolve) })
+  }
+  expect(await received).toEqual([pulls(count), pulls(count)])
+}
 
-const options = (host: string, role: Identity['role']): LinkOptions & { host: string } => ({
-  identity: identity(host, role), linkKey: 'test key', clock: systemClock, heartbeat: 100, silence: 500, expiry: 3000, host: '127.0.0.1'
-})
-
-const pull = (number: number): Message =>
-  ({ kind: 'pull', pull: number, service: asId('scribe'), workspace: asId('small') })
-
-const take = async (session: Session, count: number): Promise<Message[]> =>
-  await session.messages.take(count).reduce<Message[]>((all, message) => [...all, message], [])
+const silentThenUp = async (link: Link): Promise<string[]> => {
+  const kinds: string[] = []
+  await link.near.transport.takeWhile(event => event.kind !== 'up').observe((event: TransportEvent) => { kinds.push(event.kind) })
+  return kinds
+}
 
 describe('sessions', () => {
   it('carry messages in order in both directions, several on one server', async () => {
-    const server = await listenSessions({ ...options('router-1', 'router'), port: 0 })
+    const server = await listenSessions({ ...linkOptions('router-1', 'router'), port: 0 })
     const seen: Record<string, Message[]> = {}
     server.sessions.observe(session => {
       session.messages.observe(message => {
@@ -30,19 +36,97 @@
         session.send(message)
       })
     })
-    const dialers = ['agent-1', 'agent-2'].map(host => dialSessions({ ...options(host, 'agent'), port: server.address.port }))
+    const dialers = ['agent-1', 'agent-2'].map(host => dialSessions({ ...linkOptions(host, 'agent'), port: server.address.port }))
     const echoes = await Promise.all(dialers.map(async dialer => {
-      let echo: Promise<Message[]> | undefined
-      await dialer.sessions.take(1).observe(session => {
-        echo = take(session, 3)
-        for (const number of [1, 2, 3]) session.send(pull(number))
-      })
-      return await echo
+      const session = await nextSession(dialer)
+      for (const message of pulls(3)) session.send(message)
+      return await take(session, 3)
     }))
-    const sent = [1, 2, 3].map(pull)
-    expect(echoes).toEqual([sent, sent])
-    expect(seen).toEqual({ 'agent-1': sent, 'agent-2': sent })
+    expect(echoes).toEqual([pulls(3), pulls(3)])
+    expect(seen).toEqual({ 'agent-1': pulls(3), 'agent-2': pulls(3) })
     for (const dialer of dialers) dialer.close()
     await server.close()
   })
+
+  it('go on without loss after a cut', async () => {
+    const link = await openLink()
+    await exchange(link, 2000, index => { if (index % 700 === 600) link.relay.cut() })
+    await link.close()
+  })
+
+  for (const directions of [['dialer'], ['listener'], ['dialer', 'listener']] as Towards[][]) {
+    it(`go on without loss when a connection goes silent towards ${directions.join(' and ')}`, async () => {
+      const link = await openLink()
+      const kinds = silentThenUp(link)
+      for (const towards of directions) link.relay.stall(towards)
+      await exchange(link, 500)
+      if (directions.includes('dialer')) expect(await kinds).toEqual(['silent', 'down'])
+      else expect((await kinds).includes('down')).toEqual(true)
+      await link.close()
+    })
+  }
+
+  it('measure round trip and clock offset at both ends', async () => {
+    const link = await openLink()
+    while (link.far.roundTrip === 0) await new Promise(resolve => { setImmediate(resolve) })
+    expect([link.near.roundTrip > 0, Math.abs(link.near.clockOffset) < 1000]).toEqual([true, true])
+    await link.close()
+  })
+
+  it('tell the peer when they are closed, and the dialer opens the next', async () => {
+    const link = await openLink()
+    const again = nextSession(link.dialer)
+    link.far.send(pull(0))
+    const last = take(link.near, 1)
+    link.far.close()
+    expect([await link.far.ended, await link.near.ended, await last]).toEqual(['closed', 'peer-closed', [pull(0)]])
+    await again
+    await link.close()
+  })
+
+  it('end when the peer has restarted, seen from either end', async () => {
+    const link = await openLink()
+    const younger = dialSessions({ ...linkOptions('agent-1', 'agent'), port: link.server.address.port })
+    expect(await link.far.ended).toEqual('peer-restarted')
+    expect(await link.near.ended).toEqual('expired')
+    younger.close()
+    await link.close()
+
+    const moved = await openLink()
+    const successor = await listenSessions({ ...linkOptions('router-1', 'router'), port: 0 })
+    moved.relay.target = successor.address.port
+    moved.relay.cut()
+    expect(await moved.near.ended).toEqual('peer-restarted')
+    await moved.close()
+    await successor.close()
+  })
+
+  it('expire at a process that was stopped before it acts on frames that waited, and at its peer', async () => {
+    const clock = new ManualClock()
+    const link = await openLink({ listener: { clock } })
+    const delivered: Message[] = []
+    link.far.messages.observe(message => { delivered.push(message) })
+    link.near.send(pull(0))
+    clock.skip(5000)
+    expect([await link.far.ended, await link.near.ended, delivered]).toEqual(['expired', 'expired', []])
+    await link.close()
+  })
+
+  it('end with overflow when a silent peer lets too much wait', async () => {
+    const link = await openLink({ dialer: { bufferLimit: 1000, silence: 60_000, expiry: 90_000, heartbeat: 30_000 } })
+    link.relay.stall('listener')
+    for (const message of pulls(100)) link.near.send(message)
+    expect([await link.near.ended, link.near.unconfirmed]).toEqual(['overflow', 0])
+    await link.close()
+  })
+
+  it('do not end for a second dialer of the same process', async () => {
+    const link = await openLink()
+    const second = dialSessions({ ...linkOptions('agent-1', 'agent'), identity: link.far.peer, port: link.server.address.port })
+    await nextSession(second)
+    await exchange(link, 10)
+    expect(link.far.connected).toEqual(true)
+    second.close()
+    await link.close()
+  })
 })
