Fairness: corrections as a second grow-only number, and account for what others pick at the same time

Change: a tally of charged and refunded cost, both merged by the largest, in place of the held-back correction; own charges that others cannot have answered yet count as if the others had picked alike.

--- /dev/null
+++ b/packages/policy/src/admission/offerPlan.ts
@@ -0,0 +1,50 @@
+/** Chooses which agents a router tells of a changed backlog now, so that a few requests do not wake every idle agent. */
+import type { Millis } from '@fuchsiaworks/kernel'
+import { tieRank } from '../dispatch/tieRank.js'
+
+/** Free slots that are told of each waiting request at once. */
+const SLOTS_PER_REQUEST = 2
+
+/** Milliseconds between two waves to idle agents, and between two messages to one busy agent. */
+export const RETELL_MS = 10
+
+/** An agent as the router knows it. */
+export interface OfferTarget {
+  readonly link: string
+  /** Limit less running requests, by its last state message. */
+  readonly free: number
+  /** Reading at which it was told of this service last. */
+  readonly toldAt: Millis
+  /** True when the backlog has changed since. */
+  readonly outOfDate: boolean
+}
+
+/**
+ * Chooses the agents to tell of a service's backlog. Agents with free slots are told in waves, each of up to twice
+ * the waiting requests, in an order that changes with time; agents without a free slot are told at most once in
+ * RETELL_MS. Call it after each change, and each RETELL_MS while any agent is out of date.
+ *
+ * @param targets - every linked agent of the service that could take work
+ * @param waiting - requests that wait
+ * @param seed - of this router; with the reading it decides who comes first
+ * @param now - monotonic reading
+ * @returns links to tell now
+ */
+export const planOffers = (targets: readonly OfferTarget[], waiting: number, seed: number, now: Millis): string[] => {
+  const recent = targets.filter(({ toldAt }) => now - toldAt < RETELL_MS)
+  const busy = targets.filter(target => target.outOfDate && target.free <= 0 && !recent.includes(target))
+  const rank = ({ link }: OfferTarget): number => tieRank(seed, `${link} ${now}`)
+  const idle = targets.filter(({ outOfDate, free }) => outOfDate && free > 0).sort((a, b) => rank(a) - rank(b))
+  const asked = recent.reduce((sum, { outOfDate, free }) => outOfDate ? sum : sum + Math.max(0, free), 0)
+  const wave = takeSlots(idle, waiting * SLOTS_PER_REQUEST - asked)
+  return [...busy, ...wave].map(({ link }) => link)
+}
+
+const takeSlots = (idle: readonly OfferTarget[], slots: number): OfferTarget[] => {
+  let left = slots
+  return idle.filter(({ free }) => {
+    if (left <= 0) return false
+    left -= free
+    return true
+  })
+}
--- a/packages/policy/src/dispatch/dispatch.ts
+++ b/packages/policy/src/dispatch/dispatch.ts
@@ -10,7 +10,7 @@
  * Takes one event and returns the pulls that follow from it.
  *
  * @param db - slots, pulls and offers; changed in place
- * @param fairness - totals by which workspaces are ordered; read only
+ * @param fairness - totals by which workspaces are ordered; old assumptions on other agents are dropped
  * @param event - what happened
  * @returns the pulls, each of which has reserved a slot
  */
@@ -44,6 +44,7 @@
 const fillSlots = (db: DispatchDb, fairness: FairnessDb, now: Millis): DispatchCommand[] => {
   if (db.free <= 0) return []
   const slow = db.slowRouters(now)
+  for (const service of db.services()) fairness.shareOf(service).expire(now - fairness.config.newsAge)
   const commands: DispatchCommand[] = []
   while (db.free > 0) {
     const offer = nextOffer(db, fairness, slow)
--- a/packages/policy/src/exchange/exchange.ts
+++ b/packages/policy/src/exchange/exchange.ts
@@ -1,9 +1,10 @@
 /** Decides which process is told which counters and when, and where an agent with free slots finds requests. */
-import { assertNever, type Incarnation, type Millis, type ServiceId, type WorkspaceId } from '@fuchsiaworks/kernel'
+import { assertNever, getOrMake, type Incarnation, type Millis, type ServiceId, type WorkspaceId } from '@fuchsiaworks/kernel'
 import { decideFairness } from '../fairness/fairness.js'
 import type { FairnessAccount } from '../fairness/fairnessAccount.js'
 import type { FairnessDb } from '../fairness/fairnessDb.js'
 import type { CounterEntry } from '../fairness/fairnessTypes.js'
+import { addTally, maxTally, NO_TALLY, subtractTally, type Tally } from '../fairness/tally.js'
 import { coverBacklog } from './coverage.js'
 import { type Absorbed, type ExchangeDb, MESH, type Peer } from './exchangeDb.js'
 import type { BackloggedEntry, Counters, ExchangeCommand, ExchangeEvent } from './exchangeTypes.js'
@@ -128,23 +129,24 @@
 /** Counts a child's increments as this process's own; a total that was counted before adds nothing. */
 const absorb = (db: ExchangeDb, fairness: FairnessDb, peer: Peer, entries: readonly CounterEntry[], now: Millis): void => {
   const child = db.child(peer.incarnation)
-  for (const { origin, service, workspace, total } of entries) {
+  for (const { origin, service, workspace, total, refund } of entries) {
     const account = fairness.account(service, workspace)
-    const totals = child.totals.get(origin) ?? new Map()
-    const increment = total - (totals.get(account) ?? 0)
+    const totals = getOrMake(child.totals, origin, () => new Map<FairnessAccount, Tally>())
+    const known = totals.get(account) ?? NO_TALLY
+    const tally = maxTally(known, { total, refund })
+    const increment = subtractTally(tally, known)
     const sums = presentSums(child, account, origin)
-    if (increment <= 0) continue
-    child.totals.set(origin, totals.set(account, total))
-    sums.sum += increment
+    totals.set(account, tally)
+    sums.sum = addTally(sums.sum, increment)
     fairness.addOwn(service, workspace, increment, now)
   }
 }
 
 /** What was counted under a former origin is part of the rest that the child is told. */
-const presentSums = (child: Absorbed, account: FairnessAccount, origin: Incarnation): { sum: number } => {
+const presentSums = (child: Absorbed, account: FairnessAccount, origin: Incarnation): { sum: Tally } => {
   const present = child.sums.get(account)
   if (present?.origin === origin) return present
-  const fresh = { origin, sum: 0 }
+  const fresh = { origin, sum: NO_TALLY }
   child.sums.set(account, fresh)
   return fresh
 }
@@ -153,9 +155,8 @@
 const changeCounter = (db: ExchangeDb, fairness: FairnessDb, service: ServiceId, counter: Incarnation, now: Millis): void => {
   if (db.countedBy.get(service) === counter) return
   db.countedBy.set(service, counter)
-  const own = (account: FairnessAccount): number => account.origins.get(fairness.originOf(service))?.total ?? 0
-  const untold = new Map([...fairness.accountsOf(service)].map(account => [account, own(account) - (db.toldUp.get(account) ?? 0)]))
-  fairness.moveUntold(service, account => untold.get(account) ?? 0, now)
+  const own = fairness.originOf(service)
+  fairness.moveUntold(service, account => subtractTally(account.tallyOf(own), db.toldUp.get(account) ?? NO_TALLY), now)
   db.forgetTold(service)
   db.restOrigins.delete(service)
 }
--- a/packages/policy/src/exchange/exchangeDb.ts
+++ b/packages/policy/src/exchange/exchangeDb.ts
@@ -1,6 +1,7 @@
 /** State of the exchange of counters in one process, and the only functions that change it. */
 import { asId, getOrMake, type HostId, type Incarnation, type Millis, type ServiceId, type WorkspaceId } from '@fuchsiaworks/kernel'
 import type { FairnessAccount } from '../fairness/fairnessAccount.js'
+import type { Tally } from '../fairness/tally.js'
 import type { BackloggedEntry, ExchangeConfig, OwnBacklogEntry, Relation } from './exchangeTypes.js'
 
 /** Milliseconds after which backlog that nobody repeated is forgotten. */
@@ -27,10 +28,10 @@
 
 /** What one child has had counted. */
 export interface Absorbed {
-  /** Last total by origin and account. */
-  readonly totals: Map<Incarnation, Map<FairnessAccount, number>>
+  /** Last tally by origin and account. */
+  readonly totals: Map<Incarnation, Map<FairnessAccount, Tally>>
   /** Sum of what was counted under its present origin, by account. */
-  readonly sums: Map<FairnessAccount, { origin: Incarnation, sum: number }>
+  readonly sums: Map<FairnessAccount, { origin: Incarnation, sum: Tally }>
   /** Reading at which its link ended; undefined while linked. */
   goneAt: Millis | undefined
 }
@@ -57,8 +58,8 @@
   readonly restOrigins = new Map<ServiceId, Incarnation>()
   /** Number of the sums that this process tells its children, by service. */
   readonly generations = new Map<ServiceId, number>()
-  /** Own total that a process which counts it was told last. */
-  readonly toldUp = new Map<FairnessAccount, number>()
+  /** Own tally that a process which counts it was told last. */
+  readonly toldUp = new Map<FairnessAccount, Tally>()
   round = 0
   nextRoundAt: Millis = 0
 
--- a/packages/policy/src/exchange/tell.ts
+++ b/packages/policy/src/exchange/tell.ts
@@ -2,6 +2,7 @@
 import { asId, type Incarnation, type Millis, type ServiceId } from '@fuchsiaworks/kernel'
 import type { FairnessAccount } from '../fairness/fairnessAccount.js'
 import { FLEET, type FairnessDb } from '../fairness/fairnessDb.js'
+import { addTally, isNothing, NO_TALLY, subtractTally, tallyOf } from '../fairness/tally.js'
 import type { CounterEntry, LiftEntry } from '../fairness/fairnessTypes.js'
 import { type ExchangeDb, MESH, type Peer } from './exchangeDb.js'
 import type { BackloggedEntry, Counters } from './exchangeTypes.js'
@@ -95,11 +96,11 @@
 const originEntries = (peer: Peer, account: FairnessAccount, since: number, accept: (own: boolean) => boolean): CounterEntry[] =>
   [...account.origins]
     .filter(([, { seq, source }]) => seq > since && source !== peer.link && accept(source === undefined))
-    .map(([origin, { total }]) => ({ origin, service: account.service, workspace: account.workspace, total }))
+    .map(([origin, { tally }]) => ({ origin, service: account.service, workspace: account.workspace, ...tally }))
 
 const upEntries = (db: ExchangeDb, fairness: FairnessDb, account: FairnessAccount, entries: CounterEntry[]): CounterEntry[] => {
   const own = entries.find(({ origin }) => origin === fairness.originOf(account.service))
-  if (own !== undefined) db.toldUp.set(account, own.total)
+  if (own !== undefined) db.toldUp.set(account, { total: own.total, refund: own.refund })
   return entries
 }
 
@@ -108,16 +109,17 @@
   const entries = upEntries(db, fairness, account, originEntries(peer, account, since, own => own))
   const origin = fairness.originOf(account.service)
   if (peer.toldAll > 0 || entries.some(entry => entry.origin === origin)) return entries
-  return [...entries, { origin, service: account.service, workspace: account.workspace, total: 0 }]
+  return [...entries, { origin, service: account.service, workspace: account.workspace, ...NO_TALLY }]
 }
 
 /** One sum of all that others were served, without the child's own part. */
 const restEntry = (db: ExchangeDb, fairness: FairnessDb, peer: Peer, account: FairnessAccount, since: number): CounterEntry[] => {
-  const { service, workspace, served } = account
+  const { service, workspace, base, sum } = account
   const changed = [...account.origins.values()].some(({ seq, source }) => seq > since && source !== peer.link)
   if (!changed) return []
-  const total = served - (db.child(peer.incarnation).sums.get(account)?.sum ?? 0)
-  return total <= 0 ? [] : [{ origin: restOrigin(db, fairness, service), service, workspace, total }]
+  const all = addTally(sum, tallyOf(base))
+  const tally = subtractTally(all, db.child(peer.incarnation).sums.get(account)?.sum ?? NO_TALLY)
+  return isNothing(tally) ? [] : [{ origin: restOrigin(db, fairness, service), service, workspace, ...tally }]
 }
 
 const restOrigin = (db: ExchangeDb, fairness: FairnessDb, service: ServiceId): Incarnation =>
--- a/packages/policy/src/fairness/fairnessAccount.ts
+++ b/packages/policy/src/fairness/fairnessAccount.ts
@@ -1,9 +1,10 @@
 /** Service of one workspace by one service: totals by origin, the folded base, and the lift. */
 import type { Incarnation, Millis, ServiceId, WorkspaceId } from '@fuchsiaworks/kernel'
+import { addTally, isNothing, maxTally, netOf, NO_TALLY, subtractTally, type Tally } from './tally.js'
 
-/** Total of one origin, with the place of its last change in this process's order of changes. */
-export interface OriginTotal {
-  total: number
+/** Tally of one origin, with the place of its last change in this process's order of changes. */
+export interface OriginTally {
+  tally: Tally
   /** Rising number of the last change. */
   seq: number
   /** Link that told the last change; undefined for own changes. */
@@ -12,63 +13,65 @@
 
 /** All that is known of one workspace at one service. */
 export class FairnessAccount {
-  readonly origins = new Map<Incarnation, OriginTotal>()
-  /** Sum of base and origins, in virtual cost. */
-  served = 0
+  readonly origins = new Map<Incarnation, OriginTally>()
+  /** Sum of the origins. */
+  sum: Tally = NO_TALLY
+  /** Sum of the folded origins, in virtual cost. */
   base = 0
   lift = 0
   /** Rising number of the last raise of the lift. */
   liftSeq = 0
   /** Link that told the lift. */
   liftSource: string | undefined
-  /** Held-back downward corrections of this process, in virtual cost; the published total is too large by it. */
-  debt = 0
+  /** Own charges of the last moments, in virtual cost. */
+  recent = 0
   /** Reading at which a backlog was last known. */
   backloggedAt: Millis = Number.NEGATIVE_INFINITY
 
   constructor (readonly service: ServiceId, readonly workspace: WorkspaceId) {}
 
-  /** Virtual time as this process picks by it, corrections included. */
+  /** Service received, in virtual cost. */
+  get served (): number {
+    return this.base + netOf(this.sum)
+  }
+
   get virtualTime (): number {
-    return this.served - this.debt + this.lift
+    return this.served + this.lift
   }
 
-  /**
-   * Sets the total of an origin if it is larger than the known one.
-   *
-   * @param origin - whose total
-   * @param next - the total with its place in the order of changes
-   * @returns by how much it grew
-   */
-  raise (origin: Incarnation, next: OriginTotal): number {
-    const known = this.origins.get(origin)?.total ?? 0
-    const grown = next.total - known
-    if (grown <= 0) return 0
-    this.origins.set(origin, next)
-    this.served += grown
-    return grown
+  /** @returns the tally of an origin */
+  tallyOf (origin: Incarnation): Tally {
+    return this.origins.get(origin)?.tally ?? NO_TALLY
   }
 
   /**
-   * Removes an origin's total.
+   * Merges the tally of an origin by the largest values.
    *
-   * @param origin - whose total
-   * @returns what it was
+   * @param origin - whose tally
+   * @param next - the tally with its place in the order of changes
+   * @returns by how much it grew
    */
-  drop (origin: Incarnation): number {
-    const total = this.origins.get(origin)?.total ?? 0
-    this.origins.delete(origin)
-    this.served -= total
-    return total
+  raise (origin: Incarnation, next: OriginTally): Tally {
+    const known = this.tallyOf(origin)
+    const tally = maxTally(known, next.tally)
+    const grown = subtractTally(tally, known)
+    if (isNothing(grown)) return grown
+    this.origins.set(origin, { ...next, tally })
+    this.sum = addTally(this.sum, grown)
+    return grown
   }
 
   /**
-   * Sets the base.
+   * Takes a part out of an origin's tally, or all of it.
    *
-   * @param base - sum of the folded origins, in virtual cost
+   * @returns what was taken out
    */
-  setBase (base: number): void {
-    this.served += base - this.base
-    this.base = base
+  drop (origin: Incarnation, part: Tally = this.tallyOf(origin)): Tally {
+    const known = this.origins.get(origin)
+    if (known === undefined) return NO_TALLY
+    known.tally = subtractTally(known.tally, part)
+    if (isNothing(known.tally)) this.origins.delete(origin)
+    this.sum = subtractTally(this.sum, part)
+    return part
   }
 }
--- a/packages/policy/src/fairness/fairnessDb.ts
+++ b/packages/policy/src/fairness/fairnessDb.ts
@@ -2,6 +2,8 @@
 import { asId, getOrMake, type Incarnation, type Millis, type RequestId, type ServiceId, type WorkspaceId } from '@fuchsiaworks/kernel'
 import { FairnessAccount } from './fairnessAccount.js'
 import { ServiceRate } from './serviceRate.js'
+import { ShareEstimate } from './shareEstimate.js'
+import { addTally, isNothing, netOf, type Tally, tallyOf } from './tally.js'
 import type { BaseSnapshot, CounterEntry, FairnessConfig, LiftEntry } from './fairnessTypes.js'
 
 /** Stands for the whole fleet where a lift names a service. */
@@ -38,6 +40,7 @@
 export class FairnessDb {
   readonly #accounts = new Map<ServiceId, Map<WorkspaceId, FairnessAccount>>()
   readonly #charges = new Map<RequestId, Charge>()
+  readonly #shares = new Map<ServiceId, ShareEstimate>()
   readonly #rates = new Map<ServiceId, ServiceRate>()
   readonly #folded = new Set<Incarnation>()
   readonly #touched = new Map<Incarnation, Millis>()
@@ -104,6 +107,11 @@
     return getOrMake(this.#rates, service, () => new ServiceRate())
   }
 
+  /** @returns what others are assumed to do at a service for each thing that this process does */
+  shareOf (service: ServiceId): ShareEstimate {
+    return getOrMake(this.#shares, service, () => new ShareEstimate())
+  }
+
   /** Charges a request's estimate. */
   startCharge (request: RequestId, service: ServiceId, workspace: WorkspaceId, estimate: number, now: Millis): void {
     if (this.#charges.has(request)) return
@@ -124,19 +132,15 @@
     this.#charges.delete(request)
   }
 
-  /**
-   * Adds service that was given elsewhere to this process's own origin.
-   *
-   * @param amount - virtual cost
-   */
-  addOwn (service: ServiceId, workspace: WorkspaceId, amount: number, now: Millis): void {
-    this.#publish(this.account(service, workspace), amount, now)
+  /** Adds service that was given elsewhere to this process's own origin. */
+  addOwn (service: ServiceId, workspace: WorkspaceId, tally: Tally, now: Millis): void {
+    this.#publish(this.account(service, workspace), tally, now)
   }
 
   /**
-   * Merges a total by the largest value.
+   * Merges a tally by the largest values.
    *
-   * @param entry - the total
+   * @param entry - the tally
    * @param link - link that told it
    * @param now - monotonic reading
    * @param recent - false when it may have been served long ago, so that it says nothing on the rate
@@ -144,12 +148,14 @@
   mergeTotal (entry: CounterEntry, link: string, now: Millis, recent: boolean): void {
     if (this.#folded.has(entry.origin)) return
     const account = this.account(entry.service, entry.workspace)
-    const grown = account.raise(entry.origin, { total: entry.total, seq: this.#seq + 1, source: link })
-    if (grown === 0) return
+    const grown = account.raise(entry.origin, { tally: entry, seq: this.#seq + 1, source: link })
+    if (isNothing(grown)) return
     this.#seq += 1
     this.#touched.set(entry.origin, now)
-    this.account(FLEET, entry.workspace).served += grown
-    if (recent) this.rateOf(entry.service).add(grown, now)
+    this.#addToFleet(entry.workspace, grown)
+    if (!recent) return
+    this.rateOf(entry.service).add(netOf(grown), now)
+    this.shareOf(entry.service).addOthers(netOf(grown), now)
   }
 
   /** Merges a lift by the largest value. */
@@ -193,9 +199,9 @@
   /**
    * Begins a new own origin for a service, so that whoever counts this process from now on counts nothing twice.
    *
-   * @param untold - what of the own total nobody has counted yet, in virtual cost; it goes over to the new origin
+   * @param untold - what of the own tally nobody has counted yet; it goes over to the new origin
    */
-  moveUntold (service: ServiceId, untold: (account: FairnessAccount) => number, now: Millis): void {
+  moveUntold (service: ServiceId, untold: (account: FairnessAccount) => Tally, now: Millis): void {
     const former = this.#touchOwn(service, now)
     const own = this.#own.get(service)
     if (own !== undefined) this.#renew(own)
@@ -203,21 +209,18 @@
       const kept = account.origins.get(former)
       if (kept === undefined) continue
       kept.source = COUNTED
-      const moved = Math.max(0, untold(account))
-      if (moved === 0) continue
-      kept.total -= moved
-      account.served -= moved
-      this.account(FLEET, account.workspace).served -= moved
+      const moved = account.drop(former, untold(account))
+      this.#addToFleet(account.workspace, tallyOf(-netOf(moved)))
       this.#publish(account, moved, now)
     }
   }
 
-  /** Forgets every total of a service but those of the own origin, for sums that hold them all. */
+  /** Forgets every tally of a service but those of the own origin, for sums that hold them all. */
   keepOwn (service: ServiceId): void {
     const own = this.originOf(service)
     for (const account of this.accountsOf(service)) {
       for (const origin of [...account.origins.keys()]) {
-        if (origin !== own) this.account(FLEET, account.workspace).served -= account.drop(origin)
+        if (origin !== own) this.#dropOrigin(account, origin)
       }
       this.#setBase(account, 0)
     }
@@ -226,25 +229,30 @@
   #correct (charge: Charge, cost: number, now: Millis): void {
     const target = toSteps(cost / charge.weight)
     const change = target - charge.charged
+    if (change === 0) return
     charge.charged = target
-    const { account } = charge
-    const grown = change - account.debt
-    this.#owe(account, Math.max(0, -grown))
-    if (grown > 0) this.#publish(account, grown, now)
+    this.#publish(charge.account, tallyOf(change), now)
+    this.shareOf(charge.account.service).addOwn(charge.account, change, now)
   }
 
-  #owe (account: FairnessAccount, debt: number): void {
-    this.account(FLEET, account.workspace).debt += debt - account.debt
-    account.debt = debt
-  }
-
-  #publish (account: FairnessAccount, amount: number, now: Millis): void {
+  #publish (account: FairnessAccount, grown: Tally, now: Millis): void {
+    if (isNothing(grown)) return
     const origin = this.#touchOwn(account.service, now)
-    const known = account.origins.get(origin)?.total ?? 0
     this.#seq += 1
-    account.raise(origin, { total: known + amount, seq: this.#seq, source: undefined })
-    this.account(FLEET, account.workspace).served += amount
-    this.rateOf(account.service).add(amount, now)
+    account.raise(origin, { tally: addTally(account.tallyOf(origin), grown), seq: this.#seq, source: undefined })
+    this.#addToFleet(account.workspace, grown)
+    this.rateOf(account.service).add(netOf(grown), now)
+  }
+
+  #addToFleet (workspace: WorkspaceId, grown: Tally): void {
+    const fleet = this.account(FLEET, workspace)
+    fleet.sum = addTally(fleet.sum, grown)
+  }
+
+  #dropOrigin (account: FairnessAccount, origin: Incarnation): number {
+    const net = netOf(account.drop(origin))
+    this.#addToFleet(account.workspace, tallyOf(-net))
+    return net
   }
 
   /** Begins a new origin after a long rest, since others may have folded the old one. */
@@ -263,17 +271,16 @@
   }
 
   #setBase (account: FairnessAccount, base: number): void {
-    this.account(FLEET, account.workspace).served += base - account.base
-    account.setBase(base)
+    this.account(FLEET, account.workspace).base += base - account.base
+    account.base = base
   }
 
   #forget (origin: Incarnation, keep = false): void {
     this.#folded.add(origin)
     this.#touched.delete(origin)
     for (const account of this.#realAccounts()) {
-      const total = account.drop(origin)
-      if (keep) account.setBase(account.base + total)
-      else this.account(FLEET, account.workspace).served -= total
+      const net = this.#dropOrigin(account, origin)
+      if (keep) this.#setBase(account, account.base + net)
     }
   }
 
--- a/packages/policy/src/fairness/fairnessTypes.ts
+++ b/packages/policy/src/fairness/fairnessTypes.ts
@@ -6,8 +6,10 @@
   readonly origin: Incarnation
   readonly service: ServiceId
   readonly workspace: WorkspaceId
-  /** Virtual cost since the origin began; only grows. */
+  /** Virtual cost charged since the origin began; only grows. */
   readonly total: number
+  /** Virtual cost given back by corrections since the origin began; only grows. */
+  readonly refund: number
 }
 
 /** Forfeited credit of a workspace at a service. */
@@ -41,6 +43,8 @@
 /** Settings of fair service. */
 export interface FairnessConfig {
   readonly scope: FairnessScope
+  /** Milliseconds by which what others tell is late: an exchange period and the links on the way. */
+  readonly newsAge: Millis
   /** Milliseconds without backlog anywhere after which a workspace counts as having been idle. */
   readonly idleGrace: Millis
   /** Milliseconds of a service's whole rate that a lagging workspace may claim at most. */
--- a/packages/policy/src/fairness/order.ts
+++ b/packages/policy/src/fairness/order.ts
@@ -23,9 +23,12 @@
  */
 export const leastServed = (db: FairnessDb, service: ServiceId, contenders: Iterable<Contender>, floorTurn: boolean): WorkspaceId | undefined => {
   const scope = db.config.scope === 'fleet' && !floorTurn ? FLEET : service
+  const { ratio } = db.shareOf(service)
   let least: { workspace: WorkspaceId, time: number } | undefined
   for (const { workspace, pending } of contenders) {
-    const time = db.virtualTime(scope, workspace) + pending / db.weightOf(workspace)
+    const unseen = pending / db.weightOf(workspace)
+    const assumed = ratio * (db.account(service, workspace).recent + unseen)
+    const time = db.virtualTime(scope, workspace) + unseen + assumed
     if (least === undefined || time < least.time) least = { workspace, time }
   }
   return least?.workspace
--- /dev/null
+++ b/packages/policy/src/fairness/shareEstimate.ts
@@ -0,0 +1,55 @@
+/** Assumes that other agents have chosen since their last news as this one has, since they pick by the same rule. */
+import { clamp, type Millis } from '@fuchsiaworks/kernel'
+import type { FairnessAccount } from './fairnessAccount.js'
+
+/** Milliseconds after which service counts half in the ratio of all service to the own. */
+const HALF_LIFE_MS = 5_000
+
+/** Largest ratio that is assumed. */
+const MAX_RATIO = 1_000
+
+interface RecentCharge {
+  readonly at: Millis
+  readonly account: FairnessAccount
+  readonly amount: number
+}
+
+/** Own charges at one service that others cannot have matched yet in what this process knows. */
+export class ShareEstimate {
+  readonly #recent: RecentCharge[] = []
+  #own = 0
+  #others = 0
+  #at: Millis = 0
+
+  /** Service that others give for each unit that this process gives. */
+  get ratio (): number {
+    return this.#own <= 0 ? 0 : clamp(this.#others / this.#own, 0, MAX_RATIO)
+  }
+
+  /** Counts a charge of this process. */
+  addOwn (account: FairnessAccount, amount: number, now: Millis): void {
+    this.#decay(now)
+    this.#own += amount
+    this.#recent.push({ at: now, account, amount })
+    account.recent += amount
+  }
+
+  /** Counts service that others have told of. */
+  addOthers (amount: number, now: Millis): void {
+    this.#decay(now)
+    this.#others += amount
+  }
+
+  /** Forgets own charges that are older than what others have told by now. */
+  expire (before: Millis): void {
+    const keep = this.#recent.findIndex(({ at }) => at >= before)
+    for (const { account, amount } of this.#recent.splice(0, keep === -1 ? this.#recent.length : keep)) account.recent -= amount
+  }
+
+  #decay (now: Millis): void {
+    const keep = 0.5 ** (Math.max(0, now - this.#at) / HALF_LIFE_MS)
+    this.#own *= keep
+    this.#others *= keep
+    this.#at = Math.max(now, this.#at)
+  }
+}
--- /dev/null
+++ b/packages/policy/src/fairness/tally.ts
@@ -0,0 +1,26 @@
+/** What was charged and what of it was given back: two numbers that only grow, so that both merge by the largest. */
+
+/** Virtual cost, in two parts. */
+export interface Tally {
+  /** Charged; only grows. */
+  readonly total: number
+  /** Given back by corrections; only grows. */
+  readonly refund: number
+}
+
+/** Nothing. */
+export const NO_TALLY: Tally = { total: 0, refund: 0 }
+
+export const netOf = ({ total, refund }: Tally): number => total - refund
+
+export const addTally = (a: Tally, b: Tally): Tally => ({ total: a.total + b.total, refund: a.refund + b.refund })
+
+export const subtractTally = (a: Tally, b: Tally): Tally => ({ total: a.total - b.total, refund: a.refund - b.refund })
+
+/** @returns the larger of each part */
+export const maxTally = (a: Tally, b: Tally): Tally => ({ total: Math.max(a.total, b.total), refund: Math.max(a.refund, b.refund) })
+
+export const isNothing = ({ total, refund }: Tally): boolean => total === 0 && refund === 0
+
+/** @returns a charge, or what is given back when the amount is negative */
+export const tallyOf = (amount: number): Tally => ({ total: Math.max(0, amount), refund: Math.max(0, -amount) })
--- /dev/null
+++ b/packages/policy/src/measure/model.ts
@@ -0,0 +1,375 @@
+/** A small fleet in one loop: plain Db objects, a message bag, closed load and faults at given times. */
+import { asId, getOrMake, type HostId, type RequestId, type ServiceId, type UpstreamId, type WorkspaceId, type ZoneId } from '@fuchsiaworks/kernel'
+import { decideAdmission } from '../admission/admission.js'
+import type { AdmissionCommand, AdmissionEvent } from '../admission/admissionTypes.js'
+import { backlogFor, wholeBacklog } from '../admission/backlogView.js'
+import { planOffers } from '../admission/offerPlan.js'
+import { decideDispatch } from '../dispatch/dispatch.js'
+import type { DispatchEvent } from '../dispatch/dispatchTypes.js'
+import { decideExchange } from '../exchange/exchange.js'
+import { bytesOf } from '../exchange/tell.js'
+import type { Counters, ExchangeEvent } from '../exchange/exchangeTypes.js'
+import { decideFairness } from '../fairness/fairness.js'
+import { ModelLinks, SESSION_EXPIRY_MS } from './modelLinks.js'
+import { ModelAgent, type ModelProcess, type ModelRequest, ModelRouter } from './modelProcess.js'
+import type { ModelLoad, ModelOptions, ModelResult, ModelSample } from './modelTypes.js'
+
+const SAMPLE_MS = 100
+const PROGRESS_MS = 50
+const TICK_MS = 50
+const ZONE = asId<ZoneId>('zone')
+
+/** @returns the name of a service by its index */
+export const serviceOf = (index: number): ServiceId => asId<ServiceId>(`${index}`)
+
+/** Runs one model. */
+export class Model {
+  readonly #links: ModelLinks
+  readonly routers = new Map<string, ModelRouter>()
+  readonly agents = new Map<string, ModelAgent>()
+  readonly #requests = new Map<RequestId, ModelRequest>()
+  readonly #served = new Map<string, number>()
+  readonly #refusals = new Map<string, number>()
+  readonly #longestWait = new Map<string, number>()
+  readonly #bytes = new Map<string, number>()
+  readonly #samples: ModelSample[] = []
+  /** Sessions that are open, as `a0#0>r0#1`. */
+  readonly #sessions = new Set<string>()
+  #nextRequest = 0
+  #pulls = 0
+  #handovers = 0
+  #idle = 0
+  #slotTime = 0
+
+  constructor (readonly options: ModelOptions) {
+    this.#links = new ModelLinks(options.seed, options.delay, options.faults)
+    for (let i = 0; i < options.routers; i++) this.#startRouter(`r${i}`, 0)
+    options.agents.forEach((service, i) => { this.#startAgent(`a${i}`, 0, service) })
+  }
+
+  get now (): number { return this.#links.now }
+
+  /** @returns what the run gave */
+  run (): ModelResult {
+    while (this.now < this.options.duration) this.#step()
+    return {
+      samples: this.#samples,
+      idleShare: this.#slotTime === 0 ? 0 : this.#idle / this.#slotTime,
+      pulls: this.#pulls,
+      handovers: this.#handovers,
+      refusals: this.#refusals,
+      longestWait: this.#longestWait,
+      counterBytes: Math.max(0, ...this.#bytes.values()) * 1000 / this.options.duration
+    }
+  }
+
+  /** Runs on without load until nothing changes, and returns the virtual times that each process knows. */
+  settle (span: number): Array<Map<string, number>> {
+    const end = this.now + span
+    while (this.now < end) this.#step()
+    return [...this.#processes()].map(({ fairness }) => new Map([...fairness.services()].flatMap(service =>
+      [...fairness.accountsOf(service)].map(({ workspace, served }): [string, number] => [`${workspace}/${service}`, served]))))
+  }
+
+  #processes (): ModelProcess[] {
+    return [...this.routers.values(), ...this.agents.values()]
+  }
+
+  #step (): void {
+    this.#links.step()
+    this.#applyFaults()
+    this.#connect()
+    this.#work()
+    if (this.now % TICK_MS === 0) this.#tick()
+    this.#feed()
+    for (const router of this.routers.values()) this.#offer(router)
+    this.#account()
+    if (this.now % SAMPLE_MS === 0) this.#samples.push(this.#sample())
+  }
+
+  #startRouter (name: string, life: number): void {
+    this.routers.set(name, new ModelRouter(name, life, this.#links.draw(0, 1e9), this.now, this.options, this.#oldest))
+  }
+
+  #startAgent (name: string, life: number, service: number): void {
+    const agent = new ModelAgent(name, life, this.#links.draw(0, 1e9), this.now, this.options, this.#oldest)
+    agent.service = serviceOf(service)
+    agent.dispatch.limit = this.options.slots
+    this.agents.set(name, agent)
+  }
+
+  readonly #oldest = (service: ServiceId, workspace: WorkspaceId): number => {
+    const waits = [...this.routers.values()].flatMap(({ admission }) => wholeBacklog(admission, service, this.now))
+    return this.now - Math.max(0, ...waits.filter(entry => entry.workspace === workspace).map(entry => entry.oldestWait))
+  }
+
+  #applyFaults (): void {
+    for (const fault of this.options.faults) {
+      if (fault.kind !== 'restart' || fault.at !== this.now) continue
+      this.#restart(fault.process)
+    }
+  }
+
+  #restart (name: string): void {
+    const router = this.routers.get(name)
+    const agent = this.agents.get(name)
+    this.#endSessions(name)
+    if (router !== undefined) this.#startRouter(name, router.life + 1)
+    if (agent !== undefined) this.#startAgent(name, agent.life + 1, Number(agent.service))
+  }
+
+  #endSessions (name: string, other?: string): void {
+    for (const key of [...this.#sessions]) {
+      const [one = '', two = ''] = key.split('>')
+      const ends = [one, two]
+      if (!ends.includes(name) || (other !== undefined && !ends.includes(other))) continue
+      this.#sessions.delete(key)
+      for (const [here, there] of [[one, two], [two, one]] as const) this.#lose(here, there)
+    }
+  }
+
+  #lose (name: string, peer: string): void {
+    const process = this.#process(name)
+    if (process === undefined) return
+    this.#exchange(process, { kind: 'peer-gone', link: peer, now: this.now })
+    if (process instanceof ModelAgent) this.#dispatch(process, { kind: 'router-gone', router: peer, now: this.now })
+    else if (process instanceof ModelRouter) process.told.delete(peer)
+  }
+
+  #process (name: string): ModelProcess | undefined {
+    return this.routers.get(name) ?? this.agents.get(name)
+  }
+
+  /** Opens the sessions that can be open, and ends those that were cut for longer than their expiry. */
+  #connect (): void {
+    for (const [name, process] of this.routers) {
+      for (const other of this.#processes()) {
+        if (other.name === name || (other instanceof ModelRouter && other.name > name)) continue
+        this.#connectPair(process, other)
+      }
+    }
+  }
+
+  #connectPair (router: ModelRouter, other: ModelProcess): void {
+    const key = `${router.name}>${other.name}`
+    const cut = this.#links.cut(router.name, other.name)
+    if (this.#sessions.has(key)) {
+      if (cut && this.#links.cut(router.name, other.name, this.now - SESSION_EXPIRY_MS)) this.#endSessions(router.name, other.name)
+      return
+    }
+    if (cut || this.#links.paused(router.name) || this.#links.paused(other.name)) return
+    this.#sessions.add(key)
+    const isAgent = other instanceof ModelAgent
+    const services = other instanceof ModelAgent && this.options.scope === 'service' ? { services: new Set([other.service]) } : {}
+    if (isAgent) router.told.set(other.name, { at: -1e9, outOfDate: true, free: this.options.slots })
+    this.#exchange(router, { kind: 'peer-joined', link: other.name, relation: isAgent ? 'leaf' : 'router', incarnation: other.fairness.incarnation, ...services, now: this.now })
+    this.#exchange(other, { kind: 'peer-joined', link: router.name, relation: isAgent ? 'hub' : 'router', incarnation: router.fairness.incarnation, now: this.now })
+  }
+
+  /** Carries a message within a session; it is lost when either end has gone meanwhile. */
+  #send (from: ModelProcess, to: string, take: (to: ModelProcess) => void): void {
+    const receiver = this.#process(to)
+    this.#links.send(from.name, to, () => {
+      const open = this.#sessions.has(`${from.name}>${to}`) || this.#sessions.has(`${to}>${from.name}`)
+      if (receiver !== undefined && open && this.#process(to) === receiver && this.#process(from.name) === from) take(receiver)
+    })
+  }
+
+  #exchange (process: ModelProcess, event: ExchangeEvent): void {
+    for (const command of decideExchange(process.exchange, process.fairness, event)) {
+      if (command.kind === 'tell' && this.options.order === 'fleet-fair') this.#tell(process, command.link, command.counters)
+    }
+  }
+
+  #tell (process: ModelProcess, link: string, counters: Counters): void {
+    this.#bytes.set(process.name, (this.#bytes.get(process.name) ?? 0) + bytesOf(counters))
+    const take = (to: ModelProcess): void => { this.#exchange(to, { kind: 'counters-received', link: process.name, counters, now: this.now }) }
+    this.#send(process, link, take)
+    if (!this.options.unruly || this.#links.draw(0, 9) > 0) return
+    const late = this.now + this.#links.draw(0, 3000)
+    this.#links.at(late, () => { this.#send(process, link, take) })
+  }
+
+  #tick (): void {
+    for (const process of this.#processes()) {
+      if (this.#links.paused(process.name)) continue
+      this.#exchange(process, { kind: 'tick', now: this.now })
+      if (process instanceof ModelAgent) this.#dispatch(process, { kind: 'tick', now: this.now })
+      if (process instanceof ModelRouter) this.#admission(process, { kind: 'tick', now: this.now })
+    }
+  }
+
+  #dispatch (agent: ModelAgent, event: DispatchEvent): void {
+    const free = agent.dispatch.free
+    for (const { router, service, workspace, pull } of decideDispatch(agent.dispatch, agent.fairness, event)) {
+      this.#pulls += 1
+      const from = { agent: agent.name, upstream: asId<UpstreamId>(agent.name), zone: ZONE }
+      this.#send(agent, router, to => { if (to instanceof ModelRouter) this.#admission(to, { kind: 'pull', pull, from, service, workspace, now: this.now }) })
+    }
+    if (agent.dispatch.free !== free) this.#tellState(agent)
+  }
+
+  #tellState (agent: ModelAgent): void {
+    const free = this.options.slots - agent.dispatch.running
+    for (const name of this.routers.keys()) {
+      this.#send(agent, name, to => {
+        const told = to instanceof ModelRouter ? to.told.get(agent.name) : undefined
+        if (told !== undefined) told.free = free
+      })
+    }
+  }
+
+  #admission (router: ModelRouter, event: AdmissionEvent): void {
+    for (const command of decideAdmission(router.admission, event)) this.#obey(router, command)
+  }
+
+  #obey (router: ModelRouter, command: AdmissionCommand): void {
+    switch (command.kind) {
+      case 'refuse': {
+        const request = this.#requests.get(command.request)
+        if (request !== undefined) this.#refusals.set(request.workspace, (this.#refusals.get(request.workspace) ?? 0) + 1)
+        return
+      }
+      case 'pull-empty':
+        return this.#send(router, command.agent, to => { if (to instanceof ModelAgent) this.#dispatch(to, { kind: 'pull-empty', pull: command.pull, now: this.now }) })
+      case 'hand-over': {
+        const { request, workspace, arrivedAt } = command.waiting
+        this.#longestWait.set(workspace, Math.max(this.#longestWait.get(workspace) ?? 0, this.now - arrivedAt))
+        return this.#send(router, command.agent, to => { if (to instanceof ModelAgent) this.#start(router, to, command.pull, request, command.waiting.estimate, command.waiting) })
+      }
+      case 'backlog-changed':
+        for (const [name, told] of router.told) {
+          if (this.agents.get(name)?.service === command.service) told.outOfDate = true
+        }
+    }
+  }
+
+  #start (router: ModelRouter, agent: ModelAgent, pull: number, id: RequestId, estimate: number, waiting: (AdmissionEvent & { kind: 'requeue' })['waiting']): void {
+    const request = this.#requests.get(id)
+    if (request === undefined) return
+    if (!agent.dispatch.isPending(pull)) {
+      this.#send(agent, router.name, to => { if (to instanceof ModelRouter) this.#admission(to, { kind: 'requeue', waiting, now: this.now }) })
+      return
+    }
+    this.#handovers += 1
+    request.startedAt = this.now
+    agent.running.set(id, request)
+    decideFairness(agent.fairness, { kind: 'work-started', request: id, service: request.service, workspace: request.workspace, estimate, now: this.now })
+    this.#dispatch(agent, { kind: 'pull-answered', pull, request: id, now: this.now })
+  }
+
+  /** Lets running requests run; a paused agent's upstream goes on, its corrections come late. */
+  #work (): void {
+    for (const agent of this.agents.values()) {
+      const paused = this.#links.paused(agent.name)
+      for (const request of agent.running.values()) this.#runOne(agent, request, paused)
+    }
+  }
+
+  #runOne (agent: ModelAgent, request: ModelRequest, paused: boolean): void {
+    const { id, service, workspace, cost } = request
+    if (request.ran < cost) {
+      request.ran += 1
+      const key = `${workspace}/${service}`
+      this.#served.set(key, (this.#served.get(key) ?? 0) + 1 / this.#weight(workspace))
+    }
+    if (paused) return
+    if (request.ran < cost) {
+      const charged = request.ran % PROGRESS_MS === 0 && this.options.order !== 'first-come'
+      if (charged) decideFairness(agent.fairness, { kind: 'work-progressed', request: id, cost: Math.max(request.ran, this.#estimate(request)), now: this.now })
+      return
+    }
+    agent.running.delete(id)
+    this.#requests.delete(id)
+    decideFairness(agent.fairness, { kind: 'work-ended', request: id, cost, now: this.now })
+    this.#dispatch(agent, { kind: 'request-ended', request: id, now: this.now })
+  }
+
+  #weight (workspace: string): number {
+    return this.options.loads.find(load => load.workspace === workspace)?.weight ?? 1
+  }
+
+  /** A rough hint: from a third of the cost to three times as much, fixed for each request. */
+  #estimate ({ id, cost }: ModelRequest): number {
+    const [factor] = [[0.33, 0.6, 1, 1.7, 3][Number(id) % 5] ?? 1]
+    return Math.ceil(cost * factor)
+  }
+
+  #feed (): void {
+    for (const load of this.options.loads) {
+      if (this.now <= load.from || this.now > load.until) continue
+      for (const index of load.routers) this.#feedRouter(load, this.routers.get(`r${index}`))
+    }
+  }
+
+  #feedRouter (load: ModelLoad, router: ModelRouter | undefined): void {
+    if (router === undefined || this.#links.paused(router.name)) return
+    for (const index of load.services) {
+      const workspace = asId<WorkspaceId>(load.workspace)
+      const queue = router.admission.queue(serviceOf(index), workspace)
+      for (let missing = load.waiting - queue.size; missing > 0; missing--) this.#arrive(router, workspace, serviceOf(index), this.#links.draw(...load.cost))
+    }
+  }
+
+  #arrive (router: ModelRouter, workspace: WorkspaceId, service: ServiceId, cost: number): void {
+    const id = asId<RequestId>(`${this.#nextRequest++}`)
+    const request = { id, workspace, service, cost, startedAt: 0, ran: 0 }
+    this.#requests.set(id, request)
+    this.#admission(router, { kind: 'request-arrived', request: id, service, workspace, patience: this.options.patience, estimate: this.#estimate(request), idempotent: true, now: this.now })
+  }
+
+  #offer (router: ModelRouter): void {
+    if (this.#links.paused(router.name)) return
+    for (const service of router.admission.services()) {
+      const entries = wholeBacklog(router.admission, service, this.now)
+      const waiting = entries.reduce((sum, entry) => sum + entry.waiting, 0)
+      if (this.now % TICK_MS === 0) this.#exchange(router, { kind: 'own-backlog', service, entries, now: this.now })
+      const targets = [...router.told].filter(([name]) => this.agents.get(name)?.service === service)
+        .map(([link, { at, outOfDate, free }]) => ({ link, free, toldAt: at, outOfDate }))
+      for (const link of planOffers(targets, waiting, router.seed, this.now)) this.#tellBacklog(router, link, service)
+    }
+  }
+
+  #tellBacklog (router: ModelRouter, link: string, service: ServiceId): void {
+    const { free } = router.told.get(link) ?? { free: 0 }
+    router.told.set(link, { at: this.now, outOfDate: false, free })
+    const entries = backlogFor(router.admission, service, { upstream: asId<UpstreamId>(link), zone: ZONE }, this.now)
+    this.#send(router, link, to => { if (to instanceof ModelAgent) this.#dispatch(to, { kind: 'router-backlog', router: router.name, service, entries, now: this.now }) })
+  }
+
+  #account (): void {
+    const waiting = this.#waitingServices()
+    for (const agent of this.agents.values()) {
+      this.#slotTime += this.options.slots
+      if (waiting.has(agent.service) && !this.#links.paused(agent.name)) this.#idle += this.options.slots - agent.running.size
+    }
+  }
+
+  #waitingServices (): Set<ServiceId> {
+    return new Set([...this.#waiting()].map(key => asId<ServiceId>(key.slice(key.indexOf('/') + 1))))
+  }
+
+  #waiting (): Set<string> {
+    const waiting = new Set<string>()
+    for (const { admission } of this.routers.values()) {
+      for (const service of admission.services()) {
+        for (const { workspace } of wholeBacklog(admission, service, this.now)) waiting.add(`${workspace}/${service}`)
+      }
+    }
+    return waiting
+  }
+
+  #sample (): ModelSample {
+    return { at: this.now, served: new Map(this.#served), waiting: this.#waiting() }
+  }
+
+  /** @returns hosts of the routers, for tests */
+  hosts (): HostId[] {
+    return [...this.routers.keys()].map(name => asId<HostId>(name))
+  }
+
+  /** @returns service truly given by one service to one workspace, by weight */
+  servedBy (key: string): number {
+    return getOrMake(this.#served, key, () => 0)
+  }
+}
--- /dev/null
+++ b/packages/policy/src/measure/modelLinks.ts
@@ -0,0 +1,79 @@
+/** Links of the model: delayed, in order, held up by partitions and pauses, lost when a session ends. */
+import { uniformInt } from 'pure-rand/distribution/uniformInt'
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import type { RandomGenerator } from 'pure-rand/types/RandomGenerator'
+import type { Millis } from '@fuchsiaworks/kernel'
+import type { ModelFault } from './modelTypes.js'
+
+/** Milliseconds without contact after which a session ends. */
+export const SESSION_EXPIRY_MS = 5_000
+
+/** Time, chance and the message bag of one model. */
+export class ModelLinks {
+  readonly #random: RandomGenerator
+  readonly #due = new Map<Millis, Array<() => void>>()
+  /** Reading before which nothing may arrive on a link, so that its order holds. */
+  readonly #lastArrival = new Map<string, Millis>()
+  now: Millis = 0
+
+  constructor (seed: number, readonly delay: readonly [number, number], readonly faults: readonly ModelFault[]) {
+    this.#random = xoroshiro128plus(seed)
+  }
+
+  /** @returns a whole number from least to largest */
+  draw (least: number, largest: number): number {
+    return uniformInt(this.#random, least, largest)
+  }
+
+  /** Runs a call at a later reading. */
+  at (time: Millis, run: () => void): void {
+    const calls = this.#due.get(time) ?? []
+    calls.push(run)
+    this.#due.set(time, calls)
+  }
+
+  /** Runs what is due and moves on by one millisecond. */
+  step (): void {
+    for (const run of this.#due.get(this.now) ?? []) run()
+    this.#due.delete(this.now)
+    this.now += 1
+  }
+
+  /** Carries a message in order; `run` takes it in at the other end. */
+  send (from: string, to: string, run: () => void): void {
+    const link = `${from}>${to}`
+    const earliest = Math.max(this.now + this.draw(...this.delay), this.#lastArrival.get(link) ?? 0)
+    const arrival = this.#freeTime(from, to, earliest)
+    this.#lastArrival.set(link, arrival)
+    this.at(Math.ceil(arrival), run)
+  }
+
+  /** @returns whether a process is stopped now */
+  paused (process: string): boolean {
+    return this.faults.some(fault => fault.kind === 'pause' && fault.process === process && fault.at <= this.now && this.now < fault.until)
+  }
+
+  /** @returns whether a partition lies between two processes at a reading */
+  cut (one: string, other: string, time: Millis = this.now): boolean {
+    return this.#cutting(one, other, time) !== undefined
+  }
+
+  #cutting (one: string, other: string, time: Millis): ModelFault & { kind: 'partition' } | undefined {
+    for (const fault of this.faults) {
+      if (fault.kind !== 'partition' || time < fault.at || time >= fault.until) continue
+      if (fault.side.includes(one) !== fault.side.includes(other)) return fault
+    }
+    return undefined
+  }
+
+  /** First reading from `time` on at which neither a partition nor a pause of the receiver is in the way. */
+  #freeTime (from: string, to: string, time: Millis): Millis {
+    let free = time
+    for (const fault of [...this.faults, ...this.faults]) {
+      if (fault.kind === 'pause' && fault.process === to && fault.at <= free && free < fault.until) free = fault.until
+      const cutting = this.#cutting(from, to, free)
+      if (cutting !== undefined) free = cutting.until
+    }
+    return free
+  }
+}
