--- /dev/null
+++ b/packages/policy/src/revision/revision.spec.ts
@@ -0,0 +1,179 @@
+/** Specification of configuration revisions. */
+import { describe, it } from 'node:test'
+import type { Finding } from '@fuchsiaworks/kernel'
+import { expect } from 'earl'
+import fc from 'fast-check'
+import { decideRevision } from './revision.js'
+import { RevisionDb } from './revisionDb.js'
+import type { ParseResult, RevisionCommand, RevisionConfig, RevisionEvent } from './revisionTypes.js'
+
+const SEED = 8_005
+const router: RevisionConfig = { alwaysWatch: true, watchAfter: 10_000, watchJitter: 5_000, maxRefused: 4, askAgain: 1_000 }
+const agent: RevisionConfig = { ...router, alwaysWatch: false }
+const findings: Finding[] = [{ severity: 'error', place: { file: 'base.jsonc', line: 1, column: 1 }, path: 'zones', message: 'is missing' }]
+
+const documents = (revision: number, link?: string, result: ParseResult = { kind: 'accepted' }): RevisionEvent =>
+  ({ kind: 'documents-received', now: 0, source: link === undefined ? 'service' : 'peer', revision, result, ...(link === undefined ? {} : { link }) })
+
+const at = (cfg: RevisionConfig, revision: number): RevisionDb => {
+  const db = new RevisionDb(cfg)
+  decideRevision(db, documents(revision))
+  return db
+}
+
+/** Processes that pass revisions over links; messages wait until they are delivered. */
+class Fleet {
+  readonly dbs: RevisionDb[]
+  readonly accepted: number[][]
+  readonly mail: Array<{ from: number, to: number, revision: number, kind: 'number' | 'documents' | 'ask' }> = []
+
+  constructor (count: number, readonly isValid: (revision: number) => boolean) {
+    this.dbs = Array.from({ length: count }, () => new RevisionDb(router))
+    this.accepted = this.dbs.map(() => [])
+  }
+
+  link (a: number, b: number): void {
+    this.send(a, { kind: 'link-up', now: 0, link: String(b) })
+    this.send(b, { kind: 'link-up', now: 0, link: String(a) })
+  }
+
+  unlink (a: number, b: number): void {
+    const kept = this.mail.filter(({ from, to }) => !(from === a && to === b) && !(from === b && to === a))
+    this.mail.splice(0, this.mail.length, ...kept)
+    this.send(a, { kind: 'link-down', now: 0, link: String(b), random: 0 })
+    this.send(b, { kind: 'link-down', now: 0, link: String(a), random: 0 })
+  }
+
+  publish (to: number, revision: number): void {
+    this.send(to, documents(revision, undefined, this.parse(revision)))
+  }
+
+  parse (revision: number): ParseResult {
+    return this.isValid(revision) ? { kind: 'accepted' } : { kind: 'findings', findings }
+  }
+
+  deliver (): void {
+    const message = this.mail.shift()
+    if (message === undefined || !this.dbs[message.to]!.peers.has(String(message.from))) return
+    const link = String(message.from)
+    const { revision } = message
+    if (message.kind === 'documents') this.send(message.to, documents(revision, link, this.parse(revision)))
+    else this.send(message.to, { kind: message.kind === 'ask' ? 'peer-asked' : 'peer-revision', now: 0, link, revision })
+  }
+
+  send (to: number, event: RevisionEvent): void {
+    for (const command of decideRevision(this.dbs[to]!, event)) this.carryOut(to, command)
+  }
+
+  carryOut (from: number, command: RevisionCommand): void {
+    if (command.kind === 'accept') this.accepted[from]!.push(command.revision)
+    if (command.kind !== 'tell-peer' && command.kind !== 'ask-peer') return
+    const kind = command.kind === 'ask-peer' ? 'ask' : command.withDocuments ? 'documents' : 'number'
+    this.mail.push({ from, to: Number(command.link), revision: command.revision, kind })
+  }
+}
+
+describe('revision', () => {
+  it('accepts a higher revision and tells linked peers that are behind, each once', () => {
+    const db = at(router, 3)
+    decideRevision(db, { kind: 'link-up', now: 0, link: 'a' })
+    decideRevision(db, { kind: 'link-up', now: 0, link: 'b' })
+    decideRevision(db, { kind: 'peer-revision', now: 0, link: 'b', revision: 4 })
+    expect(decideRevision(db, documents(4))).toEqual([
+      { kind: 'accept', revision: 4 }, { kind: 'tell-peer', link: 'a', revision: 4, withDocuments: false }
+    ])
+    expect(decideRevision(db, documents(4, 'b'))).toEqual([])
+  })
+
+  it('never goes back to an older revision of a stale service', () => {
+    const db = at(router, 9)
+    expect(decideRevision(db, documents(8))).toEqual([])
+    expect(db.accepted).toEqual(9)
+  })
+
+  it('refuses a revision with findings whole, keeps the last one, and does not ask for it again', () => {
+    const db = at(router, 3)
+    decideRevision(db, { kind: 'link-up', now: 0, link: 'a' })
+    expect(decideRevision(db, documents(4, undefined, { kind: 'findings', findings }))).toEqual([{ kind: 'refuse-with-findings', revision: 4, findings }])
+    expect(decideRevision(db, { kind: 'peer-revision', now: 9_999, link: 'a', revision: 4 })).toEqual([])
+    expect([db.accepted, db.floor]).toEqual([3, 4])
+  })
+
+  it('asks one peer at a time, and the next one when no answer comes or the link ends', () => {
+    const db = at(router, 3)
+    for (const link of ['a', 'b', 'c']) decideRevision(db, { kind: 'link-up', now: 0, link })
+    const told = (link: string, now: number): RevisionCommand[] => decideRevision(db, { kind: 'peer-revision', now, link, revision: 5 })
+    expect(told('a', 0)).toEqual([{ kind: 'ask-peer', link: 'a', revision: 3 }])
+    expect([...told('b', 1), ...told('c', 2)]).toEqual([])
+    const isAsk = (command: RevisionCommand): boolean => command.kind === 'ask-peer'
+    expect(decideRevision(db, { kind: 'tick', now: 1_000, random: 0 }).filter(isAsk)).toEqual([{ kind: 'ask-peer', link: 'b', revision: 3 }])
+    expect(decideRevision(db, { kind: 'link-down', now: 1_001, link: 'b', random: 0 })).toEqual([{ kind: 'ask-peer', link: 'a', revision: 3 }])
+  })
+
+  it('sends documents only to a peer that asks and is behind', () => {
+    const db = at(router, 3)
+    const asked = (revision: number): RevisionCommand[] => decideRevision(db, { kind: 'peer-asked', now: 0, link: 'a', revision })
+    expect(asked(2)).toEqual([{ kind: 'tell-peer', link: 'a', revision: 3, withDocuments: true }])
+    expect(asked(3)).toEqual([])
+  })
+
+  it('takes the newest from a peer when it starts empty against a stale service', () => {
+    const fleet = new Fleet(2, () => true)
+    fleet.publish(0, 7)
+    fleet.publish(1, 5)
+    fleet.link(0, 1)
+    while (fleet.mail.length > 0) fleet.deliver()
+    expect(fleet.accepted).toEqual([[7], [5, 7]])
+  })
+
+  it('watches as a router at once, and as an agent only after some time without any link', () => {
+    const kinds = (db: RevisionDb, event: RevisionEvent): string[] => decideRevision(db, event).map(command => command.kind)
+    expect(kinds(new RevisionDb(router), { kind: 'tick', now: 0, random: 0.5 })).toEqual(['watch'])
+    const db = new RevisionDb(agent)
+    expect(kinds(db, { kind: 'tick', now: 0, random: 0.5 })).toEqual([])
+    expect(kinds(db, { kind: 'tick', now: 12_499, random: 0 })).toEqual([])
+    expect(kinds(db, { kind: 'tick', now: 12_500, random: 0 })).toEqual(['watch'])
+    expect(kinds(db, { kind: 'link-up', now: 12_600, link: 'a' })).toEqual(['tell-peer', 'stop-watching'])
+    expect(kinds(db, { kind: 'tick', now: 99_000, random: 0 })).toEqual([])
+    expect(kinds(db, { kind: 'link-down', now: 99_000, link: 'a', random: 0 })).toEqual([])
+    expect(kinds(db, { kind: 'tick', now: 109_000, random: 0 })).toEqual(['watch'])
+  })
+
+  it('waits a random time after an error of the service', () => {
+    const db = new RevisionDb(router)
+    decideRevision(db, { kind: 'tick', now: 0, random: 0 })
+    decideRevision(db, { kind: 'service-down', now: 100, random: 0.5 })
+    expect(decideRevision(db, { kind: 'tick', now: 2_599, random: 0 })).toEqual([])
+    expect(decideRevision(db, { kind: 'tick', now: 2_600, random: 0 })).toEqual([{ kind: 'watch', above: 0 }])
+  })
+
+  it('never reverts anywhere, accepts nothing invalid, and agrees on the newest once linked', () => {
+    const pair = fc.tuple(fc.nat(4), fc.nat(4)).filter(([a, b]) => a !== b)
+    const step = fc.oneof(
+      fc.record({ op: fc.constant('publish' as const), to: fc.nat(4), revision: fc.integer({ min: 1, max: 20 }) }),
+      fc.record({ op: fc.constant('link' as const), pair }),
+      fc.record({ op: fc.constant('unlink' as const), pair }),
+      fc.record({ op: fc.constant('deliver' as const) }),
+      fc.record({ op: fc.constant('restart' as const), who: fc.nat(4) }))
+    fc.assert(fc.property(fc.array(step, { maxLength: 80 }), steps => {
+      const fleet = new Fleet(5, revision => revision % 5 !== 0)
+      let newest = 0
+      for (const each of steps) {
+        if (each.op === 'publish') fleet.publish(each.to, each.revision)
+        if (each.op === 'link') fleet.link(...each.pair)
+        if (each.op === 'unlink') fleet.unlink(...each.pair)
+        if (each.op === 'deliver') fleet.deliver()
+        if (each.op === 'restart') {
+          for (let other = 0; other < 5; other += 1) if (other !== each.who) fleet.unlink(each.who, other)
+          fleet.dbs[each.who] = new RevisionDb(router)
+          fleet.accepted[each.who] = []
+        }
+      }
+      for (let a = 0; a < 5; a += 1) for (let b = 0; b < a; b += 1) fleet.link(a, b)
+      newest = Math.max(...fleet.dbs.map(db => db.accepted))
+      while (fleet.mail.length > 0) fleet.deliver()
+      const rising = fleet.accepted.every(list => list.every((revision, n) => revision % 5 !== 0 && revision > (list[n - 1] ?? 0)))
+      return rising && fleet.dbs.every(db => db.accepted === newest)
+    }), { seed: SEED, numRuns: 2_000 })
+  })
+})
--- a/packages/policy/src/revision/revision.ts
+++ b/packages/policy/src/revision/revision.ts
@@ -1,30 +1,27 @@
 /** Takes the newest valid configuration from the service or from peers, passes it on, and never goes back. */
-import { assertNever, getOrMake, type Millis } from '@fuchsiaworks/kernel'
-import type { PeerRevision, RevisionDb } from './revisionDb.js'
+import { assertNever, type Millis } from '@fuchsiaworks/kernel'
+import type { RevisionDb } from './revisionDb.js'
 import type { RevisionCommand, RevisionEvent } from './revisionTypes.js'
 
-const peerOf = (db: RevisionDb, link: string): PeerRevision => getOrMake(db.peers, link, () => ({ known: 0, askedAt: -Infinity }))
-
-/** Sends the revision in force to a peer that is behind. */
-const tell = (db: RevisionDb, link: string, peer: PeerRevision): RevisionCommand[] => {
-  if (db.accepted === 0 || peer.known >= db.accepted) return []
-  peer.known = db.accepted
-  return [{ kind: 'tell-peer', link, revision: db.accepted, withDocuments: true }]
+/** Tells a peer of the revision in force, if it is not known to have it. */
+const tell = (db: RevisionDb, link: string): RevisionCommand[] => {
+  if ((db.peers.get(link) ?? 0) >= db.accepted) return []
+  db.raisePeer(link, db.accepted)
+  return [{ kind: 'tell-peer', link, revision: db.accepted, withDocuments: false }]
 }
 
-const ask = (db: RevisionDb, link: string, peer: PeerRevision, now: Millis): RevisionCommand[] => {
-  if (peer.known <= db.accepted || db.isRefused(peer.known)) return []
-  if (now - peer.askedAt < db.config.askAgain) return []
-  peer.askedAt = now
-  return [{ kind: 'ask-peer', link, revision: db.accepted }]
+/** Asks one peer that is ahead, and another one when no answer comes. */
+const ask = (db: RevisionDb, now: Millis): RevisionCommand[] => {
+  if (db.question !== undefined && now - db.question.at < db.config.askAgain) return []
+  const [link] = db.linksAhead()
+  db.question = link === undefined ? undefined : { link, at: now }
+  return link === undefined ? [] : [{ kind: 'ask-peer', link, revision: db.accepted }]
 }
 
 const onDocuments = (db: RevisionDb, event: Extract<RevisionEvent, { kind: 'documents-received' }>): RevisionCommand[] => {
   const { revision, result } = event
-  if (event.link !== undefined) {
-    const peer = peerOf(db, event.link)
-    peer.known = Math.max(peer.known, revision)
-  }
+  if (event.link !== undefined) db.raisePeer(event.link, revision)
+  if (event.link !== undefined && event.link === db.question?.link) db.question = undefined
   if (revision <= db.accepted || db.isRefused(revision)) return []
   switch (result.kind) {
     case 'findings':
@@ -32,8 +29,9 @@
       return [{ kind: 'refuse-with-findings', revision, findings: result.findings }]
     case 'accepted': {
       db.accepted = revision
-      const told = [...db.peers].flatMap(([link, peer]) => tell(db, link, peer))
-      return [{ kind: 'accept', revision }, ...told]
+      if ((db.peers.get(db.question?.link ?? '') ?? 0) <= revision) db.question = undefined
+      const told = [...db.peers.keys()].flatMap(link => tell(db, link))
+      return [{ kind: 'accept', revision }, ...told, ...ask(db, event.now)]
     }
     default:
       return assertNever(result)
@@ -41,14 +39,19 @@
 }
 
 const onPeerRevision = (db: RevisionDb, event: Extract<RevisionEvent, { kind: 'peer-revision' }>): RevisionCommand[] => {
-  const peer = peerOf(db, event.link)
-  peer.known = event.revision
-  return [...tell(db, event.link, peer), ...ask(db, event.link, peer, event.now)]
+  db.raisePeer(event.link, event.revision)
+  return ask(db, event.now)
+}
+
+const onPeerAsked = (db: RevisionDb, event: Extract<RevisionEvent, { kind: 'peer-asked' }>): RevisionCommand[] => {
+  if (db.accepted <= event.revision) return []
+  db.raisePeer(event.link, db.accepted)
+  return [{ kind: 'tell-peer', link: event.link, revision: db.accepted, withDocuments: true }]
 }
 
-const onLinkUp = (db: RevisionDb, event: Extract<RevisionEvent, { kind: 'link-up' }>): RevisionCommand[] => {
-  db.peers.set(event.link, { known: 0, askedAt: -Infinity })
-  const hello: RevisionCommand = { kind: 'tell-peer', link: event.link, revision: db.accepted, withDocuments: false }
+const onLinkUp = (db: RevisionDb, link: string): RevisionCommand[] => {
+  db.peers.set(link, db.accepted)
+  const hello: RevisionCommand = { kind: 'tell-peer', link, revision: db.accepted, withDocuments: false }
   if (db.config.alwaysWatch) return [hello]
   db.watchAt = undefined
   if (!db.watching) return [hello]
@@ -68,9 +71,17 @@
   else planWatch(db, now, random)
 }
 
+const onLinkDown = (db: RevisionDb, event: Extract<RevisionEvent, { kind: 'link-down' }>): RevisionCommand[] => {
+  db.peers.delete(event.link)
+  planWatch(db, event.now, event.random)
+  if (db.question?.link !== event.link) return []
+  db.question = undefined
+  return ask(db, event.now)
+}
+
 const onTick = (db: RevisionDb, now: Millis, random: number): RevisionCommand[] => {
   planWatch(db, now, random)
-  const asks = [...db.peers].flatMap(([link, peer]) => ask(db, link, peer, now))
+  const asks = ask(db, now)
   if (db.watching || db.watchAt === undefined || now < db.watchAt) return asks
   db.watching = true
   db.watchAt = undefined
@@ -89,13 +100,13 @@
     case 'documents-received':
       return onDocuments(db, event)
     case 'link-up':
-      return onLinkUp(db, event)
+      return onLinkUp(db, event.link)
     case 'link-down':
-      db.peers.delete(event.link)
-      planWatch(db, event.now, event.random)
-      return []
+      return onLinkDown(db, event)
     case 'peer-revision':
       return onPeerRevision(db, event)
+    case 'peer-asked':
+      return onPeerAsked(db, event)
     case 'service-down':
       onServiceDown(db, event.now, event.random)
       return []
--- a/packages/policy/src/revision/revisionTypes.ts
+++ b/packages/policy/src/revision/revisionTypes.ts
@@ -11,7 +11,7 @@
   readonly watchJitter: Millis
   /** Refused revisions that are remembered. */
   readonly maxRefused: number
-  /** Milliseconds after which documents that a peer did not send are asked for again. */
+  /** Milliseconds after which another peer is asked for documents that did not come. */
   readonly askAgain: Millis
 }
 
@@ -36,7 +36,20 @@
   } |
   { readonly kind: 'link-up', readonly now: Millis, readonly link: string } |
   { readonly kind: 'link-down', readonly now: Millis, readonly link: string, readonly random: number } |
-  { readonly kind: 'peer-revision', readonly now: Millis, readonly link: string, readonly revision: number } |
+  {
+    /** The peer tells its newest accepted revision. */
+    readonly kind: 'peer-revision'
+    readonly now: Millis
+    readonly link: string
+    readonly revision: number
+  } |
+  {
+    /** The peer wants the documents of any revision above this one. */
+    readonly kind: 'peer-asked'
+    readonly now: Millis
+    readonly link: string
+    readonly revision: number
+  } |
   {
     /** A read or watch of the configuration service failed. */
     readonly kind: 'service-down'
@@ -50,13 +63,13 @@
   { readonly kind: 'accept', readonly revision: number } |
   { readonly kind: 'refuse-with-findings', readonly revision: number, readonly findings: readonly Finding[] } |
   {
-    /** Tell the peer the own revision; a peer that is ahead answers with its documents. */
+    /** Ask the peer for the documents of a revision above the own one. */
     readonly kind: 'ask-peer'
     readonly link: string
     readonly revision: number
   } |
   {
-    /** Send the peer the own revision, with the documents when it is behind. */
+    /** Send the peer the own revision; the documents go only to a peer that asked. */
     readonly kind: 'tell-peer'
     readonly link: string
     readonly revision: number
