Open the administration API in routers and agents, and relay configuration by asking

Cause: operators could not see a running fleet; agents never got a configuration since the relay tells only numbers first (npm start stayed at 'no upstream took the request').

--- /dev/null
+++ b/packages/agent/src/admin/agentAdmin.ts
@@ -0,0 +1,66 @@
+/** What an agent answers to operators. */
+import type { AdminAnswer, AdminHandlers } from '@fuchsiaworks/admin'
+import { type AdminSources, commonHandlers, type RoleStatus } from '@fuchsiaworks/fleet'
+import type { AgentSettings } from '@fuchsiaworks/settings'
+import type { KeyService } from '../keys/keyService.js'
+import type { LimitService } from '../limits/limitService.js'
+import type { StateTeller } from '../links/stateTeller.js'
+import type { RunTable } from '../work/runTable.js'
+import type { Slots } from '../work/slots.js'
+
+/** Services of an agent that its handlers read. */
+export interface AgentAdminSources extends AdminSources {
+  readonly limits: LimitService
+  readonly runs: RunTable
+  readonly slots: Slots
+  readonly keys: KeyService
+  readonly state: StateTeller
+  readonly settings: AgentSettings
+}
+
+const reasonsOf = ({ membership, limits, hub }: AgentAdminSources): string[] => {
+  const reasons: string[] = []
+  if (membership.state !== 'open') reasons.push(`the state of this host is ${membership.state}`)
+  if (limits.capacity.state === 'down') reasons.push(`the upstream is down: ${limits.capacity.reason}`)
+  if (hub.withRole('router').length === 0) reasons.push('no router is linked')
+  return reasons
+}
+
+const upstreamsOf = ({ state, settings }: AgentAdminSources): AdminAnswer<'upstreams'> => {
+  const current = state.current()
+  if (current === undefined) return { upstreams: [] }
+  const { kind, ...told } = current
+  return { upstreams: [{ ...told, host: settings.host }] }
+}
+
+const limitsOf = ({ limits, slots, keys }: AgentAdminSources): AdminAnswer<'limits'> => ({
+  limits: [
+    { name: 'slots', unit: 'requests', limit: limits.capacity.limit, used: slots.running },
+    { name: 'reservedSlots', unit: 'requests', limit: limits.capacity.limit, used: slots.reserved },
+    { name: 'rememberedKeys', unit: 'keys', limit: keys.capacity, used: keys.size }
+  ]
+})
+
+/**
+ * Makes the handlers of an agent.
+ *
+ * @param sources - services of the process
+ * @returns handlers by route name
+ */
+export const agentHandlers = (sources: AgentAdminSources): AdminHandlers => {
+  const role: RoleStatus = {
+    reasons: () => reasonsOf(sources),
+    draining: () => sources.membership.state === 'leaving',
+    waiting: () => 0,
+    running: () => sources.runs.size,
+    waitingOf: () => ({ waiting: 0, oldestWait: 0 }),
+    runningOf: (service, workspace) =>
+      [...sources.runs.all()].filter(({ handover }) => handover.service === service && handover.workspace === workspace).length
+  }
+  return {
+    ...commonHandlers(sources, role),
+    upstreams: () => upstreamsOf(sources),
+    refusals: () => ({ refusals: [], quarantined: [] }),
+    limits: () => limitsOf(sources)
+  }
+}
--- a/packages/agent/src/keys/keyService.ts
+++ b/packages/agent/src/keys/keyService.ts
@@ -47,6 +47,11 @@
     onEvent(configuration.changes, log, force => { this.#configure(force) })
   }
 
+  /** Keys that are remembered for one workspace at most. */
+  get capacity (): number {
+    return this.#db.config.maxKeys
+  }
+
   /** Keys that are remembered. */
   get size (): number {
     return this.#db.size
--- a/packages/agent/src/process/agentServices.ts
+++ b/packages/agent/src/process/agentServices.ts
@@ -1,10 +1,11 @@
 /** The services of an agent, as registered with the kernel. */
 import type { ServiceDefinition } from '@fuchsiaworks/kernel'
 import {
-  configurationKey, ConfigurationService, contextKey, fairnessKey, FairnessService, LinkHub, linkHubKey, membershipKey, MembershipService,
+  adminKey, AdminService, configurationKey, ConfigurationService, contextKey, fairnessKey, FairnessService, LinkHub, linkHubKey, membershipKey, MembershipService,
   type ProcessContext
 } from '@fuchsiaworks/fleet'
 import type { AgentSettings } from '@fuchsiaworks/settings'
+import { agentHandlers } from '../admin/agentAdmin.js'
 import { KeyService, keyServiceKey } from '../keys/keyService.js'
 import { LimitService, limitKey } from '../limits/limitService.js'
 import { StateTeller, stateTellerKey } from '../links/stateTeller.js'
@@ -80,5 +81,22 @@
     create: kernel => new StateTeller(
       context, kernel.get(linkHubKey), kernel.get(configurationKey), kernel.get(membershipKey), kernel.get(limitKey), kernel.get(runTableKey), settings
     )
+  },
+  {
+    id: adminKey.id,
+    needs: [stateTellerKey.id],
+    create: kernel => new AdminService(context, agentHandlers({
+      context,
+      settings,
+      hub: kernel.get(linkHubKey),
+      configuration: kernel.get(configurationKey),
+      membership: kernel.get(membershipKey),
+      fairness: kernel.get(fairnessKey),
+      limits: kernel.get(limitKey),
+      runs: kernel.get(runTableKey),
+      slots: kernel.get(slotsKey),
+      keys: kernel.get(keyServiceKey),
+      state: kernel.get(stateTellerKey)
+    }))
   }
 ]
--- /dev/null
+++ b/packages/fleet/src/admin/adminService.ts
@@ -0,0 +1,26 @@
+/** Serves the administration API of a process. */
+import { type AdminHandlers, type AdminServer, serveRoutes, startAdmin } from '@fuchsiaworks/admin'
+import { createLog, type Service, type ServiceKey, serviceKey } from '@fuchsiaworks/kernel'
+import type { ProcessContext } from '../context/processContext.js'
+
+const log = createLog('admin')
+
+/** The administration API with the handlers of this process. */
+export class AdminService implements Service {
+  #server: AdminServer | undefined
+
+  constructor (readonly context: ProcessContext, readonly handlers: AdminHandlers) {}
+
+  async start (): Promise<void> {
+    const { host, port, key } = this.context.settings.admin
+    this.#server = await startAdmin({ host, port, key, routes: serveRoutes(this.handlers) })
+    log.info('the administration API is open', { port: this.#server.address.port })
+  }
+
+  async close (): Promise<void> {
+    await this.#server?.close()
+  }
+}
+
+/** Key of the administration API. */
+export const adminKey: ServiceKey<AdminService> = serviceKey('admin')
--- a/packages/fleet/src/configuration/configurationService.ts
+++ b/packages/fleet/src/configuration/configurationService.ts
@@ -61,6 +61,7 @@
       askAgain: ASK_AGAIN_MS
     })
     hub.table.on('revision', (link, message) => { this.#onMessage(link, message) })
+    hub.table.on('revision-ask', (link, { revision }) => { this.#decide({ kind: 'peer-asked', now: this.#now(), link: link.id, revision }) })
     onEvent(hub.opened, log, link => { this.#decide({ kind: 'link-up', now: this.#now(), link: link.id }) })
     onEvent(hub.closed, log, ({ link }) => {
       this.#decide({ kind: 'link-down', now: this.#now(), link: link.id, random: context.random() })
@@ -82,9 +83,11 @@
     return this.#refusedRevision === undefined ? undefined : { revision: this.#refusedRevision, findings: this.#findings }
   }
 
-  /** Reads of the configuration service since the start. */
-  get reads (): number {
-    return this.#watch?.status.reads ?? 0
+  /** How the watch of the configuration service does; undefined while this process does not watch. */
+  get watch (): { readonly reads: number, readonly failures: number, readonly lastFailure?: string } | undefined {
+    if (this.#watch === undefined) return undefined
+    const { reads, failures, lastFailure } = this.#watch.status
+    return { reads, failures, ...(lastFailure === undefined ? {} : { lastFailure }) }
   }
 
   start (): void {
@@ -154,7 +157,7 @@
     switch (command.kind) {
       case 'accept': return this.#accept(command.revision)
       case 'refuse-with-findings': return this.#refuse(command.revision, command.findings)
-      case 'ask-peer': return this.#hub.find(command.link)?.send({ kind: 'revision', revision: command.revision })
+      case 'ask-peer': return this.#hub.find(command.link)?.send({ kind: 'revision-ask', revision: command.revision })
       case 'tell-peer': return this.#tell(command.link, command.withDocuments)
       case 'watch': return this.#startWatch()
       case 'stop-watching': return this.#stopWatch()
--- a/packages/fleet/src/context/createContext.ts
+++ b/packages/fleet/src/context/createContext.ts
@@ -29,6 +29,7 @@
   return {
     settings,
     clock: systemClock,
+    startedAt: systemClock.now(),
     random: createRandom(),
     hash: await loadStringHash(),
     identity,
--- a/packages/fleet/src/context/processContext.ts
+++ b/packages/fleet/src/context/processContext.ts
@@ -1,5 +1,5 @@
 /** What every service of a process works with. */
-import { type Clock, type Metrics, type Service, type ServiceKey, serviceKey, type TimeLine } from '@fuchsiaworks/kernel'
+import { type Clock, type Metrics, type Millis, type Service, type ServiceKey, serviceKey, type TimeLine } from '@fuchsiaworks/kernel'
 import type { StringHash } from '@fuchsiaworks/policy'
 import type { ProcessSettings } from '@fuchsiaworks/settings'
 import type { Identity } from '@fuchsiaworks/wire'
@@ -8,6 +8,8 @@
 export interface ProcessContext extends Service {
   readonly settings: ProcessSettings
   readonly clock: Clock
+  /** Monotonic milliseconds of the start. */
+  readonly startedAt: Millis
   /** Uniform random numbers from 0 up to 1. */
   readonly random: () => number
   /** The hash by which every process of the fleet chooses homes and links. */
--- a/packages/fleet/src/fairness/fairnessService.ts
+++ b/packages/fleet/src/fairness/fairnessService.ts
@@ -3,7 +3,8 @@
   createLog, type HostId, type Millis, onEvent, type Service, type ServiceId, type ServiceKey, serviceKey, type Timer, type WorkspaceId
 } from '@fuchsiaworks/kernel'
 import {
-  type ExchangeCommand, type ExchangeDb, exchangeDefinition, type ExchangeEvent, type FairnessDb, fairnessDefinition, type FairnessEvent
+  type ExchangeCommand, type ExchangeDb, exchangeDefinition, type ExchangeEvent, type FairnessDb, fairnessDefinition, type FairnessEvent,
+  netOf
 } from '@fuchsiaworks/policy'
 import type { FleetConfig } from '@fuchsiaworks/settings'
 import type { ConfigurationService } from '../configuration/configurationService.js'
@@ -75,6 +76,19 @@
     for (const command of exchangeDefinition.decide(this.#exchange, this.db, event)) this.#run(command)
   }
 
+  /**
+   * Tells what a workspace was served.
+   *
+   * @param service - the service
+   * @param workspace - the workspace
+   * @returns virtual cost over the fleet and of this process alone
+   */
+  servedOf (service: ServiceId, workspace: WorkspaceId): { readonly served: number, readonly own: number } {
+    const account = [...this.db.accountsOf(service)].find(candidate => candidate.workspace === workspace)
+    if (account === undefined) return { served: 0, own: 0 }
+    return { served: account.served, own: netOf(account.tallyOf(this.db.originOf(service))) }
+  }
+
   /**
    * Takes a linked agent among the peers, once its service is known.
    *
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,4 +1,6 @@
 /** Public entry of the fleet package. */
+export * from './admin/adminService.js'
+export * from './admin/commonHandlers.js'
 export * from './configuration/configurationService.js'
 export * from './configuration/listedUpstreams.js'
 export * from './context/createContext.js'
--- a/packages/fleet/src/membership/membershipService.ts
+++ b/packages/fleet/src/membership/membershipService.ts
@@ -105,6 +105,20 @@
     return this.#hostList.status.reads
   }
 
+  /**
+   * Tells where a host is known from.
+   *
+   * @param host - the host
+   * @returns the sources
+   */
+  sourcesOf (host: HostId): Array<'host-list' | 'configuration' | 'link'> {
+    const sources: Array<'host-list' | 'configuration' | 'link'> = []
+    if (this.#addresses.has(host)) sources.push('host-list')
+    if (this.#db.configured.has(host)) sources.push('configuration')
+    if (this.#db.hosts.get(host)?.linked === true) sources.push('link')
+    return sources
+  }
+
   start (): void {
     const { settings, clock, random } = this.#context
     for (const seed of settings.routers) this.#dials.dialSeed(seed)
--- a/packages/policy/src/admission/admissionDb.ts
+++ b/packages/policy/src/admission/admissionDb.ts
@@ -73,6 +73,11 @@
     return this.#queues.keys()
   }
 
+  /** Requests that wait. */
+  get size (): number {
+    return this.#waiting.size
+  }
+
   /** @returns a request while it waits */
   waiting (request: RequestId): WaitingRequest | undefined {
     return this.#waiting.get(request)
--- a/packages/policy/src/quarantine/quarantineDb.ts
+++ b/packages/policy/src/quarantine/quarantineDb.ts
@@ -1,6 +1,6 @@
 /** Suspects and refused requests, each bounded by workspace. */
 import { type Fingerprint, getOrMake, type Millis, type WorkspaceId } from '@fuchsiaworks/kernel'
-import type { QuarantineConfig, RequestPrint } from './quarantineTypes.js'
+import type { QuarantineConfig, RefusedPrint, RequestPrint } from './quarantineTypes.js'
 
 /** What speaks against a request. */
 export interface Suspicion {
@@ -40,6 +40,13 @@
     return Math.max(0, until - now)
   }
 
+  /** @returns every request that is refused now */
+  refusedPrints (now: Millis): RefusedPrint[] {
+    return [...this.#workspaces].flatMap(([workspace, { refused }]) =>
+      [...refused].filter(([, until]) => until > now)
+        .map(([fingerprint, until]) => ({ workspace, fingerprint, remainingMs: until - now })))
+  }
+
   /** Adds a crash; suspicions beyond the bound of the workspace push out the oldest. */
   addCrash (print: RequestPrint, crash: string, alone: boolean, now: Millis): Suspicion {
     const { suspects } = this.#table(print.workspace)
--- a/packages/policy/src/quarantine/quarantineTypes.ts
+++ b/packages/policy/src/quarantine/quarantineTypes.ts
@@ -19,6 +19,12 @@
   readonly fingerprint: Fingerprint
 }
 
+/** A request that is refused. */
+export interface RefusedPrint extends RequestPrint {
+  /** Milliseconds for which it is still refused. */
+  readonly remainingMs: Millis
+}
+
 /** What a router sees. `now` is monotonic milliseconds. */
 export type QuarantineEvent =
   RequestPrint & {
--- a/packages/router/src/callers/callerServer.ts
+++ b/packages/router/src/callers/callerServer.ts
@@ -67,6 +67,11 @@
     onEvent(configuration.changes, log, ({ config }) => { this.#index = new IdentityIndex(config) })
   }
 
+  /** True once no new connections are taken. */
+  get draining (): boolean {
+    return this.#draining
+  }
+
   /** Address on which callers are served. */
   get address (): AddressInfo {
     return this.#server.address() as AddressInfo
--- a/packages/router/src/process/routerServices.ts
+++ b/packages/router/src/process/routerServices.ts
@@ -1,10 +1,11 @@
 /** The services of a router, as registered with the kernel. */
 import { type ServiceDefinition, type ServiceKey, serviceKey } from '@fuchsiaworks/kernel'
 import {
-  configurationKey, ConfigurationService, contextKey, fairnessKey, FairnessService, LinkHub, linkHubKey, membershipKey, MembershipService, type ProcessContext
+  adminKey, AdminService, configurationKey, ConfigurationService, contextKey, fairnessKey, FairnessService, LinkHub, linkHubKey, membershipKey, MembershipService, type ProcessContext
 } from '@fuchsiaworks/fleet'
 import { type AdmissionDb, admissionDefinition } from '@fuchsiaworks/policy'
 import type { RouterSettings } from '@fuchsiaworks/settings'
+import { routerHandlers } from '../admin/routerAdmin.js'
 import { CallerServer, callerServerKey } from '../callers/callerServer.js'
 import { AgentStates, agentStatesKey } from '../links/agentStates.js'
 import { BacklogTeller, backlogTellerKey } from '../links/backlogTeller.js'
@@ -83,6 +84,23 @@
     needs: [answerRelayKey.id],
     create: kernel => new LinkServer(context, kernel.get(linkHubKey), settings)
   },
+  {
+    id: adminKey.id,
+    needs: [callerServerKey.id, linkServerKey.id],
+    create: kernel => new AdminService(context, routerHandlers({
+      context,
+      hub: kernel.get(linkHubKey),
+      configuration: kernel.get(configurationKey),
+      membership: kernel.get(membershipKey),
+      fairness: kernel.get(fairnessKey),
+      callers: kernel.get(callerServerKey),
+      table: kernel.get(requestTableKey),
+      flow: kernel.get(requestFlowKey),
+      states: kernel.get(agentStatesKey),
+      quarantine: kernel.get(quarantineKey),
+      admission: kernel.get(queueKey).db
+    }))
+  },
   {
     id: callerServerKey.id,
     needs: [answerRelayKey.id, homeFinderKey.id],
--- a/packages/router/src/quarantine/quarantineService.ts
+++ b/packages/router/src/quarantine/quarantineService.ts
@@ -1,7 +1,7 @@
 /** Keeps apart, and refuses for a while, requests whose running ends upstreams; told to all routers. */
 import { createLog, type Millis, type Service, type ServiceKey, serviceKey, type Timer, type UpstreamId } from '@fuchsiaworks/kernel'
 import type { LinkHub, ProcessContext } from '@fuchsiaworks/fleet'
-import { type QuarantineCommand, type QuarantineDb, quarantineDefinition, type QuarantineEvent, type RequestPrint } from '@fuchsiaworks/policy'
+import { type QuarantineCommand, type QuarantineDb, quarantineDefinition, type QuarantineEvent, type RefusedPrint, type RequestPrint } from '@fuchsiaworks/policy'
 import { defaultFleetConfig } from '@fuchsiaworks/settings'
 import type { Crash, Message } from '@fuchsiaworks/wire'
 
@@ -57,6 +57,11 @@
     return { kind: 'normal' }
   }
 
+  /** @returns the requests that are refused now */
+  refused (): RefusedPrint[] {
+    return this.#db.refusedPrints(this.#now())
+  }
+
   /**
    * Notes that an upstream ended while it ran a request.
    *
--- a/packages/router/src/requests/refusals.ts
+++ b/packages/router/src/requests/refusals.ts
@@ -1,5 +1,6 @@
 /** Recent refusals with their reasons, for operators. */
 import type { Millis, RequestId, ServiceId, WorkspaceId } from '@fuchsiaworks/kernel'
+import type { Outcome } from '@fuchsiaworks/wire'
 
 /** One refusal. */
 export interface Refusal {
@@ -7,7 +8,12 @@
   readonly request: RequestId
   readonly workspace: WorkspaceId
   readonly service: ServiceId
+  /** HTTP status that the caller got. */
+  readonly status: number
+  readonly outcome: Outcome
   readonly reason: string
+  /** Milliseconds after which the caller was told to come back. */
+  readonly retryAfterMs?: Millis
 }
 
 /** Refusals that are kept. */
--- a/packages/router/src/requests/requestFlow.ts
+++ b/packages/router/src/requests/requestFlow.ts
@@ -270,9 +270,11 @@
     if (request === undefined) return
     this.record('request-refused', request, reason)
     const { workspace, service } = request.facts
-    this.refusals.add({ at: this.context.clock.wall(), request: id, workspace, service, reason })
+    const problem = truthful(request, problemOfRefusal(reason, retryAfter))
+    const { status, outcome } = problem
+    this.refusals.add({ at: this.context.clock.wall(), request: id, workspace, service, status, outcome, reason, retryAfterMs: retryAfter })
     this.context.metrics.count('requests.refused', 1, { reason, service })
-    this.#answer(request, problemOfRefusal(reason, retryAfter))
+    this.#answer(request, problem)
   }
 
   #answer (request: OpenRequest, decided: Problem): void {
--- a/packages/router/src/requests/requestTable.ts
+++ b/packages/router/src/requests/requestTable.ts
@@ -1,5 +1,5 @@
 /** The open requests of this router by id, with counts by workspace. */
-import { getOrMake, type RequestId, type ServiceKey, serviceKey, type WorkspaceId } from '@fuchsiaworks/kernel'
+import { getOrMake, type RequestId, type ServiceId, type ServiceKey, serviceKey, type WorkspaceId } from '@fuchsiaworks/kernel'
 import type { FleetLink } from '@fuchsiaworks/fleet'
 import type { OpenRequest } from './openRequest.js'
 
@@ -14,6 +14,12 @@
     return this.#requests.size
   }
 
+  /** @returns requests of a workspace that agents hold */
+  runningOf (service: ServiceId, workspace: WorkspaceId): number {
+    return [...this.#requests.values()]
+      .filter(({ holder, facts }) => holder !== undefined && facts.service === service && facts.workspace === workspace).length
+  }
+
   /** @returns open requests of a workspace */
   countOf (workspace: WorkspaceId): number {
     return this.#byWorkspace.get(workspace) ?? 0
--- a/packages/wire/src/codec/codec.spec.ts
+++ b/packages/wire/src/codec/codec.spec.ts
@@ -41,7 +41,7 @@
   }, plain),
   fc.record({
     kind: fc.constant('counters' as const),
-    entries: fc.array(fc.record({ origin: id, service: id, workspace: id, total: amount }, plain)),
+    entries: fc.array(fc.record({ origin: id, service: id, workspace: id, total: amount, refund: amount }, plain)),
     lifts: fc.array(fc.record({ service: id, workspace: id, lift: amount }, plain)),
     backlogged: fc.array(fc.record({ service: id, workspace: id, router: id, waiting: whole, age: amount }, plain)),
     base: fc.record({ sum: amount, entries: fc.array(fc.record({ service: id, workspace: id, total: amount }, plain)), folded: fc.array(id) }, plain)
--- a/packages/wire/src/codec/messageFields.ts
+++ b/packages/wire/src/codec/messageFields.ts
@@ -64,7 +64,7 @@
     running: amount
   },
   counters: {
-    entries: list(record({ origin: text(), service: text(), workspace: text(), total: amount })),
+    entries: list(record({ origin: text(), service: text(), workspace: text(), total: amount, refund: amount })),
     lifts: list(record({ service: text(), workspace: text(), lift: amount })),
     backlogged: list(record({ service: text(), workspace: text(), router: text(), waiting: whole, age: amount })),
     base: optional(record({
@@ -76,5 +76,6 @@
   revision: { revision: whole, documents: optional(text()) },
   leaving: { hosts: list(text()) },
   quarantine: { workspace: text(), fingerprint: text(), remaining: amount },
-  'crash-report': { workspace: text(), fingerprint: text(), upstream: text(), crash }
+  'crash-report': { workspace: text(), fingerprint: text(), upstream: text(), crash },
+  'revision-ask': { revision: whole }
 }
--- a/packages/wire/src/protocol/protocolTypes.ts
+++ b/packages/wire/src/protocol/protocolTypes.ts
@@ -163,8 +163,10 @@
   readonly origin: Incarnation
   readonly service: ServiceId
   readonly workspace: WorkspaceId
-  /** Cost units since the incarnation began; only grows. */
+  /** Virtual cost charged since the origin began; only grows. */
   readonly total: number
+  /** Virtual cost given back by corrections since the origin began; only grows. */
+  readonly refund: number
 }
 
 /** Largest forfeited credit of a workspace at a service, in cost units by weight; only grows. */
@@ -215,6 +217,12 @@
   readonly documents?: string
 }
 
+/** The sender wants the documents of any revision above this one. */
+export interface RevisionAskMessage {
+  readonly kind: 'revision-ask'
+  readonly revision: number
+}
+
 /** Hosts that leave, as the sender heard from the platform. */
 export interface LeavingMessage {
   readonly kind: 'leaving'
@@ -248,7 +256,7 @@
   CreditMessage | SharedMessage
 
 /** Between any two processes. */
-export type SharedMessage = CountersMessage | RevisionMessage | LeavingMessage | QuarantineMessage | CrashReportMessage
+export type SharedMessage = CountersMessage | RevisionMessage | RevisionAskMessage | LeavingMessage | QuarantineMessage | CrashReportMessage
 
 /** Any message of a session. */
 export type Message = AgentMessage | RouterMessage
