--- a/packages/policy/src/membership/linkPlan.ts
+++ b/packages/policy/src/membership/linkPlan.ts
@@ -34,6 +34,7 @@
 
 /** True when fewer than `count` agents are better placed for the router than this one. */
 const isAmongTop = (self: Candidate, router: Candidate, agents: readonly Candidate[], count: number): boolean => {
+  if (count <= 0) return false
   const own = pairScore(self.hash, router.hash)
   let better = 0
   for (const agent of agents) {
--- a/packages/policy/src/membership/membership.ts
+++ b/packages/policy/src/membership/membership.ts
@@ -131,7 +131,7 @@
 }
 
 const onTick = (db: MembershipDb, now: Millis, random: number): MembershipCommand[] => {
-  db.forgetOld(now)
+  const forgotten = db.forgetOld(now).map((peer): MembershipCommand => ({ kind: 'hang-up', peer }))
   drawReturn(db, now, random)
   const suspects = suspectSilent(db, now)
   for (const host of db.hosts.values()) {
@@ -142,7 +142,7 @@
   const dials = db.stale ? updateLinks(db, now) : []
   if (db.stale) db.plannedAt = now
   db.stale = false
-  return [...suspects, ...dials, ...closeUnplanned(db, now)]
+  return [...forgotten, ...suspects, ...dials, ...closeUnplanned(db, now)]
 }
 
 const apply = (db: MembershipDb, event: MembershipEvent): MembershipCommand[] => {
--- a/packages/policy/src/membership/membershipDb.ts
+++ b/packages/policy/src/membership/membershipDb.ts
@@ -106,15 +106,24 @@
     return host === this.config.host ? this.selfLeaving : this.hosts.get(host)?.leaving
   }
 
-  /** Forgets hosts that no source has named for long. */
-  forgetOld (now: Millis): void {
+  /**
+   * Forgets hosts that no source has named for long.
+   *
+   * @returns those that were still dialled
+   */
+  forgetOld (now: Millis): HostId[] {
+    const dialled: HostId[] = []
     for (const [id, host] of this.hosts) {
-      if (host.linked || host.dialled || this.configured.has(id)) continue
+      if (host.linked || this.configured.has(id)) continue
       if (now - host.seenAt < this.config.forgetAfter) continue
       this.hosts.delete(id)
       this.stale = true
+      if (host.dialled) dialled.push(id)
+    }
+    for (const [router, until] of this.hungry) {
+      if (until <= now && this.hungry.delete(router)) this.stale = true
     }
-    for (const [router, until] of this.hungry) if (until <= now) this.hungry.delete(router)
+    return dialled
   }
 
   #newHost (host: HostId, role: HostRole, zone: ZoneId): KnownHost {
--- a/packages/policy/src/membership/membershipTypes.ts
+++ b/packages/policy/src/membership/membershipTypes.ts
@@ -27,7 +27,7 @@
   readonly forgetAfter: Millis
   /** Milliseconds before a host that could not be reached counts in the plan again. */
   readonly retryDial: Millis
-  /** Milliseconds for which a link that is no longer planned stays open. */
+  /** Milliseconds for which a link that is no longer planned stays open; more than suspectAfter, so that a substitute outlives a failed dial. */
   readonly linger: Millis
   /** Milliseconds for which a router's call for agents is answered. */
   readonly hungerFor: Millis
