Tell own pauses from slow upstreams, and let routers call for agents

Cause: an agent that was paused measured its own pause as latency and took its upstream for cold; a router with backlog whose agents are dead on the list had no way to be found by others. Change: a gap between ticks drops what it has spoilt; a router with fewer linked agents of a backlogged service than wanted calls for more, each call meant for twice as many agents, so that they do not all come at once. The limit's steps move to a file of their own; the home of a key has one function for router and agent.

--- a/packages/policy/src/keys/keysDb.ts
+++ b/packages/policy/src/keys/keysDb.ts
@@ -1,6 +1,7 @@
 /** What a home remembers of its keys, bounded by age, count and bytes. */
 import { type Fingerprint, getOrMake, type Millis, type RequestId, type ServiceId, type UpstreamId, type WorkspaceId } from '@fuchsiaworks/kernel'
 import { HomeHistory, type Moment } from './homeHistory.js'
+import { keySubject } from './keyHome.js'
 import type { KeyName, KeysConfig, StoredAnswer } from './keysTypes.js'
 import { hashMembers, type StringHash } from './rendezvous.js'
 import { uuidTime } from './uuidTime.js'
@@ -68,7 +69,7 @@
 
   /** @returns the hash that places a key */
   subject (name: KeyName): number {
-    return this.hash(JSON.stringify([name.service, name.workspace, name.key]))
+    return keySubject(this.hash, name)
   }
 
   find (name: KeyName): KeyEntry | undefined {
--- a/packages/policy/src/limit/limit.spec.ts
+++ b/packages/policy/src/limit/limit.spec.ts
@@ -121,6 +121,20 @@
     }), { seed: SEED, numRuns: 20 })
   })
 
+  it('does not take its own pause for a slow upstream', () => {
+    const bench = new Bench(3, { collapseAt: Infinity })
+    bench.model.warm()
+    bench.run(120)
+    const { limit, state } = bench.db
+    bench.now += 30_000
+    for (const event of bench.model.step(bench.now, STEP)) {
+      bench.send(event.kind === 'token-gap' ? { ...event, gap: 30_000 } : event.kind === 'first-byte' ? { ...event, latency: 30_000 } : event)
+    }
+    bench.run(1)
+    expect(state).toEqual('ready')
+    expect([bench.db.limit >= limit, bench.db.state]).toEqual([true, 'ready'])
+  })
+
   it('goes down at once when the connection is refused, and probes one at a time with growing, jittered waits', () => {
     const db = new LimitDb(config)
     decideLimit(db, { kind: 'started', now: 0, request: id(1) })
--- a/packages/policy/src/limit/limit.ts
+++ b/packages/policy/src/limit/limit.ts
@@ -1,39 +1,10 @@
 /** Finds how many requests an upstream bears, from the latency that it shows at the present limit. */
-import { assertNever, clamp, type Millis } from '@fuchsiaworks/kernel'
+import { assertNever, type Millis } from '@fuchsiaworks/kernel'
 import type { SampleKind } from './latencyWindow.js'
 import type { LimitDb } from './limitDb.js'
+import { evaluate, fall, goCold, goDown } from './limitSteps.js'
 import type { LimitCommand, LimitEvent } from './limitTypes.js'
 
-/** Samples from which a 95th percentile is read. */
-const MIN_SAMPLES = 20
-
-/** Share of the target under which the limit grows in proportion to the headroom. */
-const GROW_BELOW = 0.9
-
-/** Share of the target from which the limit stays; between the two it grows by one. */
-const HOLD_FROM = 0.96
-
-/** Largest growth of a cold upstream's limit in one step. */
-const COLD_STEP = 1.5
-
-/** Largest growth of a ready upstream's limit in one step. */
-const READY_STEP = 1.25
-
-/** Share of the last limit that missed, from which the limit grows by one. */
-const NEAR_CEILING = 0.85
-
-/** Largest fall of the limit in one step. */
-const MAX_FALL = 0.6
-
-/** Smallest fall of the limit in one step. */
-const MIN_FALL = 0.95
-
-/** Good completions, at least, that prove a cold upstream's limit. */
-const MIN_PROOF = 3
-
-/** Growth over coldConcurrency from which an upstream without a known knee counts as ready. */
-const READY_GROWTH = 8
-
 /** Multiple of its own record that shows an upstream to be cold again. */
 const JUMP_FACTOR = 3
 
@@ -43,71 +14,14 @@
 /** Timeouts in a row after which the upstream counts as down. */
 const TIMEOUTS_DOWN = 3
 
+/** Pressure that an explicit refusal for overload stands for. */
+const OVERLOAD_PRESSURE = 1.5
+
 /** Milliseconds for which a load report bounds the limit, counted from its measurement. */
 const REPORT_LIFE_MS = 5_000
 
-const goCold = (db: LimitDb, now: Millis, reason: string): void => {
-  db.setState('cold', reason)
-  db.setLimit(Math.min(db.limit, db.config.coldConcurrency), now, reason)
-  db.forgetRecent()
-  db.timeouts = 0
-}
-
-const goDown = (db: LimitDb, now: Millis, reason: string): void => {
-  if (db.state === 'down') return
-  db.setState('down', reason)
-  db.setLimit(db.config.coldConcurrency, now, reason)
-  db.forgetRecent()
-  db.probe.due = undefined
-  db.probe.inFlight = false
-  db.probe.failures = 0
-}
-
-const fall = (db: LimitDb, now: Millis, pressure: number, reason: string): void => {
-  db.ceiling = db.limit
-  const share = clamp(1 / pressure, MAX_FALL, MIN_FALL)
-  const floor = db.state === 'cold' ? Math.min(db.config.coldConcurrency, db.limit) : 1
-  db.setLimit(Math.max(floor, db.limit * share), now, reason)
-}
-
-const grownLimit = (db: LimitDb, pressure: number): number => {
-  if (db.state === 'cold') return Math.ceil(db.limit * COLD_STEP)
-  const next = db.limit + 1
-  if (pressure >= GROW_BELOW) return next
-  if (db.ceiling > 0 && db.limit >= NEAR_CEILING * db.ceiling) return next
-  const headroom = Math.min(READY_STEP, 1 + (1 / Math.max(pressure, 0.5) - 1) / 2)
-  return Math.max(next, Math.floor(db.limit * headroom))
-}
-
-const grow = (db: LimitDb, now: Millis, pressure: number): void => {
-  if (db.limit >= db.config.hardCap) {
-    db.restartWindow()
-    if (db.state === 'cold') db.setState('ready', 'hard cap reached within target')
-    return
-  }
-  db.setLimit(grownLimit(db, pressure), now, 'full and within target')
-  if (db.state === 'cold' && db.limit >= READY_GROWTH * db.config.coldConcurrency) db.setState('ready', 'proved by completions')
-}
-
-const enoughSamples = (db: LimitDb): boolean => {
-  if (db.state === 'cold') return db.proved >= Math.max(MIN_PROOF, db.limit)
-  return db.window.size >= Math.max(MIN_SAMPLES, db.limit)
-}
-
-/** Judges the window once it holds enough samples. */
-const evaluate = (db: LimitDb, now: Millis): void => {
-  if (db.state === 'down' || !db.settled) return
-  const pressure = db.pressure()
-  const missed = pressure > 1 && db.window.size >= Math.min(MIN_SAMPLES, Math.max(MIN_PROOF, db.limit))
-  if (missed) return fall(db, now, pressure, 'target missed')
-  if (!enoughSamples(db)) return
-  db.learnBase()
-  if (db.state === 'ready') db.learnRecord()
-  if (db.peak < db.effective(now)) return db.restartWindow()
-  if (db.state === 'cold' && pressure >= GROW_BELOW) db.setState('ready', 'knee found')
-  if (pressure < HOLD_FROM) return grow(db, now, pressure)
-  db.restartWindow()
-}
+/** Milliseconds between two ticks from which this process counts as paused. */
+const PAUSE_MS = 1_000
 
 const takeSample = (db: LimitDb, now: Millis, kind: SampleKind, value: Millis): void => {
   if (db.state === 'down') return
@@ -128,7 +42,7 @@
       return
     case 'overloaded':
       if (db.state === 'down' || ran?.epoch !== db.epoch) return
-      return fall(db, event.now, 1 / MAX_FALL, 'refused as overloaded')
+      return fall(db, event.now, OVERLOAD_PRESSURE, 'refused as overloaded')
     default:
       return assertNever(event.reason)
   }
@@ -186,7 +100,7 @@
 const apply = (db: LimitDb, event: LimitEvent): LimitCommand[] => {
   switch (event.kind) {
     case 'started':
-      db.running.set(event.request, { startedAt: event.now, epoch: db.epoch, sampled: false })
+      db.running.set(event.request, { startedAt: event.now, epoch: db.epoch, sampled: false, overPause: false })
       db.peak = Math.max(db.peak, db.running.size)
       return []
     case 'first-byte': {
@@ -196,9 +110,12 @@
       takeSample(db, event.now, 'first-byte', event.latency)
       return []
     }
-    case 'token-gap':
-      if (db.running.has(event.request)) takeSample(db, event.now, 'token-gap', event.gap)
+    case 'token-gap': {
+      const request = db.running.get(event.request)
+      if (request?.overPause === false) takeSample(db, event.now, 'token-gap', event.gap)
+      if (request !== undefined) request.overPause = false
       return []
+    }
     case 'ended':
       onEnded(db, event)
       return []
@@ -212,9 +129,10 @@
       onProbeEnded(db, event.now, event.ok)
       return []
     case 'restarted':
-      goCold(db, event.now, 'restarted')
+      if (db.state !== 'down') goCold(db, event.now, 'restarted')
       return []
     case 'tick':
+      db.tickedAt = event.now
       countOverdue(db, event.now)
       return probeWhenDue(db, event.now, event.random)
     default:
@@ -229,4 +147,10 @@
  * @param event - what happened at the upstream
  * @returns the commands, in the order in which they are to be carried out
  */
-export const decideLimit = (db: LimitDb, event: LimitEvent): LimitCommand[] => [...apply(db, event), ...db.publish(event.now)]
+export const decideLimit = (db: LimitDb, event: LimitEvent): LimitCommand[] => {
+  if (db.tickedAt !== undefined && event.now - db.tickedAt >= PAUSE_MS) {
+    db.forgetPause()
+    db.tickedAt = event.now
+  }
+  return [...apply(db, event), ...db.publish(event.now)]
+}
--- a/packages/policy/src/limit/limitDb.ts
+++ b/packages/policy/src/limit/limitDb.ts
@@ -10,6 +10,8 @@
   readonly epoch: number
   /** True once a first byte was seen or its lateness was counted. */
   sampled: boolean
+  /** True when the next summary of its token gaps covers a pause of this process. */
+  overPause: boolean
 }
 
 /** Samples that are compared with the record to see a jump. */
@@ -40,6 +42,8 @@
   readonly running = new Map<RequestId, RunningRequest>()
   readonly window = new LatencyWindow()
   readonly probe: { due: Millis | undefined, inFlight: boolean, failures: number } = { due: undefined, inFlight: false, failures: 0 }
+  /** Time of the last tick; undefined before the first. */
+  tickedAt: Millis | undefined
   /** Upper bound from a load report, until it is too old. */
   bound: { value: number, until: Millis } | undefined
   readonly #record: Record<SampleKind, Millis> = { 'first-byte': 0, 'token-gap': 0 }
@@ -142,6 +146,16 @@
     if (little || this.#base === 0 || median < this.#base) this.#base = median
   }
 
+  /** Drops what a pause of this process has spoilt: latencies of requests that ran over it. */
+  forgetPause (): void {
+    for (const request of this.running.values()) {
+      request.sampled = true
+      request.overPause = true
+    }
+    this.forgetRecent()
+    this.restartWindow()
+  }
+
   forgetRecent (): void {
     for (const kind of SAMPLE_KINDS) this.#recent[kind].length = 0
   }
--- a/packages/policy/src/limit/limitTypes.ts
+++ b/packages/policy/src/limit/limitTypes.ts
@@ -65,6 +65,7 @@
     readonly now: Millis
   } |
   {
+    /** Comes several times a second; a longer gap shows that this process was paused. */
     readonly kind: 'tick'
     readonly now: Millis
     /** Uniform in [0, 1). */
--- a/packages/policy/src/membership/linkPlan.ts
+++ b/packages/policy/src/membership/linkPlan.ts
@@ -15,6 +15,9 @@
   readonly agents: readonly Candidate[]
   readonly baseLinks: number
   readonly agentsPerRouter: number
+  /** Routers that call for agents, with the number of the call. */
+  readonly hungry: ReadonlyMap<HostId, number>
+  readonly hungerLinks: number
 }
 
 /** Best routers for an agent, spread over zones. */
@@ -47,8 +50,18 @@
   return true
 }
 
+/** Routers whose call reaches this agent: each call is meant for twice as many agents, so that not all come at once. */
+const calledBy = (input: AgentPlanInput): Candidate[] => {
+  const isCalled = (router: Candidate): boolean => {
+    const round = input.hungry.get(router.id)
+    if (round === undefined) return false
+    return isAmongTop(input.self, router, input.agents, Math.max(1, input.agentsPerRouter) * 2 ** round)
+  }
+  return input.routers.filter(isCalled)
+}
+
 /**
- * Names the routers that an agent links with: its own best ones, and those that count on it.
+ * Names the routers that an agent links with: its own best ones, those that count on it, and those that call for it.
  *
  * @param input - the agent's view
  * @returns hosts of the routers
@@ -57,7 +70,10 @@
   const { self, routers, agents } = input
   const base = spreadOverZones(self, routers, input.baseLinks)
   const counted = routers.filter(router => isAmongTop(self, router, agents, input.agentsPerRouter))
-  return new Set([...base, ...counted].map(router => router.id))
+  const planned = new Set([...base, ...counted].map(router => router.id))
+  const called = calledBy(input).filter(router => !planned.has(router.id))
+  for (const router of called.slice(0, input.hungerLinks)) planned.add(router.id)
+  return planned
 }
 
 /** Symmetric score of two routers, so that both name the same links. */
--- a/packages/policy/src/membership/membership.ts
+++ b/packages/policy/src/membership/membership.ts
@@ -1,5 +1,6 @@
 /** Joins the host list, the configuration and what links show into links and the work state. */
 import { assertNever, type HostId, type Millis } from '@fuchsiaworks/kernel'
+import { callForAgents, takeCall } from './hunger.js'
 import { planAgentLinks, planRouterLinks } from './linkPlan.js'
 import type { KnownHost, Leaving, MembershipDb } from './membershipDb.js'
 import type { MembershipCommand, MembershipEvent } from './membershipTypes.js'
@@ -83,12 +84,9 @@
   const { config, self } = db
   const routers = db.routers(now)
   if (config.role === 'router') return planRouterLinks(self, routers, config.routersPerZone)
-  const agents = db.agents(config.service)
-  const planned = planAgentLinks({ self, routers, agents, baseLinks: config.baseLinks, agentsPerRouter: config.agentsPerRouter })
-  const known = new Set(routers.map(router => router.id))
-  const hungry = [...db.hungry.keys()].filter(router => known.has(router) && !planned.has(router))
-  for (const router of hungry.slice(0, config.hungerLinks)) planned.add(router)
-  return planned
+  const hungry = new Map([...db.hungry].map(([router, call]) => [router, call.round]))
+  const { baseLinks, agentsPerRouter, hungerLinks } = config
+  return planAgentLinks({ self, routers, agents: db.agents(config.service), baseLinks, agentsPerRouter, hungry, hungerLinks })
 }
 
 /** Dials what is planned and closes, after a while, what is not. */
@@ -142,7 +140,7 @@
   const dials = db.stale ? updateLinks(db, now) : []
   if (db.stale) db.plannedAt = now
   db.stale = false
-  return [...forgotten, ...suspects, ...dials, ...closeUnplanned(db, now)]
+  return [...forgotten, ...suspects, ...dials, ...closeUnplanned(db, now), ...callForAgents(db, now)]
 }
 
 const apply = (db: MembershipDb, event: MembershipEvent): MembershipCommand[] => {
@@ -168,9 +166,9 @@
     case 'leaving-told':
       return onLeavingTold(db, event.hosts)
     case 'hunger-told':
-      db.see(event.router, 'router', event.zone, event.now)
-      db.hungry.set(event.router, event.now + db.config.hungerFor)
-      db.stale = true
+      return takeCall(db, event.call, event.now)
+    case 'backlog-counted':
+      db.backlog = event.services
       return []
     case 'drain':
       return onLeavingTold(db, [db.config.host])
--- a/packages/policy/src/membership/membershipDb.ts
+++ b/packages/policy/src/membership/membershipDb.ts
@@ -56,7 +56,12 @@
   zonesOut: ReadonlySet<ZoneId> = new Set()
   /** Hosts that the configuration names as agents, so that absence from the list does not remove them. */
   configured: ReadonlySet<HostId> = new Set()
-  readonly hungry = new Map<HostId, Millis>()
+  /** Calls of other routers for agents of this one's service. */
+  readonly hungry = new Map<HostId, { readonly round: number, readonly until: Millis }>()
+  /** Own calls of a router, by service. */
+  readonly calls = new Map<ServiceId, { readonly round: number, readonly at: Millis }>()
+  /** Services with waiting requests at this router. */
+  backlog: readonly ServiceId[] = []
   readonly selfLeaving: Leaving = newLeaving()
   workState: WorkState = 'unconfigured'
   /** When work is taken again after the zone returned; Infinity until the wait is drawn. */
@@ -101,6 +106,11 @@
     return [...this.hosts.values()].filter(counts).map(host => host.candidate)
   }
 
+  /** @returns the number of linked agents of a service */
+  linkedAgents (service: ServiceId): number {
+    return [...this.hosts.values()].filter(host => host.role === 'agent' && host.linked && host.service === service).length
+  }
+
   /** @returns the leaving record of a host, this one included */
   leaving (host: HostId): Leaving | undefined {
     return host === this.config.host ? this.selfLeaving : this.hosts.get(host)?.leaving
@@ -120,8 +130,8 @@
       this.stale = true
       if (host.dialled) dialled.push(id)
     }
-    for (const [router, until] of this.hungry) {
-      if (until <= now && this.hungry.delete(router)) this.stale = true
+    for (const [router, call] of this.hungry) {
+      if (call.until <= now && this.hungry.delete(router)) this.stale = true
     }
     return dialled
   }
--- a/packages/policy/src/membership/membershipTypes.ts
+++ b/packages/policy/src/membership/membershipTypes.ts
@@ -15,8 +15,10 @@
   readonly baseLinks: number
   /** Agents of each service that link with each router. */
   readonly agentsPerRouter: number
-  /** Links that an agent adds for routers with work that nobody serves. */
+  /** Links that an agent adds for routers that call for agents. */
   readonly hungerLinks: number
+  /** Linked agents of a service under which a router with backlog calls for more. */
+  readonly wantedAgents: number
   /** Links of a router to each zone other than its own. */
   readonly routersPerZone: number
   /** Milliseconds between heartbeats of a link. */
@@ -29,7 +31,7 @@
   readonly retryDial: Millis
   /** Milliseconds for which a link that is no longer planned stays open; more than suspectAfter, so that a substitute outlives a failed dial. */
   readonly linger: Millis
-  /** Milliseconds for which a router's call for agents is answered. */
+  /** Milliseconds for which a router's call for agents holds; it calls again, more widely, after a quarter of it. */
   readonly hungerFor: Millis
   /** Longest random wait before work is taken again after the zone returned, in milliseconds. */
   readonly returnJitter: Millis
@@ -55,6 +57,15 @@
   readonly leaving: boolean
 }
 
+/** A router with backlog that too few agents serve. */
+export interface HungerCall {
+  readonly router: HostId
+  readonly zone: ZoneId
+  readonly service: ServiceId
+  /** Counts the calls, from 1; each one is meant for twice as many agents as the one before. */
+  readonly round: number
+}
+
 /** What a process hears about others. `now` is monotonic milliseconds. */
 export type MembershipEvent =
   {
@@ -89,11 +100,16 @@
   } |
   { readonly kind: 'leaving-told', readonly now: Millis, readonly hosts: readonly HostId[] } |
   {
-    /** A router has work of this agent's service that too few agents serve. */
+    /** A router calls for agents of a service. */
     readonly kind: 'hunger-told'
     readonly now: Millis
-    readonly router: HostId
-    readonly zone: ZoneId
+    readonly call: HungerCall
+  } |
+  {
+    /** For a router: the services that have waiting requests here, replacing what was said before. */
+    readonly kind: 'backlog-counted'
+    readonly now: Millis
+    readonly services: readonly ServiceId[]
   } |
   { readonly kind: 'drain', readonly now: Millis } |
   { readonly kind: 'paused', readonly now: Millis, readonly length: Millis } |
@@ -133,6 +149,12 @@
     /** The zone has returned: the upstream counts as cold. */
     readonly kind: 'start-cold'
   } |
+  {
+    /** Tell a call for agents to linked agents of its service and, from the router that calls, to linked routers. */
+    readonly kind: 'tell-hunger'
+    readonly call: HungerCall
+    readonly toRouters: boolean
+  } |
   {
     /** Tell every linked peer, once, of hosts that leave. */
     readonly kind: 'tell-leaving'
