--- a/packages/bench/src/bench.ts
+++ b/packages/bench/src/bench.ts
@@ -1,5 +1,4 @@
 /** Measures the fleet in the shape of a deployment under load and faults. */
-import { FuchsiaError } from '@fuchsiaworks/kernel'
 import meow from 'meow'
 import { type RunOptions, runBench } from './benchRun.js'
 import { DEPLOYMENTS } from './deployment/deployments.js'
@@ -9,7 +8,7 @@
 import { waitReady } from './load/waitReady.js'
 import { judgeRun } from './measures/verdicts.js'
 import { startFleet } from './processes/fleet.js'
-import { runMain } from './processes/runMain.js'
+import { StoppedError, runMain } from './processes/runMain.js'
 import { formatReport, writeReport } from './report/runReport.js'
 
 const cli = meow(`
@@ -37,13 +36,6 @@
   }
 })
 
-/** The user ended the run. */
-class StoppedError extends FuchsiaError {
-  constructor () {
-    super('stopped', 'stopped before the end of the run')
-  }
-}
-
 const name = cli.input[0] ?? 'prairie'
 
 const main = async (stopped: Promise<void>): Promise<number> => {
--- a/packages/bench/src/load/waitReady.ts
+++ b/packages/bench/src/load/waitReady.ts
@@ -3,7 +3,7 @@
 import type { ServiceShape } from '../deployment/deploymentTypes.js'
 import type { Fleet } from '../processes/fleet.js'
 import type { Caller } from './caller.js'
-import type { PlannedRequest, RequestResult } from './loadTypes.js'
+import type { PlannedRequest, RequestKind, RequestResult } from './loadTypes.js'
 import { wallNow } from './wallClock.js'
 
 /** Milliseconds in which a fleet must be ready. */
@@ -12,37 +12,64 @@
 /** Milliseconds between two probes of one router for one service. */
 const PROBE_PERIOD_MS = 200
 
+/** Requests with keys that must be answered in a row, for each upstream of the service. */
+const KEYED_PROBES = 3
+
 /** Group of the probes in the records of the stand-ins. */
 export const PROBE_GROUP = 'probe'
 
 /** The fleet did not serve in time. */
 export class NotReadyError extends FuchsiaError {
-  constructor (router: number, service: string, last: RequestResult) {
-    super('not-ready', `router ${router + 1} does not serve ${service}: ${last.result} ${last.status} ${last.detail}`)
+  constructor (router: number, service: string, last: RequestResult | undefined) {
+    const answer = last === undefined ? 'no answer' : `${last.result} ${last.status} ${last.detail}`
+    super('not-ready', `router ${router + 1} does not serve ${service}: ${answer}`)
   }
 }
 
-const probeOf = (router: number, service: ServiceShape, workspace: string, round: number): PlannedRequest => ({
-  nonce: `${PROBE_GROUP}.${router}-${service.id}-${round}`,
+/** A kind of request that a router must answer rightly, and how many times in a row. */
+interface Probe {
+  readonly router: number
+  readonly service: ServiceShape
+  readonly kind: RequestKind
+  readonly inRow: number
+}
+
+const plannedProbe = (probe: Probe, workspace: string, round: number): PlannedRequest => ({
+  nonce: `${PROBE_GROUP}.${probe.router}-${probe.service.id}-${probe.kind}-${round}`,
   workspace,
-  service: service.id,
-  kind: service.kind === 'engine' ? 'completion' : 'get',
-  router,
+  service: probe.service.id,
+  kind: probe.kind,
+  router: probe.router,
   at: 0,
   size: 1,
   filler: ''
 })
 
-const waitForOne = async (fleet: Fleet, caller: Caller, router: number, service: ServiceShape): Promise<void> => {
+/** An agent that has just started knows no key to be new for a while, so requests with keys must be answered by every home. */
+const probesOf = (router: number, service: ServiceShape): Probe[] => {
+  if (service.kind === 'engine') return [{ router, service, kind: 'completion', inRow: 1 }]
+  const get: Probe = { router, service, kind: 'get', inRow: 1 }
+  const keyed: Probe = { router, service, kind: 'post-keyed', inRow: KEYED_PROBES * service.upstreamZones.length }
+  return service.notIdempotentPaths.length === 0 ? [get] : [get, keyed]
+}
+
+const sleep = async (span: number): Promise<undefined> =>
+  await new Promise(resolve => { setTimeout(() => { resolve(undefined) }, span).unref() })
+
+const waitForOne = async (fleet: Fleet, caller: Caller, probe: Probe): Promise<void> => {
+  const { router, service, inRow } = probe
   const workspace = fleet.deployment.workspaces.find(item => service.id in item.services)?.id ?? ''
   const limit = wallNow() + READY_LIMIT_MS
-  for (let round = 0; ; round++) {
+  let last: RequestResult | undefined
+  for (let round = 0, right = 0; wallNow() < limit; round++) {
     for (const member of [...fleet.routers, ...fleet.agents]) member.assertAlive()
-    const result = await caller.send(probeOf(router, service, workspace, round), wallNow())
-    if (result.result === 'right') return
-    if (wallNow() > limit) throw new NotReadyError(router, service.id, result)
-    await new Promise(resolve => { setTimeout(resolve, PROBE_PERIOD_MS) })
+    const answer = caller.send(plannedProbe(probe, workspace, round), wallNow())
+    last = await Promise.race([answer, sleep(limit - wallNow())])
+    right = last?.result === 'right' ? right + 1 : 0
+    if (right === inRow) return
+    if (right === 0) await sleep(PROBE_PERIOD_MS)
   }
+  throw new NotReadyError(router, service.id, last)
 }
 
 /**
@@ -55,5 +82,5 @@
 export const waitReady = async (fleet: Fleet, caller: Caller): Promise<void> => {
   const { deployment, routers } = fleet
   await Promise.all(routers.flatMap((_, router) =>
-    deployment.services.map(async service => { await waitForOne(fleet, caller, router, service) })))
+    deployment.services.flatMap(service => probesOf(router, service)).map(async probe => { await waitForOne(fleet, caller, probe) })))
 }
--- a/packages/bench/src/overhead.ts
+++ b/packages/bench/src/overhead.ts
@@ -12,7 +12,7 @@
 import { type ClosedLoop, type RepeatedRequest, measureInTurn, runClosedLoop } from './overhead/loadGenerator.js'
 import { onePair } from './overhead/onePair.js'
 import { type Fleet, startFleet } from './processes/fleet.js'
-import { runMain } from './processes/runMain.js'
+import { StoppedError, runMain } from './processes/runMain.js'
 import { type Cell, formatTable } from './report/table.js'
 
 /** Added milliseconds at the median that the project allows. */
@@ -122,8 +122,9 @@
   const fleet = await startFleet(onePair)
   const caller = new Caller(fleet.callerUrls, postPathsOf(onePair))
   try {
-    await Promise.race([waitReady(fleet, caller), stopped])
-    return await measure(fleet)
+    const interrupted = stopped.then(() => { throw new StoppedError() })
+    await Promise.race([waitReady(fleet, caller), interrupted])
+    return await Promise.race([measure(fleet), interrupted])
   } finally {
     await caller.close()
     await fleet.close()
--- a/packages/bench/src/processes/runMain.ts
+++ b/packages/bench/src/processes/runMain.ts
@@ -1,5 +1,12 @@
 /** Runs a command of the bench: one exit code, one place for signals and errors. */
-import { toError } from '@fuchsiaworks/kernel'
+import { FuchsiaError, toError } from '@fuchsiaworks/kernel'
+
+/** The user ended a command before it was done. */
+export class StoppedError extends FuchsiaError {
+  constructor () {
+    super('stopped', 'stopped before the end')
+  }
+}
 
 /**
  * Runs a command and ends the process with its result.
--- a/packages/bench/src/startLocal.ts
+++ b/packages/bench/src/startLocal.ts
@@ -10,7 +10,7 @@
 import { waitReady } from './load/waitReady.js'
 import { findDoubleRuns } from './measures/doubleRuns.js'
 import { type Fleet, startFleet } from './processes/fleet.js'
-import { runMain } from './processes/runMain.js'
+import { StoppedError, runMain } from './processes/runMain.js'
 import { formatOutcomes } from './report/outcomeTable.js'
 
 /** Faulty answers that are shown in full. */
@@ -68,7 +68,8 @@
   const fleet = await startFleet(DEPLOYMENTS['local'] ?? cli.showHelp(2))
   const caller = new Caller(fleet.callerUrls, postPathsOf(fleet.deployment))
   try {
-    await Promise.race([waitReady(fleet, caller), stopped])
+    const ready = await Promise.race([waitReady(fleet, caller).then(() => true), stopped.then(() => false)])
+    if (!ready) throw new StoppedError()
     printAddresses(fleet)
     if (cli.flags.requests > 0) await new Promise(resolve => { setTimeout(resolve, KEY_SETTLE_MS) })
     if (cli.flags.requests > 0) return await drive(fleet, caller)
