Show why requests got no right answer

Cause: a table of outcomes does not say which refusal it was.

Change: the bench counts results by request, outcome and reason.

Conclusion: builds and lints.

--- a/packages/bench/src/report/runReport.ts
+++ b/packages/bench/src/report/runReport.ts
@@ -9,6 +9,7 @@
 import type { Measures, Verdict } from '../measures/verdicts.js'
 import { ROOT } from '../processes/paths.js'
 import { type PlotLine, type PlotPanel, drawPlot } from './plot.js'
+import { formatReasons } from './reasonTable.js'
 import { formatTable } from './table.js'
 
 /** A finished run. */
@@ -102,6 +103,7 @@
     formatTable(['service', 'gap', 'bound', 'backlogged', 'pair', 'waited s (before)', 'idle % (before)'], serviceRows),
     'Processes; bytes are those of all system calls in /proc/PID/io, without load (control only) and under load:',
     formatTable(['process', 'idle KB/s', 'idle core %', 'load KB/s', 'load core %', 'memory MB'], useRows),
+    formatReasons(report.results),
     formatTable(['verdict', 'measure', 'value', 'bound'], verdictRows)
-  ].join('\n\n')
+  ].filter(text => text !== '').join('\n\n')
 }
