Take settings from the configuration in force; calls for agents; load reports; homes follow the configuration

Cause: retries, quarantine, keys and pulls used defaults; requests with keys waited for homes that the configuration had replaced. Change: settings of the policies are read from the configuration at each use; routers call for agents of services that too few serve; agents poll the upstream's load report; waiting requests with keys move to the present home of their key.

--- a/packages/agent/src/keys/keyService.ts
+++ b/packages/agent/src/keys/keyService.ts
@@ -2,7 +2,7 @@
 import { createLog, onEvent, type Millis, type Service, type ServiceId, type ServiceKey, serviceKey, type Timer } from '@fuchsiaworks/kernel'
 import { type ConfigInForce, type ConfigurationService, listedUpstreams, type ProcessContext } from '@fuchsiaworks/fleet'
 import { type KeysCommand, type KeysDb, keysDefinition, type KeysEvent } from '@fuchsiaworks/policy'
-import { type AgentSettings, defaultFleetConfig } from '@fuchsiaworks/settings'
+import type { AgentSettings } from '@fuchsiaworks/settings'
 
 /** Milliseconds between two ticks of the policy. */
 const TICK_MS = 1_000
@@ -33,13 +33,12 @@
   #timer: Timer | undefined
 
   constructor (readonly context: ProcessContext, configuration: ConfigurationService, settings: AgentSettings) {
-    const { keys } = defaultFleetConfig
     this.#db = keysDefinition.createDb(settings.upstream, {
-      window: keys.rememberMs,
+      get window () { return configuration.effective.keys.rememberMs },
       callerSkew: CALLER_SKEW_MS,
       hostSkew: HOST_SKEW_MS,
       spread: SPREAD_MS,
-      maxKeys: keys.maxRemembered,
+      get maxKeys () { return configuration.effective.keys.maxRemembered },
       answerBytes: KEPT_ANSWER_BYTES,
       storeBytes: STORE_BYTES,
       maxWaiters: MAX_WAITERS
--- a/packages/agent/src/process/agentServices.ts
+++ b/packages/agent/src/process/agentServices.ts
@@ -8,6 +8,7 @@
 import { agentHandlers } from '../admin/agentAdmin.js'
 import { KeyService, keyServiceKey } from '../keys/keyService.js'
 import { LimitService, limitKey } from '../limits/limitService.js'
+import { LoadWatch, loadWatchKey } from '../limits/loadWatch.js'
 import { StateTeller, stateTellerKey } from '../links/stateTeller.js'
 import { AloneGate, aloneGateKey } from '../work/aloneGate.js'
 import { Handovers, handoversKey } from '../work/handovers.js'
@@ -49,7 +50,7 @@
   {
     id: membershipKey.id,
     needs: [limitKey.id],
-    create: kernel => new MembershipService(context, kernel.get(linkHubKey), kernel.get(configurationKey), undefined)
+    create: kernel => new MembershipService(context, kernel.get(linkHubKey), kernel.get(configurationKey))
   },
   {
     id: slotsKey.id,
@@ -66,6 +67,7 @@
       kernel.get(runTableKey), kernel.get(keyedAnswersKey), settings
     )
   },
+  { id: loadWatchKey.id, needs: [limitKey.id], create: kernel => new LoadWatch(context, kernel.get(limitKey), settings) },
   { id: aloneGateKey.id, needs: [slotsKey.id, runTableKey.id], create: kernel => new AloneGate(kernel.get(runTableKey), kernel.get(slotsKey)) },
   {
     id: handoversKey.id,
--- a/packages/agent/src/work/slots.ts
+++ b/packages/agent/src/work/slots.ts
@@ -7,7 +7,7 @@
   type ConfigurationService, type FairnessService, type FleetLink, type LinkHub, listedUpstreams, type MembershipService, type ProcessContext
 } from '@fuchsiaworks/fleet'
 import { type DispatchDb, dispatchDefinition, type DispatchEvent, SLOW_ROUTER_MS } from '@fuchsiaworks/policy'
-import { type AgentSettings, defaultFleetConfig, type FleetConfig } from '@fuchsiaworks/settings'
+import type { AgentSettings, FleetConfig } from '@fuchsiaworks/settings'
 import type { BacklogMessage } from '@fuchsiaworks/wire'
 import type { LimitService } from '../limits/limitService.js'
 
@@ -39,13 +39,14 @@
     this.#upstream = (context.settings as AgentSettings).upstream
     onEvent(configuration.changes, log, ({ config }) => { this.#configure(config) })
     this.#db = dispatchDefinition.createDb({
-      pullTtl: defaultFleetConfig.links.pullTtlMs,
+      get pullTtl () { return configuration.effective.links.pullTtlMs },
       slowAfter: SLOW_ROUTER_MS,
       seed: Math.floor(context.random() * UINT32_RANGE)
     })
     hub.table.on('backlog', (link, message) => { this.#onBacklog(link, message) })
     hub.table.on('pull-empty', (_link, { pull }) => { this.#decide({ kind: 'pull-empty', pull, now: this.#now() }) })
     onEvent(hub.closed, log, ({ link }) => { this.#decide({ kind: 'router-gone', router: link.id, now: this.#now() }) })
+    onEvent(membership.colds, log, () => { limits.decide({ kind: 'restarted', now: this.#now() }) })
     onEvent(limits.changes, log, () => { this.#updateLimit() })
     onEvent(membership.states, log, () => { this.#updateLimit() })
   }
--- a/packages/fleet/src/configuration/configurationService.ts
+++ b/packages/fleet/src/configuration/configurationService.ts
@@ -4,7 +4,7 @@
 } from '@fuchsiaworks/kernel'
 import { ConfigurationWatch } from '@fuchsiaworks/platform'
 import { type ParseResult, type RevisionCommand, type RevisionEvent, type RevisionSource, revisionDefinition } from '@fuchsiaworks/policy'
-import { type ConfigDocuments, configForSite, encodeDocuments, type FleetConfig, parseDocuments } from '@fuchsiaworks/settings'
+import { type ConfigDocuments, configForSite, defaultFleetConfig, encodeDocuments, type FleetConfig, parseDocuments } from '@fuchsiaworks/settings'
 import type { RevisionMessage } from '@fuchsiaworks/wire'
 import type { ProcessContext } from '../context/processContext.js'
 import type { FleetLink } from '../links/fleetLink.js'
@@ -73,6 +73,11 @@
     return this.#current
   }
 
+  /** The configuration in force, or the defaults until the first was accepted. */
+  get effective (): FleetConfig {
+    return this.#current?.config ?? defaultFleetConfig
+  }
+
   /** Where the configuration in force came from. */
   get source (): RevisionSource | undefined {
     return this.#source
--- a/packages/fleet/src/fairness/fairnessService.ts
+++ b/packages/fleet/src/fairness/fairnessService.ts
@@ -116,8 +116,8 @@
   }
 
   #callFor (router: HostId): void {
-    const zone = this.links.membership.hosts.get(router)?.candidate.zone
-    if (zone !== undefined) this.links.membership.callFor(router, zone)
+    const service = this.links.membership.ownService
+    if (service !== undefined) this.links.membership.callFor(router, service)
   }
 }
 
--- a/packages/fleet/src/membership/membershipService.ts
+++ b/packages/fleet/src/membership/membershipService.ts
@@ -1,11 +1,11 @@
 /** Joins the host list, the configuration and the links into dials and into the state of this process's work. */
 import {
-  createLog, EventSource, type HostId, type Millis, onEvent, type Service, type ServiceId, type ServiceKey, serviceKey, type Timer, watchPauses,
+  assertNever, createLog, EventSource, type HostId, type Millis, onEvent, type Service, type ServiceId, type ServiceKey, serviceKey, type Timer, watchPauses,
   type ZoneId
 } from '@fuchsiaworks/kernel'
 import { type HostList, HostListWatch } from '@fuchsiaworks/platform'
 import {
-  type ListedHost, type MembershipCommand, type MembershipDb, membershipDefinition, type MembershipEvent, type WorkState
+  type HungerCall, type ListedHost, type MembershipCommand, type MembershipConfig, type MembershipDb, membershipDefinition, type MembershipEvent, type WorkState
 } from '@fuchsiaworks/policy'
 import type { FleetConfig } from '@fuchsiaworks/settings'
 import type { ConfigInForce, ConfigurationService } from '../configuration/configurationService.js'
@@ -23,9 +23,15 @@
 /** Agents of each service that link with each router. */
 const AGENTS_PER_ROUTER = 4
 
-/** Links that an agent adds for routers whose work nobody serves. */
+/** Links that an agent adds for routers that call for agents. */
 const HUNGER_LINKS = 2
 
+/** Linked agents of a service under which a router with backlog calls for more. */
+const WANTED_AGENTS = 3
+
+/** Round of a call that every agent which hears it may answer. */
+const WIDEST_ROUND = 8
+
 /** Links of a router to each zone other than its own. */
 const ROUTERS_PER_ZONE = 2
 
@@ -67,16 +73,18 @@
    * @param context - the process
    * @param hub - its links
    * @param configuration - the shared configuration
-   * @param service - the service of an agent's upstream, once known from the configuration
    */
-  constructor (context: ProcessContext, hub: LinkHub, configuration: ConfigurationService, service: ServiceId | undefined) {
+  constructor (context: ProcessContext, hub: LinkHub, configuration: ConfigurationService) {
     const { settings, clock, random, hash } = context
     this.#context = context
     this.#hub = hub
-    this.#db = membershipDefinition.createDb(membershipConfig(context, service), hash)
+    this.#db = membershipDefinition.createDb(membershipConfig(context, configuration), hash)
     this.#dials = new DialTable(hub, linkOptions(context))
     this.#hostList = new HostListWatch({ url: settings.platform.hosts, clock, random })
     hub.table.on('leaving', (_link, message) => { this.#decide({ kind: 'leaving-told', now: this.#now(), hosts: message.hosts }) })
+    hub.table.on('hunger', (_link, { router, zone, service, round }) => {
+      this.#decide({ kind: 'hunger-told', now: this.#now(), call: { router, zone, service, round } })
+    })
     onEvent(hub.opened, log, ({ peer }) => {
       this.#decide({ kind: 'link-up', now: this.#now(), peer: peer.host, role: peer.role, zone: peer.zone, incarnation: peer.incarnation })
     })
@@ -90,6 +98,11 @@
     return this.#db.workState
   }
 
+  /** Service of the upstream beside an agent, once the configuration is known. */
+  get ownService (): ServiceId | undefined {
+    return this.#db.config.service
+  }
+
   /** Zones that operators have taken out. */
   get zonesOut (): ReadonlySet<ZoneId> {
     return this.#zonesOut
@@ -134,10 +147,20 @@
    * Asks for a link to a router that has work which nobody takes.
    *
    * @param router - host of the router
-   * @param zone - its availability zone
+   * @param service - the service that it has work of
+   */
+  callFor (router: HostId, service: ServiceId): void {
+    const zone = this.#db.hosts.get(router)?.candidate.zone
+    if (zone !== undefined) this.#decide({ kind: 'hunger-told', now: this.#now(), call: { router, zone, service, round: WIDEST_ROUND } })
+  }
+
+  /**
+   * Tells which services have requests that wait at this router.
+   *
+   * @param services - the services; they replace what was said before
    */
-  callFor (router: HostId, zone: ZoneId): void {
-    this.#decide({ kind: 'hunger-told', now: this.#now(), router, zone })
+  countBacklog (services: readonly ServiceId[]): void {
+    this.#decide({ kind: 'backlog-counted', now: this.#now(), services })
   }
 
   /** Tells the fleet that this process leaves. */
@@ -209,6 +232,16 @@
       case 'start-cold': return this.#colds.emit(this.#context.settings.zone)
       case 'tell-leaving':
         for (const link of this.#hub.all()) link.send({ kind: 'leaving', hosts: command.hosts })
+        return
+      case 'tell-hunger': return this.#tellHunger(command.call, command.toRouters)
+      default: return assertNever(command)
+    }
+  }
+
+  #tellHunger (call: HungerCall, toRouters: boolean): void {
+    for (const link of this.#hub.all()) {
+      const isMeant = link.peer.role === 'router' ? toRouters : this.#db.hosts.get(link.peer.host)?.service === call.service
+      if (isMeant) link.send({ kind: 'hunger', ...call })
     }
   }
 
@@ -218,17 +251,26 @@
   }
 }
 
-const zonesOutOf = (config: FleetConfig): ZoneId[] =>
+/**
+ * Lists the zones that operators have taken out.
+ *
+ * @param config - the configuration in force
+ * @returns the zones
+ */
+export const zonesOutOf = (config: FleetConfig): ZoneId[] =>
   (Object.keys(config.zones) as ZoneId[]).filter(zone => config.zones[zone]?.state === 'out')
 
-const membershipConfig = ({ settings }: ProcessContext, service: ServiceId | undefined): Parameters<typeof membershipDefinition.createDb>[0] => ({
+const membershipConfig = ({ settings }: ProcessContext, configuration: ConfigurationService): MembershipConfig => ({
   role: settings.role,
   host: settings.host,
   zone: settings.zone,
-  service,
+  get service () {
+    return settings.role === 'agent' ? configuration.current?.config.upstreams[settings.upstream]?.service : undefined
+  },
   baseLinks: BASE_LINKS,
   agentsPerRouter: AGENTS_PER_ROUTER,
   hungerLinks: HUNGER_LINKS,
+  wantedAgents: WANTED_AGENTS,
   routersPerZone: ROUTERS_PER_ZONE,
   heartbeat: 500,
   suspectAfter: 2_000,
--- a/packages/policy/src/admission/admission.ts
+++ b/packages/policy/src/admission/admission.ts
@@ -34,7 +34,7 @@
   const lane = queue.lane(home)
   lane.advance(now)
   const position = { service, workspace, lane, ahead: lane.size }
-  const full = queue.size >= db.config.maxWaiting
+  const full = queue.size >= (event.maxWaiting ?? db.config.maxWaiting)
   if (full || leastWait(db, position) > patience) {
     const reason: RefusalReason = full ? 'queue-full' : 'predicted-wait'
     return [{ kind: 'refuse', request, reason, retryAfterMs: retryAfter(db, position, patience) }]
--- a/packages/policy/src/admission/admissionDb.ts
+++ b/packages/policy/src/admission/admissionDb.ts
@@ -78,6 +78,11 @@
     return this.#waiting.size
   }
 
+  /** @returns services with requests that wait */
+  waitingServices (): ServiceId[] {
+    return [...this.#queues].filter(([, queues]) => [...queues.values()].some(queue => queue.size > 0)).map(([service]) => service)
+  }
+
   /** @returns a request while it waits */
   waiting (request: RequestId): WaitingRequest | undefined {
     return this.#waiting.get(request)
--- a/packages/policy/src/admission/admissionTypes.ts
+++ b/packages/policy/src/admission/admissionTypes.ts
@@ -43,6 +43,8 @@
     readonly estimate: number
     readonly idempotent: boolean
     readonly home?: UpstreamId
+    /** Requests that the workspace may have waiting; the setting of the queue where it is missing. */
+    readonly maxWaiting?: number
     readonly now: Millis
   } |
   { readonly kind: 'caller-gone', readonly request: RequestId, readonly now: Millis } |
--- a/packages/router/src/callers/callerServer.ts
+++ b/packages/router/src/callers/callerServer.ts
@@ -8,7 +8,6 @@
 import { BodyReader, type BodyStart } from '../requests/bodyReader.js'
 import { findRoute, fingerprintOf, isIdempotent, type Route } from '../requests/classify.js'
 import { estimateCost } from '../requests/estimate.js'
-import type { HomeFinder } from '../requests/homeFinder.js'
 import type { OpenRequest, RequestFacts } from '../requests/openRequest.js'
 import { notReady, type RequestFlow } from '../requests/requestFlow.js'
 import type { RequestTable } from '../requests/requestTable.js'
@@ -50,7 +49,6 @@
     readonly configuration: ConfigurationService,
     readonly table: RequestTable,
     readonly flow: RequestFlow,
-    readonly homes: HomeFinder,
     settings: RouterSettings
   ) {
     this.#settings = settings
@@ -187,10 +185,10 @@
       headers: upstreamHeaders(req.rawHeaders),
       idempotent,
       key,
-      home: idempotent || key === undefined ? undefined : this.homes.homeOf(service, workspace, key),
       fingerprint: fingerprintOf(workspace, method, `${service}${path}`, start.data, length),
       estimate: estimateCost(config, start.data, length),
       patience: patienceAt(workspaceConfig, service, this.context.clock.wall(), site?.utcOffsetMinutes ?? 0),
+      maxWaiting: workspaceConfig.maxWaiting,
       receivedAt: this.context.clock.now()
     }
   }
--- a/packages/router/src/links/backlogTeller.ts
+++ b/packages/router/src/links/backlogTeller.ts
@@ -38,6 +38,7 @@
     }
     for (const service of this.#changed) this.#tellExchange(service)
     this.#changed.clear()
+    this.fairness.links.membership.countBacklog(this.admission.waitingServices())
   }
 
   #tellExchange (service: ServiceId): void {
--- a/packages/router/src/process/routerServices.ts
+++ b/packages/router/src/process/routerServices.ts
@@ -41,7 +41,7 @@
   {
     id: membershipKey.id,
     needs: [configurationKey.id],
-    create: kernel => new MembershipService(context, kernel.get(linkHubKey), kernel.get(configurationKey), undefined)
+    create: kernel => new MembershipService(context, kernel.get(linkHubKey), kernel.get(configurationKey))
   },
   {
     id: fairnessKey.id,
@@ -64,13 +64,13 @@
     needs: [agentStatesKey.id, queueKey.id],
     create: kernel => new BacklogTeller(context, kernel.get(queueKey).db, kernel.get(agentStatesKey), kernel.get(fairnessKey))
   },
-  { id: quarantineKey.id, needs: [linkHubKey.id], create: kernel => new QuarantineService(context, kernel.get(linkHubKey)) },
+  { id: quarantineKey.id, needs: [configurationKey.id], create: kernel => new QuarantineService(context, kernel.get(linkHubKey), kernel.get(configurationKey)) },
   {
     id: requestFlowKey.id,
-    needs: [backlogTellerKey.id, requestTableKey.id, quarantineKey.id],
+    needs: [backlogTellerKey.id, requestTableKey.id, quarantineKey.id, homeFinderKey.id],
     create: kernel => new RequestFlow(
       context, kernel.get(linkHubKey), kernel.get(requestTableKey), kernel.get(backlogTellerKey), kernel.get(quarantineKey),
-      kernel.get(queueKey).db, kernel.get(agentStatesKey)
+      kernel.get(configurationKey), kernel.get(homeFinderKey), kernel.get(queueKey).db, kernel.get(agentStatesKey)
     )
   },
   {
@@ -103,9 +103,9 @@
   },
   {
     id: callerServerKey.id,
-    needs: [answerRelayKey.id, homeFinderKey.id],
+    needs: [answerRelayKey.id],
     create: kernel => new CallerServer(
-      context, kernel.get(configurationKey), kernel.get(requestTableKey), kernel.get(requestFlowKey), kernel.get(homeFinderKey), settings
+      context, kernel.get(configurationKey), kernel.get(requestTableKey), kernel.get(requestFlowKey), settings
     )
   }
 ]
--- a/packages/router/src/quarantine/quarantineService.ts
+++ b/packages/router/src/quarantine/quarantineService.ts
@@ -1,8 +1,7 @@
 /** Keeps apart, and refuses for a while, requests whose running ends upstreams; told to all routers. */
 import { createLog, type Millis, type Service, type ServiceKey, serviceKey, type Timer, type UpstreamId } from '@fuchsiaworks/kernel'
-import type { LinkHub, ProcessContext } from '@fuchsiaworks/fleet'
+import type { ConfigurationService, LinkHub, ProcessContext } from '@fuchsiaworks/fleet'
 import { type QuarantineCommand, type QuarantineDb, quarantineDefinition, type QuarantineEvent, type RefusedPrint, type RequestPrint } from '@fuchsiaworks/policy'
-import { defaultFleetConfig } from '@fuchsiaworks/settings'
 import type { Crash, Message } from '@fuchsiaworks/wire'
 
 /** Milliseconds between two ticks of the policy. */
@@ -24,9 +23,13 @@
   readonly #db: QuarantineDb
   #timer: Timer | undefined
 
-  constructor (readonly context: ProcessContext, readonly hub: LinkHub) {
-    const { ms, crashes } = defaultFleetConfig.quarantine
-    this.#db = quarantineDefinition.createDb({ crashes, suspectFor: ms, refuseFor: ms, maxPerWorkspace: MAX_PER_WORKSPACE })
+  constructor (readonly context: ProcessContext, readonly hub: LinkHub, configuration: ConfigurationService) {
+    this.#db = quarantineDefinition.createDb({
+      get crashes () { return configuration.effective.quarantine.crashes },
+      get suspectFor () { return configuration.effective.quarantine.ms },
+      get refuseFor () { return configuration.effective.quarantine.ms },
+      maxPerWorkspace: MAX_PER_WORKSPACE
+    })
     hub.table.on('quarantine', (_link, { workspace, fingerprint, remaining }) => {
       this.#decide({ kind: 'quarantine-told', workspace, fingerprint, remaining, now: this.#now() })
     })
--- a/packages/router/src/requests/homeFinder.ts
+++ b/packages/router/src/requests/homeFinder.ts
@@ -1,7 +1,8 @@
 /** Finds the home of an idempotency key: the only upstream at which a request with that key may run. */
-import { createLog, onEvent, type ServiceId, type ServiceKey, serviceKey, type UpstreamId, type WorkspaceId } from '@fuchsiaworks/kernel'
+import { createLog, onEvent, type ServiceId, type ServiceKey, serviceKey, type UpstreamId } from '@fuchsiaworks/kernel'
 import { type ConfigurationService, listedUpstreams, type ProcessContext } from '@fuchsiaworks/fleet'
-import { type HashedMember, hashMembers, keySubject, rendezvous } from '@fuchsiaworks/policy'
+import { type HashedMember, hashMembers, keyHome } from '@fuchsiaworks/policy'
+import type { RequestFacts } from './openRequest.js'
 
 const log = createLog('homes')
 
@@ -19,15 +20,14 @@
   }
 
   /**
-   * Names the home of a key.
+   * Names the home of a request.
    *
-   * @param service - the service that is asked for
-   * @param workspace - whose key it is
-   * @param key - the key
-   * @returns the upstream; undefined when the service has none
+   * @param facts - what the request is
+   * @returns the upstream; undefined when any may run it, or when the service has none
    */
-  homeOf (service: ServiceId, workspace: WorkspaceId, key: string): UpstreamId | undefined {
-    return rendezvous(this.#members.get(service) ?? [], keySubject(this.context.hash, { service, workspace, key }))
+  homeOf ({ service, workspace, key, idempotent }: RequestFacts): UpstreamId | undefined {
+    if (idempotent || key === undefined) return undefined
+    return keyHome(this.context.hash, { service, workspace, key }, this.#members.get(service) ?? [])
   }
 }
 
--- a/packages/router/src/requests/openRequest.ts
+++ b/packages/router/src/requests/openRequest.ts
@@ -18,13 +18,13 @@
   readonly headers: HeaderList
   readonly idempotent: boolean
   readonly key: string | undefined
-  /** The only upstream that may run it, for a request with a key that is not idempotent. */
-  readonly home: UpstreamId | undefined
   readonly fingerprint: Fingerprint
   /** Estimated cost, in cost units. */
   readonly estimate: number
   /** Milliseconds that it may wait. */
   readonly patience: Millis
+  /** Requests that its workspace may have waiting for the service. */
+  readonly maxWaiting: number
   readonly receivedAt: Millis
 }
 
--- a/packages/router/src/requests/requestFlow.ts
+++ b/packages/router/src/requests/requestFlow.ts
@@ -3,17 +3,20 @@
   assertNever, createLog, type Millis, onEvent, type RequestEvent, type RequestId, type Service, type ServiceKey, serviceKey, type Timer,
   type UpstreamId
 } from '@fuchsiaworks/kernel'
-import type { ClosedLink, FleetLink, LinkHub, ProcessContext } from '@fuchsiaworks/fleet'
 import {
-  type AdmissionCommand, type AdmissionDb, admissionDefinition, type AdmissionEvent, type RetryCommand, retryDefinition, type RetryEvent,
+  type ClosedLink, type ConfigurationService, type FleetLink, type LinkHub, type ProcessContext, weightsOf, zonesOutOf
+} from '@fuchsiaworks/fleet'
+import {
+  type AdmissionCommand, type AdmissionDb, admissionDefinition, type AdmissionEvent, type RetryCommand, type RetryConfig, retryDefinition, type RetryEvent,
   type WaitingRequest
 } from '@fuchsiaworks/policy'
-import { defaultFleetConfig } from '@fuchsiaworks/settings'
+import type { FleetConfig } from '@fuchsiaworks/settings'
 import type { AcceptedMessage, DeclinedMessage, PullMessage, ResponseFailedMessage } from '@fuchsiaworks/wire'
 import { notRun, type Problem } from '../callers/problem.js'
 import type { AgentStates } from '../links/agentStates.js'
 import type { BacklogTeller } from '../links/backlogTeller.js'
 import type { QuarantineService } from '../quarantine/quarantineService.js'
+import type { HomeFinder } from './homeFinder.js'
 import { NotHandedOverError, type OpenRequest } from './openRequest.js'
 import { problemOfAnswer, problemOfRefusal } from './outcomes.js'
 import { Refusals } from './refusals.js'
@@ -45,6 +48,7 @@
   readonly #admission: AdmissionDb
   readonly #retry
   readonly #states: AgentStates
+  readonly #homes: HomeFinder
   #timer: Timer | undefined
 
   constructor (
@@ -53,23 +57,20 @@
     readonly table: RequestTable,
     readonly backlog: BacklogTeller,
     readonly quarantine: QuarantineService,
+    configuration: ConfigurationService,
+    homes: HomeFinder,
     admission: AdmissionDb,
     states: AgentStates
   ) {
+    this.#homes = homes
     this.#admission = admission
     this.#states = states
-    this.#retry = retryDefinition.createDb({
-      budgetPercent: defaultFleetConfig.retries.percent,
-      floorPerSecond: RETRY_FLOOR_PER_SECOND,
-      burst: RETRY_BURST,
-      maxAttempts: MAX_ATTEMPTS,
-      pullTtl: defaultFleetConfig.links.pullTtlMs,
-      pullMargin: PULL_MARGIN_MS
-    })
+    this.#retry = retryDefinition.createDb(retryConfig(configuration))
     hub.table.on('pull', (link, message) => { this.#onPull(link, message) })
     hub.table.on('accepted', (link, message) => { this.#onAccepted(link, message) })
     hub.table.on('declined', (link, message) => { this.#onDeclined(link, message) })
     hub.table.on('response-failed', (link, message) => { this.#onFailed(link, message) })
+    onEvent(configuration.changes, log, ({ config }) => { this.#configure(config) })
     onEvent(hub.closed, log, closed => { this.#onLinkClosed(closed) })
   }
 
@@ -90,7 +91,7 @@
    * @param request - a request that was authenticated and classified
    */
   open (request: OpenRequest): void {
-    const { id, service, workspace, patience, estimate, idempotent, home } = request.facts
+    const { id, service, workspace, patience, estimate, idempotent, maxWaiting } = request.facts
     const now = this.#now()
     this.table.add(request)
     this.record('request-received', request)
@@ -101,8 +102,9 @@
     const treatment = this.quarantine.treatmentOf(request.facts)
     if (treatment.kind === 'refused') return this.#refuse(id, 'quarantined', treatment.remaining)
     request.alone = treatment.kind === 'alone'
+    const home = this.#homes.homeOf(request.facts)
     this.#admit({
-      kind: 'request-arrived', request: id, service, workspace, patience, estimate, idempotent, now, ...(home === undefined ? {} : { home })
+      kind: 'request-arrived', request: id, service, workspace, patience, estimate, idempotent, maxWaiting, now, ...(home === undefined ? {} : { home })
     })
   }
 
@@ -138,6 +140,21 @@
     return this.context.clock.now()
   }
 
+  #configure (config: FleetConfig): void {
+    this.#admit({ kind: 'config-changed', weights: weightsOf(config), zonesOut: new Set(zonesOutOf(config)) })
+    for (const request of this.table.all()) this.#moveHome(request)
+  }
+
+  /** A request with a key waits for the present home of its key. */
+  #moveHome ({ facts }: OpenRequest): void {
+    const waiting = this.#admission.waiting(facts.id)
+    const home = this.#homes.homeOf(facts)
+    if (waiting === undefined || waiting.home === home) return
+    const now = this.#now()
+    this.#admit({ kind: 'caller-gone', request: facts.id, now })
+    this.#admit({ kind: 'requeue', waiting: { ...waiting, home }, now })
+  }
+
   #admit (event: AdmissionEvent): void {
     for (const command of admissionDefinition.decide(this.#admission, event)) this.#runAdmission(command)
   }
@@ -262,7 +279,7 @@
     request.holder = undefined
     request.accepted = false
     request.alone = this.quarantine.treatmentOf(request.facts).kind !== 'normal'
-    this.#admit({ kind: 'requeue', waiting: { ...waiting, avoid }, now: this.#now() })
+    this.#admit({ kind: 'requeue', waiting: { ...waiting, avoid, home: this.#homes.homeOf(request.facts) }, now: this.#now() })
   }
 
   #refuse (id: RequestId, reason: string, retryAfter: Millis): void {
@@ -314,6 +331,16 @@
   }
 }
 
+/** Settings of retries, read anew from the configuration in force at each use. */
+const retryConfig = (configuration: ConfigurationService): RetryConfig => ({
+  get budgetPercent () { return configuration.effective.retries.percent },
+  get pullTtl () { return configuration.effective.links.pullTtlMs },
+  floorPerSecond: RETRY_FLOOR_PER_SECOND,
+  burst: RETRY_BURST,
+  maxAttempts: MAX_ATTEMPTS,
+  pullMargin: PULL_MARGIN_MS
+})
+
 /** A request is called not run only when no attempt at it can have run. */
 const truthful = (request: OpenRequest, problem: Problem): Problem =>
   problem.outcome === 'not-run' && request.mayHaveRun ? { ...problem, outcome: 'unknown' } : problem
--- a/packages/router/src/requests/requestTable.ts
+++ b/packages/router/src/requests/requestTable.ts
@@ -25,6 +25,10 @@
     return this.#byWorkspace.get(workspace) ?? 0
   }
 
+  all (): Iterable<OpenRequest> {
+    return this.#requests.values()
+  }
+
   add (request: OpenRequest): void {
     const { id, workspace } = request.facts
     this.#requests.set(id, request)
--- a/packages/wire/src/codec/messageFields.ts
+++ b/packages/wire/src/codec/messageFields.ts
@@ -77,5 +77,6 @@
   leaving: { hosts: list(text()) },
   quarantine: { workspace: text(), fingerprint: text(), remaining: amount },
   'crash-report': { workspace: text(), fingerprint: text(), upstream: text(), crash },
-  'revision-ask': { revision: whole }
+  'revision-ask': { revision: whole },
+  hunger: { router: text(), zone: text(), service: text(), round: whole }
 }
--- a/packages/wire/src/protocol/protocolTypes.ts
+++ b/packages/wire/src/protocol/protocolTypes.ts
@@ -229,6 +229,16 @@
   readonly hosts: readonly HostId[]
 }
 
+/** A router has backlog that too few agents serve; agents of the service may link with it. */
+export interface HungerMessage {
+  readonly kind: 'hunger'
+  readonly router: HostId
+  readonly zone: ZoneId
+  readonly service: ServiceId
+  /** Counts the calls, from 1; each one is meant for twice as many agents as the one before. */
+  readonly round: number
+}
+
 /** A fingerprint that ended upstreams, refused for a while. */
 export interface QuarantineMessage {
   readonly kind: 'quarantine'
@@ -256,7 +266,7 @@
   CreditMessage | SharedMessage
 
 /** Between any two processes. */
-export type SharedMessage = CountersMessage | RevisionMessage | RevisionAskMessage | LeavingMessage | QuarantineMessage | CrashReportMessage
+export type SharedMessage = CountersMessage | RevisionMessage | RevisionAskMessage | LeavingMessage | HungerMessage | QuarantineMessage | CrashReportMessage
 
 /** Any message of a session. */
 export type Message = AgentMessage | RouterMessage
