Narrow the public names of settings and cover fuchsiactl timeline

Cause: the public entry gave away scalars with general names such as text and bytes, and the timeline command ran in no spec as a whole. Change: only idSchema and port are public; a spec runs timeline as table, JSON and diagram against two servers.

--- a/packages/cli/src/fuchsiactl.spec.ts
+++ b/packages/cli/src/fuchsiactl.spec.ts
@@ -47,6 +47,22 @@
   })
 })
 
+const timeline = (role: 'router' | 'agent', kind: 'request-received' | 'request-started', offset: number): AdminHandlers => ({
+  timeline: ({ query }) => ({
+    role,
+    host: asId(`${role}-1`),
+    wallMs: 0,
+    entries: [{
+      seq: 0,
+      at: 1000 + offset,
+      host: asId(`${role}-1`),
+      incarnation: asId('i'),
+      event: { kind, request: asId(query.request ?? 'q'), workspace: asId('big'), service: asId('s'), upstream: asId('u'), detail: String(query.since) }
+    }],
+    clocks: role === 'router' ? [{ peer: asId('agent-1'), clockOffsetMs: 400, roundTripMs: 2 }] : []
+  })
+})
+
 const servers: AdminServer[] = []
 let folder = ''
 let admin: string[] = []
@@ -122,6 +138,18 @@
     expect((await ctl('timeline', ...admin, '--since', '30s')).err).toInclude('status 404')
   })
 
+  it('merges time lines into a table, JSON or a diagram', async () => {
+    const urls = await Promise.all([openAdmin(timeline('agent', 'request-started', 405)), openAdmin(timeline('router', 'request-received', 0))])
+    const processes = [...urls.flatMap(url => ['--admin', url]), '--key', KEY]
+    const table = (await ctl('timeline', ...processes, '--since', '30s')).out.split('\n')
+    expect(table[0]).toEqual('clock of router-1: corrected by 400.0 ms, within 1.0 ms')
+    expect(table[2]?.includes('request-received') === true && table[2].endsWith('30000')).toEqual(true)
+    expect(table[3]).toEqual('1970-01-01T00:00:01.405Z  agent-1   agent   request-started   q big s u  30000')
+    const json = JSON.parse((await ctl('timeline', ...processes, '--request', 'x', '--json')).out) as { entries: Array<{ time: number }> }
+    expect(json.entries.map(entry => entry.time)).toEqual([1400, 1405])
+    expect((await ctl('timeline', ...processes, '--request', 'x', '--format', 'mermaid')).out).toInclude('p2->>p3: started undefined')
+  })
+
   it('exits 2 for wrong usage', async () => {
     const calls = [[], ['nope'], ['check'], ['check', 'no-such-file'], ['status'], ['status', '--admin', ABSENT],
       ['timeline', ...admin], ['timeline', ...admin, '--since', '30'], ['check', '--nope', 'x']]
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -1,7 +1,7 @@
 /** Public entry of the settings package. */
 export type * from './document/documentTypes.js'
 export * from './document/findingLists.js'
-export * from './document/scalars.js'
+export { idSchema, port } from './document/scalars.js'
 export * from './fleetConfig/checkConfig.js'
 export * from './fleetConfig/configDocuments.js'
 export * from './fleetConfig/configSchema.js'
