Put causes before effects in merged time lines

Cause: in a run of the local fleet a router's end of a request stood before the agent's end of the same millisecond: link offsets are uncertain by some milliseconds, more than a hop takes. An effect that stands before its cause is moved behind it, but only within what both clocks are uncertain by; later entries of its process move along. Entries of a process that is named twice are shown once. The types of merged time lines have a file of their own. Conclusion: the router still records its first byte some 60 ms before the agent does, more than the clocks explain: the two events do not mean the same (head or first body byte); to be settled in router and agent.

--- a/packages/cli/src/fuchsiactl.spec.ts
+++ b/packages/cli/src/fuchsiactl.spec.ts
@@ -56,7 +56,7 @@
       seq: 0,
       at: 1000 + offset,
       host: asId(`${role}-1`),
-      incarnation: asId('i'),
+      incarnation: asId(`life of ${role}-1`),
       event: { kind, request: asId(query.request ?? 'q'), workspace: asId('big'), service: asId('s'), upstream: asId('u'), detail: String(query.since) }
     }],
     clocks: role === 'router' ? [{ peer: asId('agent-1'), clockOffsetMs: 400, roundTripMs: 2 }] : []
--- a/packages/cli/src/timeline/mergeTimelines.ts
+++ b/packages/cli/src/timeline/mergeTimelines.ts
@@ -1,34 +1,37 @@
 /** Merges the time lines of processes into one order. */
 import type { AdminAnswer } from '@fuchsiaworks/admin'
-import type { HostId, Millis, TimeLineEntry } from '@fuchsiaworks/kernel'
+import { getOrMake, type Incarnation } from '@fuchsiaworks/kernel'
+import { applyRule, CAUSAL_RULES } from './causalOrder.js'
 import { type ClockCorrection, clockCorrections } from './clockOffsets.js'
-
-/** An entry with its time on the clock of the reference host. */
-export interface MergedEntry extends TimeLineEntry {
-  readonly role: 'router' | 'agent'
-  /** Wall-clock milliseconds of the reference host. */
-  readonly time: Millis
-  /** False when no link tells the clock offset of the host. */
-  readonly corrected: boolean
-}
-
-/** Time lines of all processes in one order. */
-export interface MergedTimeline {
-  readonly entries: readonly MergedEntry[]
-  readonly clocks: ReadonlyMap<HostId, ClockCorrection>
-}
+import type { MergedEntry, MergedTimeline } from './timelineTypes.js'
 
 type Answer = AdminAnswer<'timeline'>
 
-/** A wall clock may be set back, but within one process the order of the entries is certain. */
-const correctEntries = ({ role, entries }: Answer, correction: ClockCorrection | undefined): MergedEntry[] => {
+/** Within one process the order of the entries is certain, whatever the wall clock did. */
+const keepOwnOrder = (entries: readonly MergedEntry[]): MergedEntry[] => {
   let latest = Number.NEGATIVE_INFINITY
-  return [...entries].sort((a, b) => a.seq - b.seq).map(entry => {
-    latest = Math.max(latest, entry.at + (correction?.add ?? 0))
-    return { ...entry, role, time: latest, corrected: correction !== undefined }
+  return entries.map(entry => {
+    latest = Math.max(latest, entry.time)
+    return { ...entry, time: latest }
   })
 }
 
+const correctEntries = ({ role, entries }: Answer, correction: ClockCorrection | undefined): MergedEntry[] => {
+  const inOrder = [...entries].sort((a, b) => a.seq - b.seq)
+  const corrected = inOrder.map(entry => ({ ...entry, role, time: entry.at + (correction?.add ?? 0), corrected: correction !== undefined }))
+  return keepOwnOrder(corrected)
+}
+
+const splitByProcess = (entries: readonly MergedEntry[]): MergedEntry[][] => {
+  const groups = new Map<Incarnation, MergedEntry[]>()
+  for (const entry of entries) getOrMake(groups, entry.incarnation, () => []).push(entry)
+  return [...groups.values()]
+}
+
+/** A process that was named twice answers twice. */
+const dropRepeated = (entries: readonly MergedEntry[]): MergedEntry[] =>
+  [...new Map(entries.map(entry => [`${entry.incarnation} ${entry.seq}`, entry])).values()]
+
 const compare = (a: MergedEntry, b: MergedEntry): number =>
   a.time - b.time || a.host.localeCompare(b.host) || a.seq - b.seq
 
@@ -40,6 +43,8 @@
  */
 export const mergeTimelines = (answers: readonly Answer[]): MergedTimeline => {
   const clocks = clockCorrections(answers)
-  const entries = answers.flatMap(answer => correctEntries(answer, clocks.get(answer.host)))
+  const corrected = dropRepeated(answers.flatMap(answer => correctEntries(answer, clocks.get(answer.host))))
+  // An effect that moved takes the later entries of its process along, and they may be causes of the next rule.
+  const entries = CAUSAL_RULES.reduce((moved, rule) => splitByProcess(applyRule(moved, clocks, rule)).flatMap(keepOwnOrder), corrected)
   return { entries: entries.sort(compare), clocks }
 }
--- a/packages/cli/src/timeline/sequenceDiagram.ts
+++ b/packages/cli/src/timeline/sequenceDiagram.ts
@@ -1,6 +1,6 @@
 /** Writes the time line of one request as the text of a Mermaid sequence diagram. */
 import { assertNever, type RequestEvent, type RequestId } from '@fuchsiaworks/kernel'
-import type { MergedEntry } from './mergeTimelines.js'
+import type { MergedEntry } from './timelineTypes.js'
 
 const CALLER = 'caller'
 
--- a/packages/cli/src/timeline/timeline.spec.ts
+++ b/packages/cli/src/timeline/timeline.spec.ts
@@ -20,7 +20,7 @@
 })
 
 const entry = (host: string, seq: number, at: number, event: TimeLineEntry['event']): TimeLineEntry =>
-  ({ host: asId(host), incarnation: asId('i'), seq, at, event })
+  ({ host: asId(host), incarnation: asId(`life of ${host}`), seq, at, event })
 
 const answer = (host: string, role: 'router' | 'agent', entries: TimeLineEntry[], clocks: Array<[string, number, number]>): Answer => ({
   host: asId(host),
@@ -42,8 +42,8 @@
 ], [])
 
 describe('merged time lines', () => {
-  it('order the entries by corrected clocks', () => {
-    const { entries } = mergeTimelines([router, agent])
+  it('order the entries by corrected clocks, each once', () => {
+    const { entries } = mergeTimelines([router, agent, router])
     expect(entries.map(({ event }) => event.kind)).toEqual(
       ['request-received', 'request-handed-over', 'request-started', 'request-first-byte', 'request-ended'])
   })
@@ -59,6 +59,16 @@
     }), { seed: 11 })
   })
 
+  it('put effects behind their causes as far as the clocks are uncertain, and no further', () => {
+    const handover = (agentAt: number): string[] => {
+      const receiver = answer('a1', 'agent', [entry('a1', 0, agentAt, requestEvent('request-started')), entry('a1', 1, agentAt, requestEvent('request-ended'))], [])
+      const sender = answer('r1', 'router', [entry('r1', 0, 10, requestEvent('request-handed-over')), entry('r1', 1, 10, requestEvent('request-ended'))], [['a1', 0, 6]])
+      return mergeTimelines([sender, receiver]).entries.map(({ role, event }) => `${role} ${event.kind}`)
+    }
+    expect(handover(8)).toEqual(['router request-handed-over', 'agent request-started', 'agent request-ended', 'router request-ended'])
+    expect(handover(5)[0]).toEqual('agent request-started')
+  })
+
   it('take the most certain path to a clock, also over a process that did not answer', () => {
     const far = answer('z', 'agent', [entry('z', 0, 100, { kind: 'pause-seen', length: 1 })], [['via', -5, 1]])
     const near = answer('x', 'router', [], [['z', 90, 40], ['via', 10, 1]])
--- a/packages/cli/src/timeline/timelineCommand.ts
+++ b/packages/cli/src/timeline/timelineCommand.ts
@@ -3,10 +3,11 @@
 import { askFleet, listUnreachable, reportUnreachable, type Unreachable } from '../fleet/askFleet.js'
 import type { Target } from '../fleet/targets.js'
 import { type CommandIo, EXIT, type ExitCode, UsageError } from '../io/commandIo.js'
-import { type MergedTimeline, mergeTimelines } from './mergeTimelines.js'
+import { mergeTimelines } from './mergeTimelines.js'
 import { parseSpan } from './parseSpan.js'
 import { sequenceDiagram } from './sequenceDiagram.js'
 import { timelineTable } from './timelineTable.js'
+import type { MergedTimeline } from './timelineTypes.js'
 
 /** How the time line is written. */
 export type TimelineFormat = 'table' | 'json' | 'mermaid'
--- a/packages/cli/src/timeline/timelineTable.ts
+++ b/packages/cli/src/timeline/timelineTable.ts
@@ -1,7 +1,7 @@
 /** Writes merged time lines as a table. */
 import { assertNever, type TimeLineEvent } from '@fuchsiaworks/kernel'
 import { formatTable } from '../io/table.js'
-import type { MergedEntry, MergedTimeline } from './mergeTimelines.js'
+import type { MergedEntry, MergedTimeline } from './timelineTypes.js'
 
 const HEADER = ['TIME', 'HOST', 'ROLE', 'EVENT', 'OF', 'DETAIL']
 
