Give the floor of the retry budget to the router, not to each service

Cause: a floor of 0.1 retries a second for each of 17 services at 390 routers came to 7 in 100 of all first attempts beside the share. Change: one floor for each router; a service's own budget is its share alone.

--- a/packages/policy/src/retry/retryBudget.ts
+++ b/packages/policy/src/retry/retryBudget.ts
@@ -10,10 +10,11 @@
   filledAt: Millis
 }
 
-/** Unused retries by service, and by workspace within each service. */
+/** Unused retries by service, by workspace within each service, and the floor of the router. */
 export class RetryBudget {
   readonly #services = new Map<ServiceId, Bucket>()
   readonly #workspaces = new Map<string, Bucket>()
+  readonly #floor: Bucket = { tokens: 1, filledAt: -Infinity }
 
   /** @param config - share, floor and burst */
   constructor (readonly config: RetryConfig) {}
@@ -21,21 +22,25 @@
   /** Adds the share of one first attempt. */
   countFirst (service: ServiceId, workspace: WorkspaceId, now: Millis): void {
     const share = this.config.budgetPercent / 100
-    this.#fill(this.#service(service, now), share, this.config.burst)
-    this.#fill(this.#workspace(service, workspace, now), share, this.#workspaceBurst)
+    const total = this.#service(service, now)
+    const own = this.#workspace(service, workspace, now)
+    total.tokens = Math.min(this.config.burst, total.tokens + share)
+    own.tokens = Math.min(this.#workspaceBurst, own.tokens + share)
   }
 
   /**
-   * Takes one retry when the service and the workspace both have one left.
+   * Takes one retry, when the workspace has one left and the service or the router's floor has.
    *
    * @returns false when the budget is spent
    */
   take (service: ServiceId, workspace: WorkspaceId, now: Millis): boolean {
-    const total = this.#service(service, now)
     const own = this.#workspace(service, workspace, now)
-    if (total.tokens < 1 || own.tokens < 1) return false
-    total.tokens -= 1
+    const total = this.#service(service, now)
+    const floor = this.#refill(this.#floor, now, 1)
+    const source = [total, floor].find(bucket => bucket.tokens >= 1)
+    if (own.tokens < 1 || source === undefined) return false
     own.tokens -= 1
+    source.tokens -= 1
     return true
   }
 
@@ -44,7 +49,7 @@
   }
 
   #service (service: ServiceId, now: Millis): Bucket {
-    return this.#refill(getOrMake(this.#services, service, () => ({ tokens: 1, filledAt: now })), now, this.config.burst)
+    return getOrMake(this.#services, service, () => ({ tokens: 0, filledAt: now }))
   }
 
   #workspace (service: ServiceId, workspace: WorkspaceId, now: Millis): Bucket {
@@ -54,13 +59,9 @@
 
   /** Adds the floor for the time since the last look. */
   #refill (bucket: Bucket, now: Millis, burst: number): Bucket {
-    const gained = Math.max(0, now - bucket.filledAt) / 1000 * this.config.floorPerSecond
+    const gained = Math.max(0, now - bucket.filledAt) / 1_000 * this.config.floorPerSecond
     bucket.filledAt = now
-    this.#fill(bucket, gained, burst)
-    return bucket
-  }
-
-  #fill (bucket: Bucket, gained: number, burst: number): void {
     bucket.tokens = Math.min(burst, bucket.tokens + gained)
+    return bucket
   }
 }
--- a/packages/policy/src/retry/retryTypes.ts
+++ b/packages/policy/src/retry/retryTypes.ts
@@ -11,7 +11,7 @@
 export interface RetryConfig {
   /** Retries allowed for each hundred first attempts. */
   readonly budgetPercent: number
-  /** Retries a second that each service is allowed whatever its load. */
+  /** Retries a second that the router is allowed whatever its load. */
   readonly floorPerSecond: number
   /** Largest number of unused retries that a service saves up. */
   readonly burst: number
