--- a/packages/policy/src/keys/keysDb.ts
+++ b/packages/policy/src/keys/keysDb.ts
@@ -3,7 +3,6 @@
 import { HomeHistory, type Moment } from './homeHistory.js'
 import { keySubject } from './keyHome.js'
 import type { KeyName, KeysConfig, StoredAnswer } from './keysTypes.js'
-import { keySubject } from './keySubject.js'
 import { hashMembers, type StringHash } from './rendezvous.js'
 import { uuidTime } from './uuidTime.js'
 
