Judge plain services by the tail that they show themselves, and engines by their streams

Cause: slots stayed at 1 to 4 while work waited (75 % idle). A plain service's target was a multiple of its median, so that a few long calls counted as overload, and three samples were enough for a fall; an engine's whole completions were taken for late first tokens, since their first byte comes at the end of the generation. Ruled out: the load report's bound (seen once, for half a second). Change: base latency is the 95th percentile under little load; a fall needs 20 samples, or a median over the target; first bytes count only for streams; token gaps while all slots are in use prove a cold limit as parts of completions.

--- a/packages/agent/src/meter/meter.ts
+++ b/packages/agent/src/meter/meter.ts
@@ -12,6 +12,8 @@
 
 /** Running cost of one request. */
 export interface Meter {
+  /** True when the first byte of the answer shows how long the request had to wait for its service. */
+  readonly firstByteTells: boolean
   /** Takes the answer's content type. */
   head: (contentType: string) => void
   /**
@@ -48,6 +50,12 @@
   readonly #promptTokens: number
   readonly #events = new EventCounter()
   #streamed = false
+
+  /** Without a stream the first byte comes at the end of the generation. */
+  get firstByteTells (): boolean {
+    return this.#streamed
+  }
+
   #tokens = 0
   #tail = Buffer.alloc(0)
 
@@ -87,6 +95,8 @@
 
 /** Cost of a plain service's request: the time that it kept the service busy. */
 class PlainMeter implements Meter {
+  readonly firstByteTells = true
+
   constructor (readonly service: ServiceConfig, readonly start: Millis) {}
 
   head (): void {}
--- a/packages/agent/src/work/runner.ts
+++ b/packages/agent/src/work/runner.ts
@@ -120,7 +120,7 @@
     run.firstByteAt = now
     run.tokensSince = now
     this.#record('request-first-byte', run)
-    this.limits.decide({ kind: 'first-byte', now, request: run.handover.request, latency: now - run.startedAt })
+    if (run.meter.firstByteTells) this.limits.decide({ kind: 'first-byte', now, request: run.handover.request, latency: now - run.startedAt })
   }
 
   #onEnded (run: Run, trailers: HeaderList): void {
--- a/packages/policy/src/limit/limit.spec.ts
+++ b/packages/policy/src/limit/limit.spec.ts
@@ -220,9 +220,27 @@
       decideLimit(db, { kind: 'first-byte', now: n * 100 + 40, request: id(n), latency: 40 })
       decideLimit(db, { kind: 'ended', now: n * 100 + 40, request: id(n), ok: true, duration: 40 })
     }
+    // The base is a target only under more than little load.
+    expect(db.target('first-byte')).toEqual(Infinity)
+    for (let n = 0; n <= config.coldConcurrency; n += 1) decideLimit(db, { kind: 'started', now: 600, request: id(10 + n) })
     expect(db.target('first-byte')).toEqual(80)
   })
 
+  it('does not take a plain service for overloaded because a few of its calls are long', () => {
+    const db = new LimitDb({ ...config, target: { kind: 'plain', factor: 3 }, coldConcurrency: 2, hardCap: 4 })
+    const random = uniform(11)
+    for (let round = 0; round < 300; round += 1) {
+      const batch = Array.from({ length: db.effective(round) }, (_, n) => id(round * 100 + n))
+      for (const request of batch) decideLimit(db, { kind: 'started', now: round, request })
+      for (const request of batch) {
+        const latency = random() < 0.1 ? 200 : 40
+        decideLimit(db, { kind: 'first-byte', now: round, request, latency })
+        decideLimit(db, { kind: 'ended', now: round, request, ok: true, duration: latency })
+      }
+    }
+    expect(db.limit).toEqual(4)
+  })
+
   it('never learns overload as normal', () => {
     const db = new LimitDb({ ...config, target: { kind: 'plain', factor: 2 }, hardCap: 1_000 })
     for (let round = 0; round < 2_000; round += 1) {
--- a/packages/policy/src/limit/limit.ts
+++ b/packages/policy/src/limit/limit.ts
@@ -20,6 +20,9 @@
 /** Milliseconds for which a load report bounds the limit, counted from its measurement. */
 const REPORT_LIFE_MS = 5_000
 
+/** Part of a completion that a summary of token gaps within the target proves when all slots are in use. */
+const GAP_PROOF = 0.2
+
 /** Milliseconds between two ticks from which this process counts as paused. */
 const PAUSE_MS = 1_000
 
@@ -112,6 +115,7 @@
     }
     case 'token-gap': {
       const request = db.running.get(event.request)
+      if (db.running.size >= db.limit && event.gap <= db.target('token-gap')) db.proved += GAP_PROOF
       if (request?.overPause === false) takeSample(db, event.now, 'token-gap', event.gap)
       if (request !== undefined) request.overPause = false
       return []
--- a/packages/policy/src/limit/limitDb.ts
+++ b/packages/policy/src/limit/limitDb.ts
@@ -20,6 +20,9 @@
 /** Weight of a new window in the record. */
 const RECORD_WEIGHT = 0.2
 
+/** Weight of a new window in the base latency of a plain service. */
+const BASE_WEIGHT = 0.3
+
 /** Share of the samples that must lie within the target. */
 const TARGET_SHARE = 0.95
 
@@ -31,7 +34,7 @@
   /** Counts changes of the limit; a request proves only the limit under which it started. */
   epoch = 0
   changedAt: Millis = 0
-  /** Good completions of requests that started in this epoch. */
+  /** Good completions of requests that started in this epoch, and parts of one for token gaps while all slots were in use. */
   proved = 0
   /** Most requests that ran at the same time since the window began. */
   peak = 0
@@ -48,7 +51,7 @@
   bound: { value: number, until: Millis } | undefined
   readonly #record: Record<SampleKind, Millis> = { 'first-byte': 0, 'token-gap': 0 }
   readonly #recent: Readonly<Record<SampleKind, Millis[]>> = { 'first-byte': [], 'token-gap': [] }
-  /** Time to first byte of a plain service under little load; 0 until learnt. */
+  /** Time to first byte that 95 in 100 calls of a plain service keep under little load; 0 until learnt. */
   #base: Millis = 0
   #published: { limit: number, state: LimitState } = { limit: -1, state: 'down' }
 
@@ -93,19 +96,24 @@
     this.peak = this.running.size
   }
 
-  /** @returns the milliseconds that 95 in 100 samples must keep; Infinity while a plain service has shown nothing */
+  /** @returns the milliseconds that 95 in 100 samples must keep; Infinity for a plain service under little load, which sets its own record */
   target (kind: SampleKind): Millis {
     const { target } = this.config
     switch (target.kind) {
       case 'model': return kind === 'first-byte' ? target.firstToken : target.tokenGap
-      case 'plain': return kind === 'first-byte' && this.#base > 0 ? target.factor * this.#base : Infinity
+      case 'plain': return kind === 'first-byte' && this.#base > 0 && !this.#littleLoad ? target.factor * this.#base : Infinity
       default: return assertNever(target)
     }
   }
 
   /** @returns the window's 95th percentile as a share of its target, for the worse kind; above 1 the target is missed */
   pressure (): number {
-    return Math.max(...SAMPLE_KINDS.map(kind => this.window.quantile(kind, TARGET_SHARE) / this.target(kind)))
+    return this.#pressureAt(TARGET_SHARE)
+  }
+
+  /** @returns the window's median as a share of the target, for the worse kind */
+  medianPressure (): number {
+    return this.#pressureAt(0.5)
   }
 
   /** Keeps a sample for the window and for the comparison with the record. */
@@ -138,12 +146,12 @@
     }
   }
 
-  /** Takes a window into the base latency. It rises only by what was seen under little load, so that overload is never learnt as normal. */
+  /** Takes a window under little load into the base latency, so that overload is never learnt as normal. */
   learnBase (): void {
-    const median = this.window.quantile('first-byte', 0.5)
-    if (median === 0) return
-    const little = this.peak <= this.config.coldConcurrency
-    if (little || this.#base === 0 || median < this.#base) this.#base = median
+    const seen = this.window.quantile('first-byte', TARGET_SHARE)
+    if (seen === 0) return
+    if (this.#base === 0) this.#base = seen
+    else if (this.#littleLoad) this.#base += BASE_WEIGHT * (seen - this.#base)
   }
 
   /** Drops what a pause of this process has spoilt: latencies of requests that ran over it. */
@@ -156,6 +164,14 @@
     this.restartWindow()
   }
 
+  get #littleLoad (): boolean {
+    return this.peak <= this.config.coldConcurrency
+  }
+
+  #pressureAt (share: number): number {
+    return Math.max(...SAMPLE_KINDS.map(kind => this.window.quantile(kind, share) / this.target(kind)))
+  }
+
   forgetRecent (): void {
     for (const kind of SAMPLE_KINDS) this.#recent[kind].length = 0
   }
--- a/packages/policy/src/limit/limitSteps.ts
+++ b/packages/policy/src/limit/limitSteps.ts
@@ -111,8 +111,9 @@
 export const evaluate = (db: LimitDb, now: Millis): void => {
   if (db.state === 'down' || !db.settled) return
   const pressure = db.pressure()
-  const missed = pressure > 1 && db.window.size >= Math.min(MIN_SAMPLES, Math.max(MIN_PROOF, db.limit))
-  if (missed) return fall(db, now, pressure, 'target missed')
+  // Few samples speak of the middle only; 95 in 100 need more.
+  const few = db.window.size >= Math.max(MIN_PROOF, db.limit) && db.medianPressure() > 1
+  if (few || (pressure > 1 && db.window.size >= MIN_SAMPLES)) return fall(db, now, pressure, 'target missed')
   if (!enoughSamples(db)) return
   db.learnBase()
   if (db.state === 'ready') db.learnRecord()
