--- a/packages/wire/src/link/connection.ts
+++ b/packages/wire/src/link/connection.ts
@@ -22,7 +22,7 @@
 export class Connection {
   user: ConnectionUser = noUser
   #reason = 'closed by the peer'
-  #full = false
+  #awaitsRoom = false
 
   /**
    * @param socket - the WebSocket
@@ -36,9 +36,12 @@
 
   /** Bytes that may be sent before the socket buffer is full. */
   get room (): number {
-    const room = Math.max(0, SOCKET_BUFFER_BYTES - this.socket.bufferedAmount)
-    if (room === 0) this.#full = true
-    return room
+    return Math.max(0, SOCKET_BUFFER_BYTES - this.socket.bufferedAmount)
+  }
+
+  /** Asks for a call of `drained` once the socket buffer is at most half full. What was sent is still on its way. */
+  awaitRoom (): void {
+    this.#awaitsRoom = true
   }
 
   /**
@@ -70,8 +73,8 @@
   }
 
   readonly #afterSend = (): void => {
-    if (!this.#full || this.socket.bufferedAmount > SOCKET_BUFFER_BYTES / 2) return
-    this.#full = false
+    if (!this.#awaitsRoom || this.socket.bufferedAmount > SOCKET_BUFFER_BYTES / 2) return
+    this.#awaitsRoom = false
     this.user.drained()
   }
 
--- a/packages/wire/src/link/dialSessions.ts
+++ b/packages/wire/src/link/dialSessions.ts
@@ -1,6 +1,6 @@
 /** Keeps one peer address connected. */
 import { randomBytes } from 'node:crypto'
-import { createLog, EventSource, newId, toError, type Timer } from '@fuchsiaworks/kernel'
+import { clamp, createLog, EventSource, newId, toError, type Timer } from '@fuchsiaworks/kernel'
 import { WebSocket } from 'ws'
 import { DialerHandshake } from '../handshake/handshake.js'
 import type { Answer, Offer } from '../handshake/handshakeTypes.js'
@@ -8,7 +8,7 @@
 import type { DialSessions, LinkOptions, Session } from '../session/sessionTypes.js'
 import { backoffDelay } from './backoff.js'
 import { Connection } from './connection.js'
-import { BUFFER_LIMIT_BYTES, HANDSHAKE_MS, MAX_FRAME_BYTES } from './linkConstants.js'
+import { BUFFER_LIMIT_BYTES, HANDSHAKE_MS, MAX_FRAME_BYTES, MIN_DIAL_MS } from './linkConstants.js'
 import { clientTls, tlsBinding } from './tls.js'
 
 type DialOptions = LinkOptions & { readonly host: string, readonly port: number }
@@ -20,7 +20,7 @@
 
 const openSocket = ({ host, port, tls }: DialOptions): WebSocket => {
   const address = `${host.includes(':') ? `[${host}]` : host}:${port}`
-  const options = { perMessageDeflate: false, maxPayload: MAX_FRAME_BYTES, generateMask, handshakeTimeout: HANDSHAKE_MS }
+  const options = { perMessageDeflate: false, autoPong: false, maxPayload: MAX_FRAME_BYTES, generateMask, handshakeTimeout: HANDSHAKE_MS }
   if (tls === undefined) return new WebSocket(`ws://${address}`, options)
   return new WebSocket(`wss://${address}`, { ...options, ...clientTls(tls) })
 }
@@ -48,7 +48,7 @@
     if (!this.#open) return
     this.#open = false
     this.#timer?.close()
-    if (this.#session === undefined) this.#connection?.terminate('closed here')
+    if (this.#session?.connected !== true) this.#connection?.terminate('closed here')
     this.#session?.close()
     this.#sessions.close()
   }
@@ -66,7 +66,7 @@
       session: session === undefined ? this.#attempt : this.#sessionNumber,
       attempt: this.#attempt
     }
-    const limit = clock.after(Math.min(silence, HANDSHAKE_MS), () => { connection.terminate('the handshake took too long') })
+    const limit = clock.after(clamp(silence, MIN_DIAL_MS, HANDSHAKE_MS), () => { connection.terminate('the handshake took too long') })
     connection.socket.once('upgrade', res => {
       const context = { identity, linkKey, binding: tlsBinding(res.socket), randomBytes }
       this.#shakeHands(connection, new DialerHandshake(context, offer, () => session?.received ?? 0), limit)
--- a/packages/wire/src/link/halfOpen.ts
+++ b/packages/wire/src/link/halfOpen.ts
@@ -5,8 +5,8 @@
 
 interface HalfOpenSocket {
   readonly socket: Socket
-  readonly timer: Timer
-  readonly forget: () => void
+  /** Takes the listeners off again and cancels the timer. */
+  readonly cleanUps: Array<() => void>
 }
 
 /** TLS wraps a socket in another one; both have the same remote port. */
@@ -34,14 +34,25 @@
    */
   add (socket: Socket): void {
     const key = keyOf(socket)
-    const count = (): void => { if (socket.bytesRead > HANDSHAKE_BYTES) socket.destroy() }
-    const timer = this.clock.after(HANDSHAKE_MS, () => { socket.destroy() })
+    const timer: Timer = this.clock.after(HANDSHAKE_MS, () => { socket.destroy() })
     const forget = (): void => { this.#forget(key) }
-    this.#sockets.set(key, { socket, timer, forget: () => { socket.off('data', count).off('close', forget) } })
-    socket.on('data', count).on('close', forget)
+    socket.on('close', forget)
+    this.#sockets.set(key, { socket, cleanUps: [() => { timer.close() }, () => { socket.off('close', forget) }] })
+    this.countBytes(socket)
     if (this.#sockets.size > this.limit) this.#dropOldest()
   }
 
+  /**
+   * Bounds what a watched connection receives.
+   *
+   * @param socket - the TCP socket, or the TLS socket around it
+   */
+  countBytes (socket: Socket): void {
+    const count = (): void => { if (socket.bytesRead > HANDSHAKE_BYTES) socket.destroy() }
+    socket.on('data', count)
+    this.#sockets.get(keyOf(socket))?.cleanUps.push(() => { socket.off('data', count) })
+  }
+
   /**
    * Ends the watch: the peer is authenticated.
    *
@@ -70,7 +81,6 @@
     const entry = this.#sockets.get(key)
     if (entry === undefined) return
     this.#sockets.delete(key)
-    entry.timer.close()
-    entry.forget()
+    for (const cleanUp of entry.cleanUps) cleanUp()
   }
 }
--- a/packages/wire/src/link/linkConstants.ts
+++ b/packages/wire/src/link/linkConstants.ts
@@ -12,6 +12,15 @@
 /** Bytes of a frame. */
 export const MAX_FRAME_BYTES = 4 * 1024 * 1024
 
+/** Bytes of a frame that are left for its header. */
+const FRAME_HEADER_BYTES = 64
+
+/** Bytes of an encoded message. */
+export const MAX_MESSAGE_BYTES = MAX_FRAME_BYTES - FRAME_HEADER_BYTES
+
+/** Milliseconds that a dialing end waits for the end of a handshake at least, also when its `silence` is shorter. */
+export const MIN_DIAL_MS = 1_000
+
 /** Bytes that may wait in a connection's socket buffer before a session holds further frames back. */
 export const SOCKET_BUFFER_BYTES = 1024 * 1024
 
--- a/packages/wire/src/link/listenSessions.ts
+++ b/packages/wire/src/link/listenSessions.ts
@@ -1,6 +1,6 @@
 /** Accepts sessions on a port. */
 import { randomBytes } from 'node:crypto'
-import { createServer as createHttpServer, type Server } from 'node:http'
+import { createServer as createHttpServer, type IncomingMessage, type Server } from 'node:http'
 import { createServer as createHttpsServer } from 'node:https'
 import type { AddressInfo, Socket } from 'node:net'
 import { createLog, EventSource, toError } from '@fuchsiaworks/kernel'
@@ -12,6 +12,7 @@
 import { Connection } from './connection.js'
 import { HalfOpenSockets } from './halfOpen.js'
 import { BUFFER_LIMIT_BYTES, HANDSHAKE_MS, MAX_FRAME_BYTES } from './linkConstants.js'
+import { RefusalLog } from './refusalLog.js'
 import { SessionTable } from './sessionTable.js'
 import { serverTls, tlsBinding } from './tls.js'
 
@@ -21,8 +22,13 @@
 const log = createLog('links')
 
 const createServer = ({ tls }: LinkOptions): Server => {
-  const limits = { headersTimeout: HANDSHAKE_MS, requestTimeout: HANDSHAKE_MS, connectionsCheckingInterval: SLOW_REQUEST_CHECK_MS }
-  return tls === undefined ? createHttpServer(limits) : createHttpsServer({ ...limits, ...serverTls(tls) })
+  const limits = {
+    headersTimeout: HANDSHAKE_MS,
+    requestTimeout: HANDSHAKE_MS,
+    connectionsCheckingInterval: SLOW_REQUEST_CHECK_MS,
+    requireHostHeader: false
+  }
+  return tls === undefined ? createHttpServer(limits) : createHttpsServer({ ...limits, handshakeTimeout: HANDSHAKE_MS, ...serverTls(tls) })
 }
 
 /** The listening end of links. */
@@ -31,16 +37,24 @@
   readonly #table = new SessionTable<LinkSession>()
   readonly #halfOpen: HalfOpenSockets
   readonly #server: Server
-  readonly #webSockets = new WebSocketServer({ noServer: true, perMessageDeflate: false, maxPayload: MAX_FRAME_BYTES })
+  readonly #refusals: RefusalLog
+  readonly #webSockets = new WebSocketServer({ noServer: true, perMessageDeflate: false, autoPong: false, maxPayload: MAX_FRAME_BYTES })
 
   readonly sessions = this.#sessions.stream
 
   constructor (readonly options: LinkOptions) {
     this.#halfOpen = new HalfOpenSockets(options.clock)
+    this.#refusals = new RefusalLog(options.clock, log)
     this.#server = createServer(options)
     this.#server.on('connection', (socket: Socket) => { this.#halfOpen.add(socket) })
-    this.#server.on('request', req => { req.socket.destroy() })
+    this.#server.on('secureConnection', (socket: Socket) => { this.#halfOpen.countBytes(socket) })
+    this.#server.on('error', err => { log.error('the port failed', { error: err.message }) })
+    for (const event of ['request', 'checkContinue', 'checkExpectation']) {
+      this.#server.on(event, (req: IncomingMessage) => { req.socket.destroy() })
+    }
     this.#server.on('clientError', (_err, socket) => { socket.destroy() })
+    this.#server.on('tlsClientError', err => { this.#refusals.add(err.message) })
+    this.#webSockets.on('wsClientError', (_err, socket) => { socket.destroy() })
     this.#server.on('upgrade', (req, socket, head) => {
       socket.on('error', () => { socket.destroy() })
       this.#webSockets.handleUpgrade(req, socket, head, ws => { this.#greet(ws, req.socket) })
@@ -69,7 +83,7 @@
     const connection = new Connection(ws, clock)
     const handshake = new ListenerHandshake({ identity, linkKey, binding: tlsBinding(socket), randomBytes }, this.#judge)
     const refuse = (reason: string): void => {
-      log.debug('refused a connection', { reason })
+      this.#refusals.add(reason)
       connection.terminate(reason)
     }
     const receive = (data: Uint8Array): void => {
@@ -92,15 +106,18 @@
   #admit (connection: Connection, socket: Socket, { offer, received }: ListenerResult): void {
     this.#halfOpen.release(socket)
     const session = this.#table.accept(offer, () => this.#open(offer))
-    if (session === undefined) connection.terminate('the session has ended')
-    else session.attach(connection, received)
+    if (session === undefined) {
+      connection.terminate('the session has ended')
+      return
+    }
+    if (offer.session === offer.attempt) this.#sessions.emit(session)
+    session.attach(connection, received)
   }
 
   #open (offer: Offer): LinkSession {
     const { clock, heartbeat, silence, expiry, bufferLimit = BUFFER_LIMIT_BYTES } = this.options
     const limits = { side: 'listener', heartbeat, silence, expiry, bufferLimit } as const
     const session: LinkSession = new LinkSession(offer.identity, clock, limits, () => { this.#table.remove(offer) })
-    this.#sessions.emit(session)
     return session
   }
 }
--- a/packages/wire/src/link/sessions.spec.ts
+++ b/packages/wire/src/link/sessions.spec.ts
@@ -1,10 +1,12 @@
 /** Sessions over real sockets, through a relay that fails. */
 import { describe, it } from 'node:test'
-import { ManualClock } from '@fuchsiaworks/kernel'
+import { asId, ManualClock } from '@fuchsiaworks/kernel'
 import { expect } from 'earl'
 import type { Message } from '../protocol/protocolTypes.js'
 import type { TransportEvent } from '../session/sessionTypes.js'
+import { MessageTooLargeError } from '../session/linkSession.js'
 import { dialSessions } from './dialSessions.js'
+import { MAX_MESSAGE_BYTES } from './linkConstants.js'
 import { type Link, linkOptions, nextSession, openLink, pull, pulls, take, type Towards } from './linkFixtures.spec.js'
 import { listenSessions } from './listenSessions.js'
 
@@ -48,6 +50,34 @@
     await server.close()
   })
 
+  it('carry more at once than a socket buffers', async () => {
+    const link = await openLink()
+    const data = Buffer.alloc(60_000, 'x')
+    const received = take(link.far, 120)
+    for (let i = 0; i < 120; i++) link.near.send({ kind: 'response-body', request: asId('r'), data })
+    expect((await received).map(message => message.kind === 'response-body' ? message.data.byteLength : 0)).toEqual(Array(120).fill(60_000))
+    await link.close()
+  })
+
+  it('refuse a message that is larger than a frame may be', async () => {
+    const link = await openLink()
+    const message: Message = { kind: 'response-body', request: asId('r'), data: Buffer.alloc(MAX_MESSAGE_BYTES) }
+    expect(() => { link.near.send(message) }).toThrow(MessageTooLargeError)
+    await exchange(link, 3)
+    await link.close()
+  })
+
+  it('may be closed at once by who hears of them', async () => {
+    const server = await listenSessions({ ...linkOptions('router-1', 'router'), port: 0 })
+    server.sessions.take(1).observe(session => { session.close() })
+    const dialer = dialSessions({ ...linkOptions('agent-1', 'agent'), port: server.address.port })
+    const first = await nextSession(dialer)
+    const second = await nextSession(dialer)
+    expect([await first.ended, second.connected]).toEqual(['peer-closed', true])
+    dialer.close()
+    await server.close()
+  })
+
   it('go on without loss after a cut', async () => {
     const link = await openLink()
     await exchange(link, 2000, index => { if (index % 700 === 600) link.relay.cut() })
--- a/packages/wire/src/link/strangers.spec.ts
+++ b/packages/wire/src/link/strangers.spec.ts
@@ -34,7 +34,9 @@
   it('get nothing but a closed connection for requests and random bytes, and sessions go on', async () => {
     const link = await openLink()
     const { port } = link.server.address
-    expect(await probe(port, Buffer.from('GET / HTTP/1.1\r\nHost: x\r\n\r\n'))).toEqual('')
+    for (const lines of ['Host: x', 'A: b', 'Host: x\r\nExpect: 100-continue', 'Host: x\r\nExpect: x', 'Host: x\r\nConnection: upgrade\r\nUpgrade: websocket']) {
+      expect(await probe(port, Buffer.from(`GET / HTTP/1.1\r\n${lines}\r\n\r\n`))).toEqual('')
+    }
     await fc.assert(fc.asyncProperty(fc.uint8Array({ minLength: 1, maxLength: 2000 }), async bytes => {
       expect(await probe(port, Buffer.concat([bytes, Buffer.from('\r\n\r\n')]))).toEqual('')
     }), { seed: 6, numRuns: 100 })
--- a/packages/wire/src/link/tls.spec.ts
+++ b/packages/wire/src/link/tls.spec.ts
@@ -1,5 +1,8 @@
 /** Links over TLS, with certificates that are used nowhere else. */
+import { once } from 'node:events'
 import { describe, it } from 'node:test'
+import { connect, type TLSSocket } from 'node:tls'
+import { ManualClock } from '@fuchsiaworks/kernel'
 import { expect } from 'earl'
 import type { LinkTls } from '../session/sessionTypes.js'
 import { dialSessions } from './dialSessions.js'
@@ -86,6 +89,27 @@
     await server.close()
   })
 
+  it('are not kept open for a peer that is slow or sends too much before it is authenticated', async () => {
+    const clock = new ManualClock()
+    const server = await listenSessions({ ...linkOptions('router-1', 'router'), tls: own, clock, port: 0 })
+    const open = async (): Promise<TLSSocket> => {
+      const socket = connect({ ...own, port: server.address.port, host: '127.0.0.1', checkServerIdentity: () => undefined })
+      await once(socket.on('error', () => {}).resume(), 'secureConnect')
+      return socket
+    }
+    const closed = async (socket: TLSSocket): Promise<void> => { await new Promise<void>(resolve => { socket.once('close', () => { resolve() }) }) }
+    const flood = await open()
+    const end = closed(flood)
+    flood.write(`GET / HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: websocket\r\nSec-WebSocket-Version: 13\r\nSec-WebSocket-Key: ${'A'.repeat(22)}==\r\n\r\n`)
+    flood.write(Buffer.alloc(100_000, Buffer.from([0x8a, 0x80, 0, 0, 0, 0])))
+    await end
+    const slow = await open()
+    const slowEnd = closed(slow)
+    clock.advance(5000)
+    await slowEnd
+    await server.close()
+  })
+
   it('are not opened to a listener without a certificate of the authority', async () => {
     const wrong = await listenSessions({ ...linkOptions('router-1', 'router'), tls: { ...stranger, ca: stranger.cert }, port: 0 })
     const link = await openLink({ dialer: { tls: own }, listener: { tls: own } })
--- a/packages/wire/src/reliability/reliability.ts
+++ b/packages/wire/src/reliability/reliability.ts
@@ -23,7 +23,7 @@
 const dataFrames = <P>(db: ReliabilityDb, connection: ConnectionNumber, room: number, now: Millis): Array<ReliabilityCommand<P>> => {
   const commands: Array<ReliabilityCommand<P>> = []
   let left = room
-  while (left > 0 && db.sent < db.assigned) {
+  while (left > 0 && db.hasUnsent) {
     const first = db.sent + 1
     const payloads = db.takeUnsent(Math.min(left, FRAME_BYTES))
     for (const payload of payloads) left -= payload.byteLength
--- a/packages/wire/src/reliability/reliabilityDb.ts
+++ b/packages/wire/src/reliability/reliabilityDb.ts
@@ -61,6 +61,11 @@
     return this.acked + this.#outbox.length
   }
 
+  /** True when messages wait that the current connection has not carried. */
+  get hasUnsent (): boolean {
+    return this.sent < this.assigned
+  }
+
   /** True when received messages should be confirmed without delay. */
   get ackUrgent (): boolean {
     return this.received - this.#ackedToPeer >= ACK_MESSAGES || this.#bytesToAck >= ACK_BYTES
--- a/packages/wire/src/session/linkSession.ts
+++ b/packages/wire/src/session/linkSession.ts
@@ -5,21 +5,18 @@
 import { MalformedFrameError } from '../codec/packer.js'
 import type { Frame } from '../codec/frameTypes.js'
 import type { Connection, ConnectionUser } from '../link/connection.js'
-import { MAX_FRAME_BYTES } from '../link/linkConstants.js'
+import { MAX_MESSAGE_BYTES } from '../link/linkConstants.js'
 import type { Message } from '../protocol/protocolTypes.js'
 import { decide, nextWake } from '../reliability/reliability.js'
 import { ReliabilityDb } from '../reliability/reliabilityDb.js'
 import type { ReliabilityCommand, ReliabilityEvent, ReliabilityLimits } from '../reliability/reliabilityTypes.js'
 import type { Identity, Session, SessionEnd, TransportEvent } from './sessionTypes.js'
 
-/** Bytes of a frame's header at most. */
-const HEADER_BYTES = 64
-
 /** A message is larger than a frame may be. */
 export class MessageTooLargeError extends FuchsiaError {
   /** @param size - bytes of the encoded message */
   constructor (size: number) {
-    super('message-too-large', `a message of ${size} bytes is larger than a frame may be`)
+    super('message-too-large', `a message of ${size} bytes is larger than ${MAX_MESSAGE_BYTES}`)
   }
 }
 
@@ -76,7 +73,7 @@
   send = (message: Message): void => {
     if (this.#db.ended) return
     const payload = encodeMessage(message)
-    if (payload.byteLength > MAX_FRAME_BYTES - HEADER_BYTES) throw new MessageTooLargeError(payload.byteLength)
+    if (payload.byteLength > MAX_MESSAGE_BYTES) throw new MessageTooLargeError(payload.byteLength)
     this.#carryOut(decide(this.#db, { kind: 'send', now: this.clock.now(), payload }))
   }
 
@@ -104,7 +101,8 @@
    */
   attach (connection: Connection, received: number): void {
     if (this.#db.ended) {
-      connection.terminate('the session has ended')
+      connection.send(encodeFrame({ kind: 'bye', reason: 'closed' }))
+      connection.hangUp()
       return
     }
     const number = ++this.#lastConnection
@@ -147,6 +145,7 @@
   #flush (): void {
     const connection = this.#connections.get(this.#db.connection ?? 0)
     this.#take({ kind: 'flush', now: this.clock.now(), room: connection?.room ?? 0 })
+    if (this.#db.hasUnsent) connection?.awaitRoom()
   }
 
   #carryOut (commands: ReadonlyArray<ReliabilityCommand<Message>>): void {
