Begin the first attempt of a dialer in the next turn of the loop

Cause: a trial with a process that only dials ended at once, because the clock's timers do not keep a process alive. Change: the first attempt waits for setImmediate; later ones for the clock, as before. Conclusion: a process that only dials needs something else that keeps it alive while it waits to dial again.

--- a/packages/wire/src/link/dialSessions.ts
+++ b/packages/wire/src/link/dialSessions.ts
@@ -41,7 +41,8 @@
   readonly sessions = this.#sessions.stream
 
   constructor (readonly options: DialOptions) {
-    this.#timer = options.clock.after(0, () => { this.#dial() })
+    const first = setImmediate(() => { this.#dial() })
+    this.#timer = { close: () => { clearImmediate(first) } }
   }
 
   close = (): void => {
