--- /dev/null
+++ b/packages/policy/src/limit/latencyWindow.ts
@@ -0,0 +1,49 @@
+/** Latency samples taken at one limit. */
+import type { Millis } from '@fuchsiaworks/kernel'
+
+/** Samples kept for each kind; older ones are overwritten. */
+const WINDOW_CAPACITY = 256
+
+/** What a sample measured. */
+export type SampleKind = 'first-byte' | 'token-gap'
+
+/** Every kind of sample. */
+export const SAMPLE_KINDS: readonly SampleKind[] = ['first-byte', 'token-gap']
+
+/**
+ * Reads a quantile.
+ *
+ * @param samples - in any order
+ * @param share - share of the samples that lie at or below the result
+ * @returns the quantile, 0 without samples
+ */
+export const quantile = (samples: readonly number[], share: number): number => {
+  const sorted = [...samples].sort((a, b) => a - b)
+  return sorted[Math.max(0, Math.ceil(sorted.length * share) - 1)] ?? 0
+}
+
+/** Samples since the limit last changed, in milliseconds. */
+export class LatencyWindow {
+  readonly #samples: Readonly<Record<SampleKind, Millis[]>> = { 'first-byte': [], 'token-gap': [] }
+  #next = 0
+
+  /** Number of samples of the kind that has more. */
+  get size (): number {
+    return Math.max(...SAMPLE_KINDS.map(kind => this.#samples[kind].length))
+  }
+
+  add (kind: SampleKind, value: Millis): void {
+    const samples = this.#samples[kind]
+    if (samples.length < WINDOW_CAPACITY) samples.push(value)
+    else samples[this.#next++ % WINDOW_CAPACITY] = value
+  }
+
+  /** @returns the quantile of one kind in milliseconds, 0 without samples */
+  quantile (kind: SampleKind, share: number): Millis {
+    return quantile(this.#samples[kind], share)
+  }
+
+  clear (): void {
+    for (const kind of SAMPLE_KINDS) this.#samples[kind].length = 0
+  }
+}
