--- a/packages/policy/src/admission/admissionDb.ts
+++ b/packages/policy/src/admission/admissionDb.ts
@@ -73,6 +73,16 @@
     return this.#queues.keys()
   }
 
+  /** Requests that wait. */
+  get size (): number {
+    return this.#waiting.size
+  }
+
+  /** @returns services with requests that wait */
+  waitingServices (): ServiceId[] {
+    return [...this.#queues].filter(([, queues]) => [...queues.values()].some(queue => queue.size > 0)).map(([service]) => service)
+  }
+
   /** @returns a request while it waits */
   waiting (request: RequestId): WaitingRequest | undefined {
     return this.#waiting.get(request)
--- a/packages/policy/src/keys/keysDb.ts
+++ b/packages/policy/src/keys/keysDb.ts
@@ -1,8 +1,8 @@
 /** What a home remembers of its keys, bounded by age, count and bytes. */
 import { type Fingerprint, getOrMake, type Millis, type RequestId, type ServiceId, type UpstreamId, type WorkspaceId } from '@fuchsiaworks/kernel'
 import { HomeHistory, type Moment } from './homeHistory.js'
+import { keySubject } from './keyHome.js'
 import type { KeyName, KeysConfig, StoredAnswer } from './keysTypes.js'
-import { keySubject } from './keySubject.js'
 import { hashMembers, type StringHash } from './rendezvous.js'
 import { uuidTime } from './uuidTime.js'
 
--- a/packages/policy/src/membership/membershipDb.ts
+++ b/packages/policy/src/membership/membershipDb.ts
@@ -56,7 +56,12 @@
   zonesOut: ReadonlySet<ZoneId> = new Set()
   /** Hosts that the configuration names as agents, so that absence from the list does not remove them. */
   configured: ReadonlySet<HostId> = new Set()
-  readonly hungry = new Map<HostId, Millis>()
+  /** Calls of other routers for agents of this one's service. */
+  readonly hungry = new Map<HostId, { readonly round: number, readonly until: Millis }>()
+  /** Own calls of a router, by service. */
+  readonly calls = new Map<ServiceId, { readonly round: number, readonly at: Millis }>()
+  /** Services with waiting requests at this router. */
+  backlog: readonly ServiceId[] = []
   readonly selfLeaving: Leaving = newLeaving()
   workState: WorkState = 'unconfigured'
   /** When work is taken again after the zone returned; Infinity until the wait is drawn. */
@@ -101,20 +106,34 @@
     return [...this.hosts.values()].filter(counts).map(host => host.candidate)
   }
 
+  /** @returns the number of linked agents of a service */
+  linkedAgents (service: ServiceId): number {
+    return [...this.hosts.values()].filter(host => host.role === 'agent' && host.linked && host.service === service).length
+  }
+
   /** @returns the leaving record of a host, this one included */
   leaving (host: HostId): Leaving | undefined {
     return host === this.config.host ? this.selfLeaving : this.hosts.get(host)?.leaving
   }
 
-  /** Forgets hosts that no source has named for long. */
-  forgetOld (now: Millis): void {
+  /**
+   * Forgets hosts that no source has named for long.
+   *
+   * @returns those that were still dialled
+   */
+  forgetOld (now: Millis): HostId[] {
+    const dialled: HostId[] = []
     for (const [id, host] of this.hosts) {
-      if (host.linked || host.dialled || this.configured.has(id)) continue
+      if (host.linked || this.configured.has(id)) continue
       if (now - host.seenAt < this.config.forgetAfter) continue
       this.hosts.delete(id)
       this.stale = true
+      if (host.dialled) dialled.push(id)
+    }
+    for (const [router, call] of this.hungry) {
+      if (call.until <= now && this.hungry.delete(router)) this.stale = true
     }
-    for (const [router, until] of this.hungry) if (until <= now) this.hungry.delete(router)
+    return dialled
   }
 
   #newHost (host: HostId, role: HostRole, zone: ZoneId): KnownHost {
--- a/packages/router/src/requests/requestFlow.ts
+++ b/packages/router/src/requests/requestFlow.ts
@@ -3,17 +3,21 @@
   assertNever, createLog, type Millis, onEvent, type RequestEvent, type RequestId, type Service, type ServiceKey, serviceKey, type Timer,
   type UpstreamId
 } from '@fuchsiaworks/kernel'
-import type { ClosedLink, FleetLink, LinkHub, ProcessContext } from '@fuchsiaworks/fleet'
 import {
-  type AdmissionCommand, type AdmissionDb, admissionDefinition, type AdmissionEvent, type RetryCommand, retryDefinition, type RetryEvent,
+  type ClosedLink, type ConfigurationService, type FleetLink, type LinkHub, type ProcessContext, weightsOf, zonesOutOf
+} from '@fuchsiaworks/fleet'
+import {
+  type AdmissionCommand, type AdmissionDb, admissionDefinition, type AdmissionEvent, type RetryCommand, type RetryConfig, retryDefinition, type RetryEvent,
   type WaitingRequest
 } from '@fuchsiaworks/policy'
-import { defaultFleetConfig } from '@fuchsiaworks/settings'
+import type { FleetConfig } from '@fuchsiaworks/settings'
 import type { AcceptedMessage, DeclinedMessage, PullMessage, ResponseFailedMessage } from '@fuchsiaworks/wire'
 import { notRun, type Problem } from '../callers/problem.js'
 import type { AgentStates } from '../links/agentStates.js'
 import type { BacklogTeller } from '../links/backlogTeller.js'
-import type { OpenRequest } from './openRequest.js'
+import type { QuarantineService } from '../quarantine/quarantineService.js'
+import type { HomeFinder } from './homeFinder.js'
+import { NotHandedOverError, type OpenRequest } from './openRequest.js'
 import { problemOfAnswer, problemOfRefusal } from './outcomes.js'
 import { Refusals } from './refusals.js'
 import type { RequestTable } from './requestTable.js'
@@ -44,6 +48,7 @@
   readonly #admission: AdmissionDb
   readonly #retry
   readonly #states: AgentStates
+  readonly #homes: HomeFinder
   #timer: Timer | undefined
 
   constructor (
@@ -51,23 +56,21 @@
     readonly hub: LinkHub,
     readonly table: RequestTable,
     readonly backlog: BacklogTeller,
+    readonly quarantine: QuarantineService,
+    configuration: ConfigurationService,
+    homes: HomeFinder,
     admission: AdmissionDb,
     states: AgentStates
   ) {
+    this.#homes = homes
     this.#admission = admission
     this.#states = states
-    this.#retry = retryDefinition.createDb({
-      budgetPercent: defaultFleetConfig.retries.percent,
-      floorPerSecond: RETRY_FLOOR_PER_SECOND,
-      burst: RETRY_BURST,
-      maxAttempts: MAX_ATTEMPTS,
-      pullTtl: defaultFleetConfig.links.pullTtlMs,
-      pullMargin: PULL_MARGIN_MS
-    })
+    this.#retry = retryDefinition.createDb(retryConfig(configuration))
     hub.table.on('pull', (link, message) => { this.#onPull(link, message) })
     hub.table.on('accepted', (link, message) => { this.#onAccepted(link, message) })
     hub.table.on('declined', (link, message) => { this.#onDeclined(link, message) })
     hub.table.on('response-failed', (link, message) => { this.#onFailed(link, message) })
+    onEvent(configuration.changes, log, ({ config }) => { this.#configure(config) })
     onEvent(hub.closed, log, closed => { this.#onLinkClosed(closed) })
   }
 
@@ -88,7 +91,7 @@
    * @param request - a request that was authenticated and classified
    */
   open (request: OpenRequest): void {
-    const { id, service, workspace, patience, estimate, idempotent, home } = request.facts
+    const { id, service, workspace, patience, estimate, idempotent, maxWaiting } = request.facts
     const now = this.#now()
     this.table.add(request)
     this.record('request-received', request)
@@ -96,8 +99,12 @@
     const repeatable = idempotent && request.start.ended
     this.#decide({ kind: 'request-opened', now, request: id, workspace, service, idempotent: repeatable, deadline: now + patience })
     request.res.once('close', () => { this.#onCallerClosed(request) })
+    const treatment = this.quarantine.treatmentOf(request.facts)
+    if (treatment.kind === 'refused') return this.#refuse(id, 'quarantined', treatment.remaining)
+    request.alone = treatment.kind === 'alone'
+    const home = this.#homes.homeOf(request.facts)
     this.#admit({
-      kind: 'request-arrived', request: id, service, workspace, patience, estimate, idempotent, now, ...(home === undefined ? {} : { home })
+      kind: 'request-arrived', request: id, service, workspace, patience, estimate, idempotent, maxWaiting, now, ...(home === undefined ? {} : { home })
     })
   }
 
@@ -117,6 +124,7 @@
    */
   completed (request: OpenRequest): void {
     this.record('request-ended', request)
+    this.quarantine.completed(request.facts)
     this.#forget(request)
     this.context.metrics.count('requests.ended', 1, { outcome: 'answered', service: request.facts.service })
   }
@@ -132,6 +140,21 @@
     return this.context.clock.now()
   }
 
+  #configure (config: FleetConfig): void {
+    this.#admit({ kind: 'config-changed', weights: weightsOf(config), zonesOut: new Set(zonesOutOf(config)) })
+    for (const request of this.table.all()) this.#moveHome(request)
+  }
+
+  /** A request with a key waits for the present home of its key. */
+  #moveHome ({ facts }: OpenRequest): void {
+    const waiting = this.#admission.waiting(facts.id)
+    const home = this.#homes.homeOf(facts)
+    if (waiting === undefined || waiting.home === home) return
+    const now = this.#now()
+    this.#admit({ kind: 'caller-gone', request: facts.id, now })
+    this.#admit({ kind: 'requeue', waiting: { ...waiting, home }, now })
+  }
+
   #admit (event: AdmissionEvent): void {
     for (const command of admissionDefinition.decide(this.#admission, event)) this.#runAdmission(command)
   }
@@ -180,6 +203,7 @@
     if (link === undefined || state === undefined) return this.#admit({ kind: 'requeue', waiting, now: this.#now() })
     const { facts, start } = request
     request.holder = link
+    request.upstream = state.upstream
     request.waiting = waiting
     request.accepted = false
     request.attempts += 1
@@ -200,7 +224,8 @@
       estimate: facts.estimate,
       body: start.data,
       bodyEnded: start.ended,
-      attempt: request.attempts
+      attempt: request.attempts,
+      alone: request.alone
     })
   }
 
@@ -208,7 +233,7 @@
     const request = this.table.heldBy(message.request, link)
     if (request === undefined || request.accepted) return
     request.accepted = true
-    this.#decide({ kind: 'accepted', now: this.#now(), request: message.request })
+    this.#decide({ kind: 'accepted', now: this.#now(), request: message.request, upstream: this.#upstreamOf(request) })
     if (request.start.ended) return
     request.reader.pump((data, ended) => { link.send({ kind: 'request-body', request: message.request, data, ended }) }, BODY_WINDOW_BYTES)
   }
@@ -216,18 +241,21 @@
   #onDeclined (link: FleetLink, message: DeclinedMessage): void {
     const request = this.table.heldBy(message.request, link)
     if (request === undefined) return
-    this.record('request-declined', request, message.reason)
+    const upstream = this.#upstreamOf(request)
+    this.record('request-declined', request, message.reason, upstream)
     request.holder = undefined
-    this.#decide({ kind: 'declined', now: this.#now(), request: message.request, reason: message.reason })
+    this.#decide({ kind: 'declined', now: this.#now(), request: message.request, upstream, reason: message.reason })
   }
 
-  #onFailed (link: FleetLink, { request: id, outcome, crashed, reason }: ResponseFailedMessage): void {
+  #onFailed (link: FleetLink, { request: id, outcome, crash, reason }: ResponseFailedMessage): void {
     const request = this.table.heldBy(id, link)
     if (request === undefined) return
     log.info('an upstream gave no whole answer', { request: id, outcome, reason })
     request.holder = undefined
     if (outcome !== 'not-run') request.mayHaveRun = true
-    this.#decide({ kind: 'response-failed', now: this.#now(), request: id, outcome, crashed, quarantined: false })
+    const upstream = this.#upstreamOf(request)
+    const quarantined = crash !== undefined && this.quarantine.crashed(request.facts, upstream, crash)
+    this.#decide({ kind: 'response-failed', now: this.#now(), request: id, upstream, outcome, crashed: crash !== undefined, quarantined })
   }
 
   #onLinkClosed ({ link, reason }: ClosedLink): void {
@@ -235,16 +263,23 @@
     for (const request of this.table.allHeldBy(link)) {
       request.holder = undefined
       request.mayHaveRun = true
-      this.#decide({ kind: 'session-lost', now: this.#now(), request: request.facts.id, peer })
+      this.#decide({ kind: 'session-lost', now: this.#now(), request: request.facts.id, upstream: this.#upstreamOf(request), peer })
     }
   }
 
+  /** @returns the upstream of the last handover */
+  #upstreamOf (request: OpenRequest): UpstreamId {
+    if (request.upstream === undefined) throw new NotHandedOverError(request.facts.id)
+    return request.upstream
+  }
+
   #requeue (request: OpenRequest, avoid: readonly UpstreamId[]): void {
     const { waiting } = request
     if (waiting === undefined) return
     request.holder = undefined
     request.accepted = false
-    this.#admit({ kind: 'requeue', waiting: { ...waiting, avoid }, now: this.#now() })
+    request.alone = this.quarantine.treatmentOf(request.facts).kind !== 'normal'
+    this.#admit({ kind: 'requeue', waiting: { ...waiting, avoid, home: this.#homes.homeOf(request.facts) }, now: this.#now() })
   }
 
   #refuse (id: RequestId, reason: string, retryAfter: Millis): void {
@@ -252,9 +287,11 @@
     if (request === undefined) return
     this.record('request-refused', request, reason)
     const { workspace, service } = request.facts
-    this.refusals.add({ at: this.context.clock.wall(), request: id, workspace, service, reason })
+    const problem = truthful(request, problemOfRefusal(reason, retryAfter))
+    const { status, outcome } = problem
+    this.refusals.add({ at: this.context.clock.wall(), request: id, workspace, service, status, outcome, reason, retryAfterMs: retryAfter })
     this.context.metrics.count('requests.refused', 1, { reason, service })
-    this.#answer(request, problemOfRefusal(reason, retryAfter))
+    this.#answer(request, problem)
   }
 
   #answer (request: OpenRequest, decided: Problem): void {
@@ -294,6 +331,16 @@
   }
 }
 
+/** Settings of retries, read anew from the configuration in force at each use. */
+const retryConfig = (configuration: ConfigurationService): RetryConfig => ({
+  get budgetPercent () { return configuration.effective.retries.percent },
+  get pullTtl () { return configuration.effective.links.pullTtlMs },
+  floorPerSecond: RETRY_FLOOR_PER_SECOND,
+  burst: RETRY_BURST,
+  maxAttempts: MAX_ATTEMPTS,
+  pullMargin: PULL_MARGIN_MS
+})
+
 /** A request is called not run only when no attempt at it can have run. */
 const truthful = (request: OpenRequest, problem: Problem): Problem =>
   problem.outcome === 'not-run' && request.mayHaveRun ? { ...problem, outcome: 'unknown' } : problem
--- a/packages/settings/src/fleetConfig/configSchema.ts
+++ b/packages/settings/src/fleetConfig/configSchema.ts
@@ -44,7 +44,10 @@
   notIdempotentPaths: z.array(pathPrefix).default([])
     .describe('Path prefixes below `/{service}` that are never idempotent, whatever the method.'),
   idempotentPaths: z.array(pathPrefix).optional()
-    .describe('Path prefixes below `/{service}` where POST is idempotent too. Default: `["/v1/"]` for an engine, `[]` for a plain service.'),
+    .meta({
+      description: 'Path prefixes below `/{service}` where POST is idempotent too.',
+      fallback: '`["/v1/"]` for an engine, `[]` for a plain service'
+    }),
   cost: costSchema.prefault({}).describe('What is charged to a workspace.'),
   targets: targetsSchema.prefault({}).describe('Latency that the concurrency limit of each upstream is held to.'),
   maxConcurrency: wholeNumber('requests', 1, 65_536).default(64).describe('Hard limit of requests in progress at one upstream.'),
@@ -87,6 +90,18 @@
   utcOffsetMinutes: wholeNumber('minutes', -720, 840).default(0).describe('Local time minus UTC.')
 })
 
+/** Schemas of the ids and entries of the sections that are maps from ids. */
+export const sectionSchemas = {
+  zones: { id: zoneId, entry: zoneSchema },
+  services: { id: serviceId, entry: serviceSchema },
+  upstreams: { id: upstreamId, entry: upstreamSchema },
+  workspaces: { id: workspaceId, entry: workspaceSchema },
+  sites: { id: siteId, entry: siteSchema }
+} as const
+
+/** Name of a section that is a map from ids. */
+export type SectionName = keyof typeof sectionSchemas
+
 /** Schema of the shared configuration after an overlay was merged. */
 export const configSchema = z.strictObject({
   revisionNote: z.string({ error: 'expected text' }).exactOptional().describe('Free text for operators.'),
