Tell the flooding workspace apart from the others in the phases

Cause: under a flood the latency of the flooding callers hid that of all others.

Change: phases are summarised by group; the flooding workspace is a group of its own.

--- a/packages/bench/src/benchRun.ts
+++ b/packages/bench/src/benchRun.ts
@@ -3,7 +3,7 @@
 import { leavingUpstreams, zoneTakenOut } from './faults/applyFault.js'
 import { type FaultKind, type ScheduledFault, spanOfFaults } from './faults/faultTypes.js'
 import { type FaultRecord, runFaults } from './faults/runFaults.js'
-import { type Span, joinPlans, planFlood, planLoad } from './load/benchPlan.js'
+import { type Span, floodingWorkspace, joinPlans, planFlood, planLoad } from './load/benchPlan.js'
 import type { Caller } from './load/caller.js'
 import type { PlannedRequest, RequestResult } from './load/loadTypes.js'
 import { runOpenLoop } from './load/openLoop.js'
@@ -76,6 +76,12 @@
   .map(({ kind, from, to }) => ({ from, to, upstreams: upstreamsOut(fleet, kind) }))
   .filter(({ upstreams }) => upstreams.length > 0)
 
+/** Under a flood the callers of the flooding workspace are told apart from the others. */
+const groupsOf = (deployment: Deployment, { faults }: RunOptions): (planned: PlannedRequest) => string => {
+  const flooding = faults.some(({ kind }) => kind === 'flood') ? floodingWorkspace(deployment).id : undefined
+  return ({ service, workspace }) => workspace === flooding ? `${service} (${workspace})` : service
+}
+
 const measureIdle = async (fleet: Fleet): Promise<MemberUse[]> => {
   const before = readFleet(fleet)
   await sleep(IDLE_SPAN_MS)
@@ -112,7 +118,7 @@
     fairness: measureFairness(deployment, facts, results, run),
     utilisation: measureUtilisation(deployment, facts, results, { from: warmUp, to: faults.from }),
     idleUse,
-    phases: summarisePhases(results.filter(({ intendedAt }) => intendedAt >= warmUp), deployment.services.map(({ id }) => id), faults),
+    phases: summarisePhases(results.filter(({ intendedAt }) => intendedAt >= warmUp), groupsOf(deployment, options), faults),
     crashes: facts.reduce((sum, { crashes }) => sum + crashes, 0),
     memberFailures: [...fleet.routers, ...fleet.agents].reduce((sum, { failures }) => sum + failures, 0)
   }
--- a/packages/bench/src/measures/phases.ts
+++ b/packages/bench/src/measures/phases.ts
@@ -1,5 +1,5 @@
 /** Results before, during and after the faults. */
-import type { RequestResult, ResultKind } from '../load/loadTypes.js'
+import type { PlannedRequest, RequestResult, ResultKind } from '../load/loadTypes.js'
 import type { Interval } from './intervals.js'
 import { type LatencySummary, summariseLatency } from './latency.js'
 
@@ -9,9 +9,10 @@
 /** A phase of a run. */
 export type Phase = typeof PHASES[number]
 
-/** What callers of one service saw in one phase. */
+/** What callers of one group saw in one phase. */
 export interface PhaseSummary {
   readonly phase: Phase
+  /** Service, and which of its callers where they are told apart. */
   readonly service: string
   readonly count: number
   readonly results: Readonly<Partial<Record<ResultKind, number>>>
@@ -48,13 +49,13 @@
 }
 
 /**
- * Summarises each service in each phase. A request belongs to the phase in which it was to be sent.
+ * Summarises each group of requests in each phase. A request belongs to the phase in which it was to be sent.
  *
  * @param results - the requests
- * @param services - ids of the services
+ * @param groupOf - names the group of a request
  * @param faults - from the first start to the last end of the faults
- * @returns one entry for each service and phase
+ * @returns one entry for each group and phase
  */
-export const summarisePhases = (results: readonly RequestResult[], services: readonly string[], faults: Interval): PhaseSummary[] =>
-  services.flatMap(service => PHASES.map(phase => summarise(phase, service, results
-    .filter(({ planned, intendedAt }) => planned.service === service && phaseOf(intendedAt, faults) === phase))))
+export const summarisePhases = (results: readonly RequestResult[], groupOf: (planned: PlannedRequest) => string, faults: Interval): PhaseSummary[] =>
+  [...new Set(results.map(({ planned }) => groupOf(planned)))].sort().flatMap(group => PHASES.map(phase => summarise(phase, group, results
+    .filter(({ planned, intendedAt }) => groupOf(planned) === group && phaseOf(intendedAt, faults) === phase))))
