Keep one link between two routers

Cause: two routers whose settings name each other dialled each other; each new session replaced the other one, whose dialer came back: 31 link-up events at each router in 14.6 s.

--- a/packages/fleet/src/links/fleetLink.ts
+++ b/packages/fleet/src/links/fleetLink.ts
@@ -6,8 +6,11 @@
   /** Host and incarnation of the peer; unique among all links of all times. */
   readonly id: string
 
-  /** @param session - the session beneath */
-  constructor (readonly session: Session) {
+  /**
+   * @param session - the session beneath
+   * @param dialled - true when this process dialled
+   */
+  constructor (readonly session: Session, readonly dialled: boolean) {
     this.id = `${session.peer.host}/${session.peer.incarnation}`
   }
 
--- a/packages/fleet/src/links/linkHub.ts
+++ b/packages/fleet/src/links/linkHub.ts
@@ -43,19 +43,29 @@
   }
 
   /**
-   * Takes a new session among the links. A second session with the same incarnation replaces the first.
+   * Takes a new session among the links. Two routers may have dialled each other; of two sessions with one incarnation
+   * both ends keep the one that the host with the smaller name dialled. Between an agent and a router the first is kept.
    *
    * @param session - a session whose messages nobody has read
+   * @param dialled - true when this process dialled
+   * @returns false when another session with the peer is kept instead
    */
-  adopt (session: Session): void {
-    const link = new FleetLink(session)
-    this.#links.get(link.id)?.session.close()
+  adopt (session: Session, dialled: boolean): boolean {
+    const link = new FleetLink(session, dialled)
+    const present = this.#links.get(link.id)
+    if (present !== undefined && this.#isPreferred(present)) {
+      session.close()
+      return false
+    }
+    present?.session.close()
     this.#links.set(link.id, link)
     this.context.timeLine.record({ kind: 'link-up', peer: link.peer.host, detail: link.peer.incarnation })
     onEvent(session.messages, log, message => { this.#receive(link, message) })
     onEvent(session.transport, log, event => { this.#recordTransport(link, event) })
     session.ended.then(reason => { this.#remove(link, reason) }, () => {})
+    if (present !== undefined) this.#closed.emit({ link: present, reason: 'closed' })
     this.#opened.emit(link)
+    return true
   }
 
   close (): void {
@@ -64,6 +74,13 @@
     this.#closed.close()
   }
 
+  #isPreferred ({ dialled, peer }: FleetLink): boolean {
+    const { host, role } = this.context.identity
+    if (role !== 'router' || peer.role !== 'router') return true
+    const ownDials = host < peer.host
+    return dialled === ownDials
+  }
+
   #receive (link: FleetLink, message: Message): void {
     if (this.#links.get(link.id) !== link) return
     try {
@@ -86,7 +103,8 @@
   }
 
   #remove (link: FleetLink, reason: SessionEnd): void {
-    if (this.#links.get(link.id) === link) this.#links.delete(link.id)
+    if (this.#links.get(link.id) !== link) return
+    this.#links.delete(link.id)
     log.info('a link ended', { peer: link.peer.host, reason })
     this.context.timeLine.record({ kind: 'link-down', peer: link.peer.host, detail: reason })
     this.#closed.emit({ link, reason })
