Warn of links that can't be opened, and test faults one upon the other

Cause: a dialer with the wrong key or address said nothing, as a listener closes without a word. Conclusion: operators see at the dialer that and why no link is found, and at the listener why it refused.

--- a/packages/wire/src/link/connection.ts
+++ b/packages/wire/src/link/connection.ts
@@ -14,7 +14,7 @@
 }
 
 /** A user that ignores everything. */
-const noUser: ConnectionUser = { receive: () => {}, malformed: () => {}, closed: () => {}, drained: () => {} }
+export const noUser: ConnectionUser = { receive: () => {}, malformed: () => {}, closed: () => {}, drained: () => {} }
 
 const isProtocolError = (err: Error): boolean => 'code' in err && String(err.code).startsWith('WS_ERR_')
 
--- a/packages/wire/src/link/dialSessions.ts
+++ b/packages/wire/src/link/dialSessions.ts
@@ -7,8 +7,9 @@
 import { LinkSession } from '../session/linkSession.js'
 import type { DialSessions, LinkOptions, Session } from '../session/sessionTypes.js'
 import { backoffDelay } from './backoff.js'
-import { Connection } from './connection.js'
+import { Connection, noUser } from './connection.js'
 import { BUFFER_LIMIT_BYTES, HANDSHAKE_MS, MAX_FRAME_BYTES, MIN_DIAL_MS } from './linkConstants.js'
+import { RepeatedWarning } from './repeatedWarning.js'
 import { clientTls, tlsBinding } from './tls.js'
 
 type DialOptions = LinkOptions & { readonly host: string, readonly port: number }
@@ -28,6 +29,7 @@
 /** The dialing end of links to one address. */
 class LinkDialer {
   readonly #sessions = new EventSource<Session>()
+  readonly #failedAttempts: RepeatedWarning
   readonly #name = newId<Offer['identity']['incarnation']>()
   #open = true
   #attempt = 0
@@ -41,6 +43,7 @@
   readonly sessions = this.#sessions.stream
 
   constructor (readonly options: DialOptions) {
+    this.#failedAttempts = new RepeatedWarning(options.clock, log, `found no link to ${options.host}:${options.port}`)
     const first = setImmediate(() => { this.#dial() })
     this.#timer = { close: () => { clearImmediate(first) } }
   }
@@ -59,6 +62,8 @@
     this.#attempt += 1
     const connection = new Connection(openSocket(this.options), clock)
     this.#connection = connection
+    // The user changes once the handshake is over, so this hears only of attempts that failed.
+    connection.user = { ...noUser, closed: reason => { if (this.#open) this.#failedAttempts.add(reason) } }
     const session = this.#session
     const offer: Offer = {
       identity,
@@ -79,10 +84,6 @@
   }
 
   #shakeHands (connection: Connection, handshake: DialerHandshake, limit: Timer): void {
-    const fail = (reason: string): void => {
-      log.warn('could not open a link', { host: this.options.host, port: this.options.port, reason })
-      connection.terminate(reason)
-    }
     const receive = (data: Uint8Array): void => {
       try {
         const { reply, result } = handshake.receive(data)
@@ -91,10 +92,10 @@
         limit.close()
         this.#admit(connection, handshake.offer, result.answer)
       } catch (err) {
-        fail(toError(err).message)
+        connection.terminate(toError(err).message)
       }
     }
-    connection.user = { receive, malformed: () => { fail('malformed') }, closed: () => {}, drained: () => {} }
+    connection.user = { ...connection.user, receive, malformed: () => { connection.terminate('malformed') } }
     connection.socket.once('open', () => { connection.send(handshake.start()) })
   }
 
--- a/packages/wire/src/link/listenSessions.ts
+++ b/packages/wire/src/link/listenSessions.ts
@@ -12,7 +12,7 @@
 import { Connection } from './connection.js'
 import { HalfOpenSockets } from './halfOpen.js'
 import { BUFFER_LIMIT_BYTES, HANDSHAKE_MS, MAX_FRAME_BYTES } from './linkConstants.js'
-import { RefusalLog } from './refusalLog.js'
+import { RepeatedWarning } from './repeatedWarning.js'
 import { SessionTable } from './sessionTable.js'
 import { serverTls, tlsBinding } from './tls.js'
 
@@ -37,14 +37,14 @@
   readonly #table = new SessionTable<LinkSession>()
   readonly #halfOpen: HalfOpenSockets
   readonly #server: Server
-  readonly #refusals: RefusalLog
+  readonly #refusals: RepeatedWarning
   readonly #webSockets = new WebSocketServer({ noServer: true, perMessageDeflate: false, autoPong: false, maxPayload: MAX_FRAME_BYTES })
 
   readonly sessions = this.#sessions.stream
 
   constructor (readonly options: LinkOptions) {
     this.#halfOpen = new HalfOpenSockets(options.clock)
-    this.#refusals = new RefusalLog(options.clock, log)
+    this.#refusals = new RepeatedWarning(options.clock, log, 'refused connections')
     this.#server = createServer(options)
     this.#server.on('connection', (socket: Socket) => { this.#halfOpen.add(socket) })
     this.#server.on('secureConnection', (socket: Socket) => { this.#halfOpen.countBytes(socket) })
--- a/packages/wire/src/link/sessions.spec.ts
+++ b/packages/wire/src/link/sessions.spec.ts
@@ -78,9 +78,25 @@
     await server.close()
   })
 
-  it('go on without loss after a cut', async () => {
+  it('go on without loss over cuts and stalls, one after the other and at once', async () => {
     const link = await openLink()
-    await exchange(link, 2000, index => { if (index % 700 === 600) link.relay.cut() })
+    const { relay } = link
+    const faults = [
+      () => { relay.cut() },
+      () => { relay.stall('dialer') },
+      () => { relay.stall('listener') },
+      () => { relay.cut() },
+      () => {
+        relay.stall('dialer')
+        relay.stall('listener')
+      }
+    ]
+    for (const fault of faults) {
+      await exchange(link, 600, index => {
+        if (index % 400 === 200) fault()
+        if (index === 250) relay.cut()
+      })
+    }
     await link.close()
   })
 
