--- a/packages/wire/src/measureSessions.ts
+++ b/packages/wire/src/measureSessions.ts
@@ -176,12 +176,14 @@
 const measureIdle = async (): Promise<void> => {
   const memory: Point[] = []
   const share: Point[] = []
-  console.log(`idle sessions  heap, external and resident KB of an end  processor share of an end (heartbeat ${HEARTBEAT_MS} ms)`)
+  console.log(`idle sessions  heap, external and resident KB of an end  processor share of an end (heartbeat ${HEARTBEAT_MS} ms)  processor ms to open a session (both ends)`)
   for (const count of IDLE_SESSIONS) {
     const server = await listenSessions({ ...optionsOf('router-1', 'router'), port: 0 })
     collectGarbage()
     const before = process.memoryUsage()
+    const opening = process.cpuUsage()
     const dialers = await openMany(server.address.port, count)
+    const openCost = micros(process.cpuUsage(opening)) / count / 1000
     await sleep(2 * HEARTBEAT_MS)
     collectGarbage()
     const after = process.memoryUsage()
@@ -191,7 +193,7 @@
     const used = (micros(process.cpuUsage(cpu)) / (IDLE_SPAN_MS * 1000)) * 100
     const grown = (name: 'heapUsed' | 'external' | 'rss'): number => (after[name] - before[name]) / 1024
     console.log(`${String(count).padStart(13)}  ${(['heapUsed', 'external', 'rss'] as const).map(name => (grown(name) / ends).toFixed(1)).join(', ')}` +
-      `  ${(used / ends).toFixed(5)}%`)
+      `  ${(used / ends).toFixed(5)}%  ${openCost.toFixed(2)}`)
     memory.push({ size: ends, value: grown('heapUsed') + grown('external') })
     share.push({ size: ends, value: used })
     for (const dialer of dialers) dialer.close()
