Let callers go before a router stops listening, and wait for every answer to be taken

Cause: a draining router closed its port at once and could end before the last bytes of an answer had left it. Change: two seconds of notice, in which the router is not ready and each answer is the last of its connection; then the port closes, and the drain settles when every connection has ended.

--- a/packages/router/src/callers/callerServer.ts
+++ b/packages/router/src/callers/callerServer.ts
@@ -24,6 +24,12 @@
 /** Milliseconds between two looks for connections whose headers are late. */
 const LATE_HEADERS_CHECK_MS = 1_000
 
+/** Milliseconds between the word that a router drains and the end of its listening. */
+const DRAIN_NOTICE_MS = 2_000
+
+/** Milliseconds between two looks for connections that have become idle. */
+const IDLE_CHECK_MS = 100
+
 /** Characters of the longest Idempotency-Key. */
 const MAX_KEY_LENGTH = 256
 
@@ -83,15 +89,22 @@
     })
   }
 
-  /** Stops taking connections; requests on open ones are still served, and each is the last of its connection. */
-  drain (): void {
+  /**
+   * Lets callers go. For a while the router says that it is not ready and still takes connections, so that the balancer can
+   * send callers elsewhere; each answer is then the last of its connection. Afterwards it takes no new connections.
+   *
+   * @returns settles once every connection has ended, each with its last answer whole
+   */
+  async drain (): Promise<void> {
     this.#draining = true
-    this.#server.close()
-    this.#server.closeIdleConnections()
+    await new Promise<void>(resolve => { this.context.clock.after(DRAIN_NOTICE_MS, resolve) })
+    const timer = this.context.clock.every(IDLE_CHECK_MS, () => { this.#server.closeIdleConnections() })
+    await new Promise<void>(resolve => { this.#server.close(() => { resolve() }) })
+    timer.close()
   }
 
-  async close (): Promise<void> {
-    this.drain()
+  close (): void {
+    this.#server.close()
     this.#server.closeAllConnections()
   }
 
--- a/packages/router/src/process/startRouter.ts
+++ b/packages/router/src/process/startRouter.ts
@@ -1,10 +1,9 @@
 /** Starts a router. */
 import { createLog, Kernel } from '@fuchsiaworks/kernel'
-import { createContext } from '@fuchsiaworks/fleet'
+import { createContext, membershipKey } from '@fuchsiaworks/fleet'
 import type { RouterSettings } from '@fuchsiaworks/settings'
 import { callerServerKey } from '../callers/callerServer.js'
 import { linkServerKey } from '../links/linkServer.js'
-import { requestTableKey } from '../requests/requestTable.js'
 import { routerServices } from './routerServices.js'
 
 const log = createLog('router')
@@ -39,8 +38,8 @@
     linkPort,
     drain: async () => {
       log.info('the router drains')
-      callers.drain()
-      await kernel.get(requestTableKey).whenEmpty()
+      kernel.get(membershipKey).drain()
+      await callers.drain()
     },
     close: async () => {
       await kernel.close()
--- a/packages/router/src/requests/requestTable.ts
+++ b/packages/router/src/requests/requestTable.ts
@@ -7,7 +7,6 @@
 export class RequestTable {
   readonly #requests = new Map<RequestId, OpenRequest>()
   readonly #byWorkspace = new Map<WorkspaceId, number>()
-  #idle: (() => void) | undefined
 
   /** Number of open requests. */
   get size (): number {
@@ -61,13 +60,6 @@
     const left = this.countOf(workspace) - 1
     if (left > 0) this.#byWorkspace.set(workspace, left)
     else this.#byWorkspace.delete(workspace)
-    if (this.#requests.size === 0) this.#idle?.()
-  }
-
-  /** @returns settles once no request is open */
-  whenEmpty (): Promise<void> {
-    if (this.#requests.size === 0) return Promise.resolve()
-    return new Promise(resolve => { this.#idle = resolve })
   }
 }
 
