Pull ahead when a pull takes long against a run, and start by the limit

Cause: with 40 ms calls, slots were reserved for the time of a pull about half of the time: 49 % of ledger's slot time idle while work waited at 1.5 times the capacity. Ruled out: a limit stuck at 1 (seen once under a machine load of 20; the limit followed the stalls of the machine). Change: an agent measures the time of a pull and the length of a run and pulls that share of its slots ahead, none when it is under half a percent; a gate starts requests by the limit, checks the age of the pull again at the start, and gives requests back when the upstream is down.

--- a/packages/agent/src/process/agentServices.ts
+++ b/packages/agent/src/process/agentServices.ts
@@ -10,12 +10,12 @@
 import { LimitService, limitKey } from '../limits/limitService.js'
 import { LoadWatch, loadWatchKey } from '../limits/loadWatch.js'
 import { StateTeller, stateTellerKey } from '../links/stateTeller.js'
-import { AloneGate, aloneGateKey } from '../work/aloneGate.js'
 import { Handovers, handoversKey } from '../work/handovers.js'
 import { KeyedAnswers, keyedAnswersKey } from '../work/keyedAnswers.js'
 import { Runner, runnerKey } from '../work/runner.js'
 import { RunTable, runTableKey } from '../work/runTable.js'
 import { Slots, slotsKey } from '../work/slots.js'
+import { StartGate, startGateKey } from '../work/startGate.js'
 
 /**
  * Lists the services of an agent.
@@ -68,13 +68,17 @@
     )
   },
   { id: loadWatchKey.id, needs: [limitKey.id], create: kernel => new LoadWatch(context, kernel.get(limitKey), settings) },
-  { id: aloneGateKey.id, needs: [slotsKey.id, runTableKey.id], create: kernel => new AloneGate(kernel.get(runTableKey), kernel.get(slotsKey)) },
+  {
+    id: startGateKey.id,
+    needs: [slotsKey.id, runTableKey.id],
+    create: kernel => new StartGate(kernel.get(runTableKey), kernel.get(slotsKey), kernel.get(limitKey))
+  },
   {
     id: handoversKey.id,
-    needs: [runnerKey.id, aloneGateKey.id],
+    needs: [runnerKey.id, startGateKey.id],
     create: kernel => new Handovers(
       context, kernel.get(linkHubKey), kernel.get(membershipKey), kernel.get(limitKey), kernel.get(slotsKey), kernel.get(keyServiceKey),
-      kernel.get(keyedAnswersKey), kernel.get(runnerKey), kernel.get(aloneGateKey)
+      kernel.get(keyedAnswersKey), kernel.get(runnerKey), kernel.get(startGateKey)
     )
   },
   {
--- a/packages/agent/src/work/handovers.ts
+++ b/packages/agent/src/work/handovers.ts
@@ -1,11 +1,12 @@
 /** Takes handed-over requests: checks that they may still start, looks up their keys, and starts or declines them. */
-import { assertNever, createLog, onEvent, type RequestId, type ServiceKey, serviceKey } from '@fuchsiaworks/kernel'
+import { assertNever, createLog, type Millis, onEvent, type RequestId, type ServiceKey, serviceKey } from '@fuchsiaworks/kernel'
 import type { FleetLink, LinkHub, MembershipService, ProcessContext } from '@fuchsiaworks/fleet'
 import type { KeyName, KeysCommand } from '@fuchsiaworks/policy'
+import type { ServiceConfig } from '@fuchsiaworks/settings'
 import type { DeclinedMessage, HandoverMessage } from '@fuchsiaworks/wire'
 import type { KeyService } from '../keys/keyService.js'
 import type { LimitService } from '../limits/limitService.js'
-import type { AloneGate } from './aloneGate.js'
+import type { StartGate } from './startGate.js'
 import { type KeyedAnswers, keyNameOf } from './keyedAnswers.js'
 import { answerNotKept, keyConflict, keyRefusals, sendAnswer, sendReplyProblem } from './replies.js'
 import type { Runner } from './runner.js'
@@ -13,10 +14,12 @@
 
 const log = createLog('handovers')
 
-/** A request that waits here for the first run of its key. */
+/** A request that waits here for a slot or for the first run of its key. */
 interface Held {
   readonly link: FleetLink
   readonly handover: HandoverMessage
+  /** Reading after which it may no longer start, because its router may have given it up. */
+  readonly startableUntil: Millis
 }
 
 /** The door through which requests come to the upstream. */
@@ -32,7 +35,7 @@
     readonly keys: KeyService,
     keyed: KeyedAnswers,
     readonly runner: Runner,
-    readonly gate: AloneGate
+    readonly gate: StartGate
   ) {
     hub.table.on('handover', (link, message) => { this.#onHandover(link, message) })
     hub.table.on('cancel', (link, message) => { this.#onCancel(link, message.request) })
@@ -42,13 +45,14 @@
 
   #onHandover (link: FleetLink, handover: HandoverMessage): void {
     const { request, pull } = handover
-    if (!this.slots.take(pull, request)) return this.#decline(link, request, 'expired')
+    const startableUntil = this.slots.take(pull, request)
+    if (startableUntil === undefined) return this.#decline(link, request, 'expired')
     const refusal = this.#refusalOf(handover)
     if (refusal !== undefined) {
       this.#decline(link, request, refusal)
       return this.slots.release(request)
     }
-    this.#held.set(request, { link, handover })
+    this.#held.set(request, { link, handover, startableUntil })
     const name = keyNameOf(handover)
     if (name === undefined) return this.#start(request)
     const { clock } = this.context
@@ -88,12 +92,30 @@
     const held = this.#held.get(request)
     const service = held === undefined ? undefined : this.runner.serviceOf(held.handover)
     if (held === undefined || service === undefined) return
-    this.gate.enter(request, held.handover.alone, () => {
-      this.#held.delete(request)
-      this.runner.run(held.link, held.handover, service)
+    this.gate.enter({
+      request,
+      alone: held.handover.alone,
+      start: () => { this.#startNow(held, service) },
+      giveBack: () => { this.#giveBack(held, 'not-accepting') }
     })
   }
 
+  #startNow (held: Held, service: ServiceConfig): void {
+    if (this.context.clock.now() >= held.startableUntil) return this.#giveBack(held, 'expired')
+    this.#held.delete(held.handover.request)
+    this.runner.run(held.link, held.handover, service)
+  }
+
+  /** Declines a request that was to run; what waits for the first run of its key may run instead. */
+  #giveBack (held: Held, reason: DeclinedMessage['reason']): void {
+    const { handover, link } = held
+    const name = keyNameOf(handover)
+    this.#held.delete(handover.request)
+    this.#decline(link, handover.request, reason)
+    this.slots.release(handover.request)
+    if (name !== undefined) this.#runKeys(this.keys.decide({ kind: 'run-failed', ...name, now: this.context.clock.now(), outcome: 'not-run' }))
+  }
+
   #finish (held: Held, answer: () => void): void {
     const { request } = held.handover
     this.#held.delete(request)
--- a/packages/agent/src/work/runner.ts
+++ b/packages/agent/src/work/runner.ts
@@ -135,7 +135,7 @@
     this.#record('request-ended', run)
     if (!run.abandoned) run.link.send({ kind: 'response-end', request, trailers, cost })
     this.keyed.ended(run)
-    this.slots.release(request)
+    this.slots.release(request, now - run.startedAt)
   }
 
   #onFailed (run: Run, err: Error, sent: boolean): void {
--- a/packages/agent/src/work/slots.ts
+++ b/packages/agent/src/work/slots.ts
@@ -10,6 +10,7 @@
 import type { AgentSettings, FleetConfig } from '@fuchsiaworks/settings'
 import type { BacklogMessage } from '@fuchsiaworks/wire'
 import type { LimitService } from '../limits/limitService.js'
+import { PullAhead } from './pullAhead.js'
 
 /** Milliseconds between two ticks of the policy. */
 const TICK_MS = 50
@@ -25,6 +26,7 @@
   readonly #upstream: UpstreamId
   #offer: { readonly service: ServiceId | undefined, readonly upstreams: number } = { service: undefined, upstreams: 0 }
   #timer: Timer | undefined
+  readonly #ahead = new PullAhead()
   #pulls = 0
   #held = false
 
@@ -44,14 +46,14 @@
       seed: Math.floor(context.random() * UINT32_RANGE)
     })
     hub.table.on('backlog', (link, message) => { this.#onBacklog(link, message) })
-    hub.table.on('pull-empty', (_link, { pull }) => { this.#decide({ kind: 'pull-empty', pull, now: this.#now() }) })
+    hub.table.on('pull-empty', (_link, { pull }) => { this.#onEmpty(pull) })
     onEvent(hub.closed, log, ({ link }) => { this.#decide({ kind: 'router-gone', router: link.id, now: this.#now() }) })
     onEvent(membership.colds, log, () => { limits.decide({ kind: 'restarted', now: this.#now() }) })
     onEvent(limits.changes, log, () => { this.#updateLimit() })
     onEvent(membership.states, log, () => { this.#updateLimit() })
   }
 
-  /** Slots in use. */
+  /** Slots in use, and requests that wait here for a slot. */
   get running (): number {
     return this.#db.running
   }
@@ -79,14 +81,18 @@
    *
    * @param pull - number of the pull
    * @param request - the request
-   * @returns false when the pull is too old, so that the router may have given the request up
+   * @returns the reading until which the request may start; undefined when the pull is too old, so that the router may have
+   * given the request up
    */
-  take (pull: number, request: RequestId): boolean {
+  take (pull: number, request: RequestId): Millis | undefined {
     const now = this.#now()
-    const pending = this.#db.pendingPull(pull)
-    const fresh = pending !== undefined && now - pending.sentAt < this.#db.config.pullTtl
-    this.#decide(fresh ? { kind: 'pull-answered', pull, request, now } : { kind: 'tick', now })
-    return fresh
+    const startableUntil = this.#noteAnswer(pull, now)
+    if (startableUntil === undefined || now >= startableUntil) {
+      this.#decide({ kind: 'tick', now })
+      return undefined
+    }
+    this.#decide({ kind: 'pull-answered', pull, request, now })
+    return startableUntil
   }
 
   /**
@@ -104,13 +110,16 @@
    * Frees the slot of a request.
    *
    * @param request - the request
+   * @param length - milliseconds that it ran; missing when it did not run
    */
-  release (request: RequestId): void {
+  release (request: RequestId, length?: Millis): void {
+    if (length !== undefined) this.#ahead.noteRun(length)
     this.#decide({ kind: 'request-ended', request, now: this.#now() })
   }
 
   #tick (): void {
     const now = this.#now()
+    this.#updateLimit()
     this.#decide({ kind: 'tick', now })
     const { service, upstreams } = this.#offer
     if (service === undefined) return
@@ -129,8 +138,22 @@
 
   #updateLimit (): void {
     const open = this.membership.state === 'open' && !this.#held
-    const limit = open ? this.limits.capacity.limit : 0
-    this.#decide({ kind: 'slots-changed', limit, now: this.#now() })
+    const slots = open ? this.limits.capacity.limit : 0
+    this.#decide({ kind: 'slots-changed', limit: slots + this.#ahead.count(slots), now: this.#now() })
+  }
+
+  /** @returns the reading until which the answer of a pull may be started */
+  #noteAnswer (pull: number, now: Millis): Millis | undefined {
+    const pending = this.#db.pendingPull(pull)
+    if (pending === undefined) return undefined
+    this.#ahead.noteTrip(now - pending.sentAt)
+    return pending.sentAt + this.#db.config.pullTtl
+  }
+
+  #onEmpty (pull: number): void {
+    const now = this.#now()
+    this.#noteAnswer(pull, now)
+    this.#decide({ kind: 'pull-empty', pull, now })
   }
 
   #onBacklog (link: FleetLink, { service, entries }: BacklogMessage): void {
--- a/packages/agent/src/work/aloneGate.ts
+++ b/packages/agent/src/work/startGate.ts
@@ -1,36 +1,39 @@
-/** Lets a request that may have ended an upstream run with nothing beside it. */
+/** Starts handed-over requests as the limit allows, and lets one that may have ended an upstream run with nothing beside it. */
 import { createLog, onEvent, type RequestId, type ServiceKey, serviceKey } from '@fuchsiaworks/kernel'
 import { mayStartBeside } from '@fuchsiaworks/policy'
+import type { LimitService } from '../limits/limitService.js'
 import type { RunTable } from './runTable.js'
 import type { Slots } from './slots.js'
 
 const log = createLog('slots')
 
 /** A request that may start when the gate opens. */
-interface Pending {
+export interface Pending {
   readonly request: RequestId
+  /** True when nothing may run beside it. */
   readonly alone: boolean
   readonly start: () => void
+  /** Gives it back to its router, because the upstream takes nothing for now. */
+  readonly giveBack: () => void
 }
 
 /** Starts requests in order; while one waits to run alone, no further work is pulled. */
-export class AloneGate {
-  readonly #pending: Pending[] = []
+export class StartGate {
+  #pending: Pending[] = []
   #aloneRunning: RequestId | undefined
 
-  constructor (readonly table: RunTable, readonly slots: Slots) {
+  constructor (readonly table: RunTable, readonly slots: Slots, readonly limits: LimitService) {
     onEvent(table.removals, log, request => { this.#onRemoved(request) })
+    onEvent(limits.changes, log, () => { this.#open() })
   }
 
   /**
    * Starts a request now, or once it may.
    *
-   * @param request - the request
-   * @param alone - true when nothing may run beside it
-   * @param start - starts it
+   * @param pending - the request
    */
-  enter (request: RequestId, alone: boolean, start: () => void): void {
-    this.#pending.push({ request, alone, start })
+  enter (pending: Pending): void {
+    this.#pending.push(pending)
     this.#open()
   }
 
@@ -38,14 +41,10 @@
    * Takes back a request that has not started.
    *
    * @param request - the request
-   * @returns false when it is not waiting here
    */
-  leave (request: RequestId): boolean {
-    const at = this.#pending.findIndex(pending => pending.request === request)
-    if (at === -1) return false
-    this.#pending.splice(at, 1)
+  leave (request: RequestId): void {
+    this.#pending = this.#pending.filter(pending => pending.request !== request)
     this.#open()
-    return true
   }
 
   /** @returns true while a request has not started because of this gate */
@@ -59,18 +58,26 @@
   }
 
   #open (): void {
+    if (this.limits.capacity.limit === 0) this.#giveAllBack()
     for (let next = this.#pending[0]; next !== undefined && this.#mayStart(next); next = this.#pending[0]) {
       this.#pending.shift()
       if (next.alone) this.#aloneRunning = next.request
       next.start()
     }
-    this.slots.hold(this.#pending.length > 0 || this.#aloneRunning !== undefined)
+    this.slots.hold(this.#pending.some(({ alone }) => alone) || this.#aloneRunning !== undefined)
+  }
+
+  #giveAllBack (): void {
+    const pending = this.#pending
+    this.#pending = []
+    for (const { giveBack } of pending) giveBack()
   }
 
   #mayStart ({ alone }: Pending): boolean {
-    return mayStartBeside({ running: this.table.size, suspectRunning: this.#aloneRunning !== undefined }, alone)
+    const running = this.table.size
+    return running < this.limits.capacity.limit && mayStartBeside({ running, suspectRunning: this.#aloneRunning !== undefined }, alone)
   }
 }
 
 /** Key of the gate. */
-export const aloneGateKey: ServiceKey<AloneGate> = serviceKey('alone-gate')
+export const startGateKey: ServiceKey<StartGate> = serviceKey('start-gate')
