Let idle sessions send heartbeats more seldom

Cause: bytes of heartbeats are what bounds the number of links of a node: 219 bytes/s a session at 1 s. Change: option idleHeartbeat, by default the heartbeat. A ping says when the next comes at the latest, so the listening end needs no equal setting. A message that waits for confirmation is held against silence as before; an idle connection that goes silent is found later by the difference of the two periods.

--- a/packages/wire/src/codec/frameCodec.ts
+++ b/packages/wire/src/codec/frameCodec.ts
@@ -13,7 +13,7 @@
 
 const dataHeader: Header<DataFrame<unknown>> = { ack: whole, first: whole }
 const ackHeader: Header<AckFrame> = { ack: whole }
-const pingHeader: Header<PingFrame> = { ack: whole, sentAt: amount, roundTrip: amount, offset: amount }
+const pingHeader: Header<PingFrame> = { ack: whole, sentAt: amount, roundTrip: amount, offset: amount, next: amount }
 const pongHeader: Header<PongFrame> = { ack: whole, sentAt: amount, wall: amount }
 const byeReason: Field<ByeReason> = oneOf('closed', 'expired', 'protocol-error', 'overflow')
 const byeHeader: Header<ByeFrame> = { reason: byeReason }
@@ -28,7 +28,7 @@
   switch (frame.kind) {
     case 'data': return Buffer.concat([pack([KIND.data, frame.ack, frame.first]), ...frame.payloads])
     case 'ack': return pack([KIND.ack, frame.ack])
-    case 'ping': return pack([KIND.ping, frame.ack, frame.sentAt, frame.roundTrip, frame.offset])
+    case 'ping': return pack([KIND.ping, frame.ack, frame.sentAt, frame.roundTrip, frame.offset, frame.next])
     case 'pong': return pack([KIND.pong, frame.ack, frame.sentAt, frame.wall])
     case 'bye': return pack([KIND.bye, frame.reason])
     default: return assertNever(frame)
--- a/packages/wire/src/codec/frameTypes.ts
+++ b/packages/wire/src/codec/frameTypes.ts
@@ -30,6 +30,8 @@
   readonly roundTrip: Millis
   /** Receiver's wall clock minus the sender's, as the sender estimates it. */
   readonly offset: Millis
+  /** Milliseconds until the next ping at the latest. */
+  readonly next: Millis
 }
 
 /** Answer to a ping. */
--- a/packages/wire/src/link/dialSessions.ts
+++ b/packages/wire/src/link/dialSessions.ts
@@ -8,8 +8,9 @@
 import type { DialSessions, LinkOptions, Session } from '../session/sessionTypes.js'
 import { backoffDelay } from './backoff.js'
 import { Connection, noUser } from './connection.js'
-import { BUFFER_LIMIT_BYTES, HANDSHAKE_MS, MAX_FRAME_BYTES, MIN_DIAL_MS } from './linkConstants.js'
+import { HANDSHAKE_MS, MAX_FRAME_BYTES, MIN_DIAL_MS } from './linkConstants.js'
 import { RepeatedWarning } from './repeatedWarning.js'
+import { sessionLimits } from './sessionLimits.js'
 import { clientTls, tlsBinding } from './tls.js'
 
 type DialOptions = LinkOptions & { readonly host: string, readonly port: number }
@@ -126,9 +127,8 @@
   }
 
   #openSession (offer: Offer, answer: Answer): LinkSession {
-    const { clock, heartbeat, silence, expiry, bufferLimit = BUFFER_LIMIT_BYTES } = this.options
-    const limits = { side: 'dialer', heartbeat, silence, expiry, bufferLimit } as const
-    const session: LinkSession = new LinkSession(answer.identity, clock, limits, () => {
+    const limits = sessionLimits('dialer', this.options)
+    const session: LinkSession = new LinkSession(answer.identity, this.options.clock, limits, () => {
       if (this.#session === session) this.#session = undefined
     })
     this.#session = session
--- a/packages/wire/src/link/listenSessions.ts
+++ b/packages/wire/src/link/listenSessions.ts
@@ -11,8 +11,9 @@
 import type { LinkOptions, ListenSessions, Session, SessionServer } from '../session/sessionTypes.js'
 import { Connection } from './connection.js'
 import { HalfOpenSockets } from './halfOpen.js'
-import { BUFFER_LIMIT_BYTES, HANDSHAKE_MS, MAX_FRAME_BYTES } from './linkConstants.js'
+import { HANDSHAKE_MS, MAX_FRAME_BYTES } from './linkConstants.js'
 import { RepeatedWarning } from './repeatedWarning.js'
+import { sessionLimits } from './sessionLimits.js'
 import { SessionTable } from './sessionTable.js'
 import { serverTls, tlsBinding } from './tls.js'
 
@@ -115,9 +116,8 @@
   }
 
   #open (offer: Offer): LinkSession {
-    const { clock, heartbeat, silence, expiry, bufferLimit = BUFFER_LIMIT_BYTES } = this.options
-    const limits = { side: 'listener', heartbeat, silence, expiry, bufferLimit } as const
-    const session: LinkSession = new LinkSession(offer.identity, clock, limits, () => { this.#table.remove(offer) })
+    const limits = sessionLimits('listener', this.options)
+    const session: LinkSession = new LinkSession(offer.identity, this.options.clock, limits, () => { this.#table.remove(offer) })
     return session
   }
 }
--- a/packages/wire/src/measureSessions.ts
+++ b/packages/wire/src/measureSessions.ts
@@ -30,11 +30,14 @@
 const IDLE_SESSIONS = [100, 400, 1600] as const
 
 /** Milliseconds for which idle sessions are watched. */
-const IDLE_SPAN_MS = 10_000
+const IDLE_SPAN_MS = 16_000
 
 /** Milliseconds between heartbeats. */
 const HEARTBEAT_MS = 1_000
 
+/** Milliseconds between the heartbeats of an idle session. */
+const IDLE_HEARTBEATS_MS = [HEARTBEAT_MS, 4 * HEARTBEAT_MS] as const
+
 /** Bytes of TCP and IP headers of a segment, with time stamps. */
 const SEGMENT_HEADER_BYTES = 52
 
@@ -128,32 +131,47 @@
   await server.close()
 }
 
-const measureBytes = async (): Promise<void> => {
-  const server = await listenSessions({ ...optionsOf('router-1', 'router'), port: 0 })
+/** Runs something with a session over a counting relay. */
+const withRelay = async (
+  change: Partial<LinkOptions>, run: (near: Session, far: Session, relay: CountingRelay) => Promise<void>
+): Promise<void> => {
+  const server = await listenSessions({ ...optionsOf('router-1', 'router'), ...change, port: 0 })
   const relay = new CountingRelay(server.address.port)
   const arrival = nextSession(server.sessions)
-  const dialer = dialSessions({ ...optionsOf('agent-1', 'agent'), port: await relay.open() })
+  const dialer = dialSessions({ ...optionsOf('agent-1', 'agent'), ...change, port: await relay.open() })
   const near = await nextSession(dialer.sessions)
-  const far = await arrival
-  console.log(`\nbatch  bytes a message above its ${TOKEN_BYTES} data bytes (both directions, without TCP and IP headers)`)
-  for (const batch of BATCHES) {
-    const before = relay.bytes
-    await stream(near, far, WARM_UP_MESSAGES, batch)
-    console.log(`${String(batch).padStart(5)}  ${((relay.bytes - before) / WARM_UP_MESSAGES - TOKEN_BYTES).toFixed(1)}`)
-  }
-  await sleep(HEARTBEAT_MS)
-  const [bytes, parts] = [relay.bytes, relay.parts]
-  await sleep(IDLE_SPAN_MS)
-  const seconds = IDLE_SPAN_MS / 1000
-  const [bytesPerSecond, partsPerSecond] = [(relay.bytes - bytes) / seconds, (relay.parts - parts) / seconds]
-  const onWire = bytesPerSecond + partsPerSecond * 1.5 * SEGMENT_HEADER_BYTES
-  console.log(`\nidle session, heartbeat ${HEARTBEAT_MS} ms: ${bytesPerSecond.toFixed(1)} bytes/s in ${partsPerSecond.toFixed(1)} segments/s, ` +
-    `about ${onWire.toFixed(0)} bytes/s with TCP and IP headers and one bare acknowledgement for two segments (both directions)`)
+  await run(near, await arrival, relay)
   dialer.close()
   relay.close()
   await server.close()
 }
 
+const measureBytes = async (): Promise<void> => {
+  console.log(`\nbatch  bytes a message above its ${TOKEN_BYTES} data bytes (both directions, without TCP and IP headers)`)
+  await withRelay({}, async (near, far, relay) => {
+    for (const batch of BATCHES) {
+      const before = relay.bytes
+      await stream(near, far, WARM_UP_MESSAGES, batch)
+      console.log(`${String(batch).padStart(5)}  ${((relay.bytes - before) / WARM_UP_MESSAGES - TOKEN_BYTES).toFixed(1)}`)
+    }
+  })
+}
+
+const measureHeartbeats = async (): Promise<void> => {
+  console.log('\nidle heartbeat ms  bytes/s  segments/s  bytes/s with TCP and IP headers and a bare acknowledgement for two segments')
+  for (const idleHeartbeat of IDLE_HEARTBEATS_MS) {
+    await withRelay({ idleHeartbeat }, async (_near, _far, relay) => {
+      await sleep(3 * idleHeartbeat)
+      const [bytes, parts] = [relay.bytes, relay.parts]
+      await sleep(IDLE_SPAN_MS)
+      const seconds = IDLE_SPAN_MS / 1000
+      const [byteRate, partRate] = [(relay.bytes - bytes) / seconds, (relay.parts - parts) / seconds]
+      const onWire = byteRate + partRate * 1.5 * SEGMENT_HEADER_BYTES
+      console.log(`${String(idleHeartbeat).padStart(17)}  ${byteRate.toFixed(1)}  ${partRate.toFixed(1)}  ${onWire.toFixed(0)}`)
+    })
+  }
+}
+
 const openMany = async (port: number, count: number): Promise<SessionDialer[]> => {
   const dialers: SessionDialer[] = []
   while (dialers.length < count) {
@@ -206,3 +224,4 @@
 await measureIdle()
 await measureStreams()
 await measureBytes()
+await measureHeartbeats()
--- a/packages/wire/src/reliability/reliability.spec.ts
+++ b/packages/wire/src/reliability/reliability.spec.ts
@@ -11,7 +11,7 @@
 import { ReliabilityDb } from './reliabilityDb.js'
 import type { ReliabilityCommand, ReliabilityEvent, ReliabilityLimits } from './reliabilityTypes.js'
 
-const BOUNDS = { heartbeat: 100, silence: 400, expiry: 2000, bufferLimit: 1_000_000 }
+const BOUNDS = { heartbeat: 100, idleHeartbeat: 300, silence: 400, expiry: 2000, bufferLimit: 1_000_000 }
 
 type Side = 'dialer' | 'listener'
 const other = (side: Side): Side => side === 'dialer' ? 'listener' : 'dialer'
@@ -265,6 +265,38 @@
     }
   })
 
+  it('sends heartbeats more seldom while no message flows', () => {
+    const db = new ReliabilityDb(limits, 0)
+    decide(db, { kind: 'attached', now: 0, connection: 1, received: 0 })
+    const pings: number[] = []
+    for (let now = nextWake(db); now < 2000; now = nextWake(db)) {
+      for (const command of decide(db, { kind: 'wake', now })) {
+        if (command.kind !== 'transmit' || command.frame.kind !== 'ping') continue
+        pings.push(now)
+        decide(db, { kind: 'frame', now, connection: 1, frame: { kind: 'pong', ack: db.acked, sentAt: now, wall: now }, size: 9, wall: now })
+      }
+      if (now === 900) {
+        decide(db, { kind: 'send', now, payload: Buffer.from('x') })
+        decide(db, { kind: 'flush', now, room: 1000 })
+        decide(db, { kind: 'frame', now, connection: 1, frame: { kind: 'ack', ack: 1 }, size: 2, wall: now })
+      }
+    }
+    expect(pings).toEqual([0, 100, 200, 300, 600, 900, 1000, 1100, 1200, 1500, 1800])
+  })
+
+  it('finds a silent connection later while it is idle, but not once a message waits', () => {
+    const silentAfter = (sendAt: number): number => {
+      const db = new ReliabilityDb({ ...limits, side: 'listener' }, 0)
+      decide(db, { kind: 'attached', now: 0, connection: 1, received: 0 })
+      const ping = { kind: 'ping', ack: 0, sentAt: 0, roundTrip: 0, offset: 0, next: 300 } as const
+      decide(db, { kind: 'frame', now: 0, connection: 1, frame: ping, size: 9, wall: 0 })
+      if (sendAt < Infinity) decide(db, { kind: 'send', now: sendAt, payload: Buffer.from('x') })
+      if (sendAt < Infinity) decide(db, { kind: 'flush', now: sendAt, room: 1000 })
+      return nextWake(db)
+    }
+    expect([silentAfter(Infinity), silentAfter(10), silentAfter(500)]).toEqual([600, 410, 600])
+  })
+
   it('wants no wake after its end, and one at its expiry while there is no connection', () => {
     const db = new ReliabilityDb(limits, 5)
     expect(nextWake(db)).toEqual(5 + BOUNDS.expiry)
--- a/packages/wire/src/reliability/reliability.ts
+++ b/packages/wire/src/reliability/reliability.ts
@@ -25,7 +25,7 @@
   let left = room
   while (left > 0 && db.hasUnsent) {
     const first = db.sent + 1
-    const payloads = db.takeUnsent(Math.min(left, FRAME_BYTES))
+    const payloads = db.takeUnsent(Math.min(left, FRAME_BYTES), now)
     for (const payload of payloads) left -= payload.byteLength
     commands.push({ kind: 'transmit', connection, frame: { kind: 'data', ack: db.received, first, payloads } })
     db.markSent(now)
@@ -93,6 +93,7 @@
 
 const receivePing = <P>(db: ReliabilityDb, frame: PingFrame, event: EventOf<P, 'frame'>): Commands<P> => {
   db.estimate.adopt(frame.roundTrip, -frame.offset)
+  db.pingPeriod = frame.next
   db.markSent(event.now)
   const pong: PongFrame = { kind: 'pong', ack: db.received, sentAt: frame.sentAt, wall: event.wall }
   return [{ kind: 'transmit', connection: event.connection, frame: pong }]
@@ -140,15 +141,15 @@
   db.lastPing = now
   db.markSent(now)
   const { roundTrip, offset } = db.estimate
-  const frame: PingFrame = { kind: 'ping', ack: db.received, sentAt: now, roundTrip, offset }
+  const frame: PingFrame = { kind: 'ping', ack: db.received, sentAt: now, roundTrip, offset, next: db.pingPeriod }
   return [{ kind: 'transmit', connection, frame }]
 }
 
 const wake = <P>(db: ReliabilityDb, now: Millis): Commands<P> => {
   const { connection } = db
   if (connection === undefined) return NOTHING
-  const silence = now - db.lastHeard
-  if (silence >= db.limits.silence) {
+  if (now >= db.silentAt) {
+    const silence = now - db.lastHeard
     db.detach()
     return [
       { kind: 'report', event: { kind: 'silent', silence } },
@@ -194,8 +195,8 @@
  */
 export const nextWake = (db: ReliabilityDb): Millis => {
   if (db.ended) return Infinity
-  const { silence, expiry, side } = db.limits
+  const { expiry, side } = db.limits
   if (db.connection === undefined) return db.lastHeard + expiry
   const heartbeat = side === 'dialer' ? db.pingDue : Infinity
-  return Math.min(heartbeat, db.ackDue ?? Infinity, db.lastHeard + Math.min(silence, expiry))
+  return Math.min(heartbeat, db.ackDue ?? Infinity, db.silentAt, db.lastHeard + expiry)
 }
--- a/packages/wire/src/reliability/reliabilityDb.ts
+++ b/packages/wire/src/reliability/reliabilityDb.ts
@@ -37,6 +37,12 @@
   /** Time of the last frame that was sent. */
   lastSent: Millis
   lastPing: Millis
+  /** Period of the heartbeats: the own one at the dialing end, the announced one at the listening end. */
+  pingPeriod: Millis
+  /** Time since which sent messages have been waiting for confirmation. */
+  unconfirmedSince: Millis | undefined
+  /** Time of the last message, sent or received. */
+  lastMessage: Millis
   /** Time by which received messages must be confirmed. */
   ackDue: Millis | undefined
   /** Time of the next heartbeat. */
@@ -54,6 +60,8 @@
     this.lastSent = now
     this.lastPing = -Infinity
     this.pingDue = now
+    this.pingPeriod = limits.heartbeat
+    this.lastMessage = now
   }
 
   /** Last sequence number given to a message. */
@@ -81,14 +89,17 @@
    * Takes messages that are to be sent next.
    *
    * @param maxBytes - bytes from which no further message is taken
+   * @param now - monotonic reading in milliseconds
    * @returns the messages behind the last sent one
    */
-  takeUnsent (maxBytes: number): readonly Uint8Array[] {
+  takeUnsent (maxBytes: number, now: Millis): readonly Uint8Array[] {
     const start = this.sent - this.acked
     let end = start
     for (let size = 0; end < this.#outbox.length && size < maxBytes; end++) size += this.#outbox[end]?.byteLength ?? 0
     this.sent += end - start
     this.everSent = Math.max(this.everSent, this.sent)
+    this.unconfirmedSince ??= now
+    this.#noteMessage(now)
     return this.#outbox.slice(start, end)
   }
 
@@ -98,6 +109,7 @@
     for (const payload of this.#outbox.splice(0, ack - this.acked)) this.unconfirmed -= payload.byteLength
     this.acked = ack
     this.sent = Math.max(this.sent, ack)
+    if (this.sent === ack) this.unconfirmedSince = undefined
   }
 
   /** Counts received messages. */
@@ -105,6 +117,7 @@
     this.received += count
     this.#bytesToAck += bytes
     this.ackDue ??= now + ACK_DELAY_MS
+    this.#noteMessage(now)
   }
 
   /** Notes that a frame with a confirmation leaves now. */
@@ -115,9 +128,19 @@
     this.#bytesToAck = 0
   }
 
-  /** Notes a heartbeat, sent or left out. */
+  /** Time at which the connection counts as silent if no frame comes. */
+  get silentAt (): Millis {
+    const { heartbeat, silence } = this.limits
+    const idle = this.lastHeard + silence + Math.max(0, this.pingPeriod - heartbeat)
+    if (this.unconfirmedSince === undefined) return idle
+    return Math.min(idle, Math.max(this.lastHeard, this.unconfirmedSince) + silence)
+  }
+
+  /** Notes a heartbeat, sent or left out, and plans the next. */
   planPing (now: Millis): void {
-    this.pingDue = now + this.limits.heartbeat
+    const { heartbeat, idleHeartbeat } = this.limits
+    this.pingPeriod = now - this.lastMessage < idleHeartbeat ? heartbeat : idleHeartbeat
+    this.pingDue = now + this.pingPeriod
   }
 
   /** Takes a new connection; what the peer lacks is to be sent over it. */
@@ -127,7 +150,15 @@
     this.lastHeard = now
     this.confirm(peerReceived)
     this.sent = peerReceived
+    this.unconfirmedSince = undefined
     this.pingDue = now
+    this.pingPeriod = this.limits.heartbeat
+  }
+
+  /** Heartbeats come at their short period again at the dialing end. */
+  #noteMessage (now: Millis): void {
+    this.lastMessage = now
+    this.pingDue = Math.min(this.pingDue, now + this.limits.heartbeat)
   }
 
   /** Forgets the connection. */
--- a/packages/wire/src/reliability/reliabilityTypes.ts
+++ b/packages/wire/src/reliability/reliabilityTypes.ts
@@ -11,6 +11,8 @@
   /** The dialing end sends the heartbeats. */
   readonly side: 'dialer' | 'listener'
   readonly heartbeat: Millis
+  /** Period of the heartbeats while no message flows; at least `heartbeat`. */
+  readonly idleHeartbeat: Millis
   readonly silence: Millis
   readonly expiry: Millis
   /** Bytes that may wait for confirmation. */
--- a/packages/wire/src/session/sessionTypes.ts
+++ b/packages/wire/src/session/sessionTypes.ts
@@ -66,9 +66,17 @@
   readonly tls?: LinkTls
   /** Milliseconds between heartbeats. */
   readonly heartbeat: Millis
+  /**
+   * Milliseconds between heartbeats while no message flows; `heartbeat` when absent. A connection that goes silent while it is
+   * idle is found later by the difference, unless something is sent over it.
+   */
+  readonly idleHeartbeat?: Millis
   /** Milliseconds without any frame after which a connection counts as silent and is replaced. */
   readonly silence: Millis
-  /** Milliseconds without any frame of the peer after which a session expires. Larger than `silence`. */
+  /**
+   * Milliseconds without any frame of the peer after which a session expires. Larger than `silence` and `idleHeartbeat`
+   * together.
+   */
   readonly expiry: Millis
   /** Bytes that may wait for the peer's confirmation; a session that exceeds them ends with `overflow`. */
   readonly bufferLimit?: number
