Split the port from the listening end, and let errors of subscribers pass

Cause: an error of a subscriber to sessions was logged as a refused connection; the listening end had two jobs. Change: only the handshake's own step is guarded; linkPort makes the port and closes what is no upgrade.

--- a/packages/wire/src/link/dialSessions.ts
+++ b/packages/wire/src/link/dialSessions.ts
@@ -3,7 +3,7 @@
 import { clamp, createLog, EventSource, newId, toError, type Timer } from '@fuchsiaworks/kernel'
 import { WebSocket } from 'ws'
 import { DialerHandshake } from '../handshake/handshake.js'
-import type { Answer, Offer } from '../handshake/handshakeTypes.js'
+import type { Answer, DialerResult, HandshakeStep, Offer } from '../handshake/handshakeTypes.js'
 import { LinkSession } from '../session/linkSession.js'
 import type { DialSessions, LinkOptions, Session } from '../session/sessionTypes.js'
 import { backoffDelay } from './backoff.js'
@@ -86,15 +86,17 @@
 
   #shakeHands (connection: Connection, handshake: DialerHandshake, limit: Timer): void {
     const receive = (data: Uint8Array): void => {
+      let step: HandshakeStep<DialerResult>
       try {
-        const { reply, result } = handshake.receive(data)
-        if (reply !== undefined) connection.send(reply)
-        if (result === undefined) return
-        limit.close()
-        this.#admit(connection, handshake.offer, result.answer)
+        step = handshake.receive(data)
       } catch (err) {
         connection.terminate(toError(err).message)
+        return
       }
+      if (step.reply !== undefined) connection.send(step.reply)
+      if (step.result === undefined) return
+      limit.close()
+      this.#admit(connection, handshake.offer, step.result.answer)
     }
     connection.user = { ...connection.user, receive, malformed: () => { connection.terminate('malformed') } }
     connection.socket.once('open', () => { connection.send(handshake.start()) })
--- /dev/null
+++ b/packages/wire/src/link/linkPort.ts
@@ -0,0 +1,77 @@
+/** The port beneath the listening end: takes WebSocket upgrades, and closes everything else without an answer. */
+import { createServer as createHttpServer, type IncomingMessage, type Server } from 'node:http'
+import { createServer as createHttpsServer } from 'node:https'
+import type { Socket } from 'node:net'
+import { createLog } from '@fuchsiaworks/kernel'
+import { type WebSocket, WebSocketServer } from 'ws'
+import type { LinkOptions } from '../session/sessionTypes.js'
+import { HalfOpenSockets } from './halfOpen.js'
+import { HANDSHAKE_MS, MAX_FRAME_BYTES } from './linkConstants.js'
+import { RepeatedWarning } from './repeatedWarning.js'
+import { serverTls } from './tls.js'
+
+/** Milliseconds between checks of requests that are slow to come. */
+const SLOW_REQUEST_CHECK_MS = 1_000
+
+/** Events of requests that are no upgrade. */
+const REQUEST_EVENTS = ['request', 'checkContinue', 'checkExpectation'] as const
+
+const log = createLog('links')
+
+/** What a port is made of. */
+export interface LinkPort {
+  readonly server: Server
+  /** Connections that are not authenticated. */
+  readonly halfOpen: HalfOpenSockets
+  readonly refusals: RepeatedWarning
+}
+
+const createServer = ({ tls }: LinkOptions): Server => {
+  const limits = {
+    headersTimeout: HANDSHAKE_MS,
+    requestTimeout: HANDSHAKE_MS,
+    connectionsCheckingInterval: SLOW_REQUEST_CHECK_MS,
+    requireHostHeader: false
+  }
+  return tls === undefined ? createHttpServer(limits) : createHttpsServer({ ...limits, handshakeTimeout: HANDSHAKE_MS, ...serverTls(tls) })
+}
+
+const closeRequests = ({ server, refusals }: LinkPort): void => {
+  for (const event of REQUEST_EVENTS) server.on(event, (req: IncomingMessage) => { req.socket.destroy() })
+  server.on('clientError', (_err, socket) => { socket.destroy() })
+  server.on('tlsClientError', err => { refusals.add(err.message) })
+  server.on('error', err => { log.error('the port failed', { error: err.message }) })
+}
+
+const watchSockets = ({ server, halfOpen }: LinkPort): void => {
+  server.on('connection', (socket: Socket) => { halfOpen.add(socket) })
+  server.on('secureConnection', (socket: Socket) => { halfOpen.countBytes(socket) })
+}
+
+const takeUpgrades = ({ server }: LinkPort, onSocket: (ws: WebSocket, socket: Socket) => void): void => {
+  const webSockets = new WebSocketServer({ noServer: true, perMessageDeflate: false, autoPong: false, maxPayload: MAX_FRAME_BYTES })
+  webSockets.on('wsClientError', (_err, socket) => { socket.destroy() })
+  server.on('upgrade', (req, socket, head) => {
+    socket.on('error', () => { socket.destroy() })
+    webSockets.handleUpgrade(req, socket, head, ws => { onSocket(ws, req.socket) })
+  })
+}
+
+/**
+ * Makes the port; it does not listen yet.
+ *
+ * @param options - clock and certificate
+ * @param onSocket - called with each WebSocket and the TCP or TLS socket beneath it
+ * @returns the server and its watches
+ */
+export const createLinkPort = (options: LinkOptions, onSocket: (ws: WebSocket, socket: Socket) => void): LinkPort => {
+  const port: LinkPort = {
+    server: createServer(options),
+    halfOpen: new HalfOpenSockets(options.clock),
+    refusals: new RepeatedWarning(options.clock, log, 'refused connections')
+  }
+  watchSockets(port)
+  closeRequests(port)
+  takeUpgrades(port, onSocket)
+  return port
+}
--- a/packages/wire/src/link/listenSessions.ts
+++ b/packages/wire/src/link/listenSessions.ts
@@ -1,78 +1,42 @@
 /** Accepts sessions on a port. */
 import { randomBytes } from 'node:crypto'
-import { createServer as createHttpServer, type IncomingMessage, type Server } from 'node:http'
-import { createServer as createHttpsServer } from 'node:https'
 import type { AddressInfo, Socket } from 'node:net'
-import { createLog, EventSource, toError } from '@fuchsiaworks/kernel'
-import { type WebSocket, WebSocketServer } from 'ws'
+import { EventSource, toError } from '@fuchsiaworks/kernel'
+import type { WebSocket } from 'ws'
 import { ListenerHandshake } from '../handshake/handshake.js'
-import type { Answer, ListenerResult, Offer } from '../handshake/handshakeTypes.js'
+import type { Answer, HandshakeStep, ListenerResult, Offer } from '../handshake/handshakeTypes.js'
 import { LinkSession } from '../session/linkSession.js'
 import type { LinkOptions, ListenSessions, Session, SessionServer } from '../session/sessionTypes.js'
 import { Connection } from './connection.js'
-import { HalfOpenSockets } from './halfOpen.js'
-import { HANDSHAKE_MS, MAX_FRAME_BYTES } from './linkConstants.js'
-import { RepeatedWarning } from './repeatedWarning.js'
+import { createLinkPort, type LinkPort } from './linkPort.js'
 import { sessionLimits } from './sessionLimits.js'
-import { SessionTable } from './sessionTable.js'
-import { serverTls, tlsBinding } from './tls.js'
-
-/** Milliseconds between checks of requests that are slow to come. */
-const SLOW_REQUEST_CHECK_MS = 1_000
-
-const log = createLog('links')
-
-const createServer = ({ tls }: LinkOptions): Server => {
-  const limits = {
-    headersTimeout: HANDSHAKE_MS,
-    requestTimeout: HANDSHAKE_MS,
-    connectionsCheckingInterval: SLOW_REQUEST_CHECK_MS,
-    requireHostHeader: false
-  }
-  return tls === undefined ? createHttpServer(limits) : createHttpsServer({ ...limits, handshakeTimeout: HANDSHAKE_MS, ...serverTls(tls) })
-}
+import { isNewSession, SessionTable } from './sessionTable.js'
+import { tlsBinding } from './tls.js'
 
 /** The listening end of links. */
 class LinkServer {
   readonly #sessions = new EventSource<Session>()
   readonly #table = new SessionTable<LinkSession>()
-  readonly #halfOpen: HalfOpenSockets
-  readonly #server: Server
-  readonly #refusals: RepeatedWarning
-  readonly #webSockets = new WebSocketServer({ noServer: true, perMessageDeflate: false, autoPong: false, maxPayload: MAX_FRAME_BYTES })
+  readonly #port: LinkPort
 
   readonly sessions = this.#sessions.stream
 
   constructor (readonly options: LinkOptions) {
-    this.#halfOpen = new HalfOpenSockets(options.clock)
-    this.#refusals = new RepeatedWarning(options.clock, log, 'refused connections')
-    this.#server = createServer(options)
-    this.#server.on('connection', (socket: Socket) => { this.#halfOpen.add(socket) })
-    this.#server.on('secureConnection', (socket: Socket) => { this.#halfOpen.countBytes(socket) })
-    this.#server.on('error', err => { log.error('the port failed', { error: err.message }) })
-    for (const event of ['request', 'checkContinue', 'checkExpectation']) {
-      this.#server.on(event, (req: IncomingMessage) => { req.socket.destroy() })
-    }
-    this.#server.on('clientError', (_err, socket) => { socket.destroy() })
-    this.#server.on('tlsClientError', err => { this.#refusals.add(err.message) })
-    this.#webSockets.on('wsClientError', (_err, socket) => { socket.destroy() })
-    this.#server.on('upgrade', (req, socket, head) => {
-      socket.on('error', () => { socket.destroy() })
-      this.#webSockets.handleUpgrade(req, socket, head, ws => { this.#greet(ws, req.socket) })
-    })
+    this.#port = createLinkPort(options, (ws, socket) => { this.#greet(ws, socket) })
   }
 
   async open (host: string, port: number): Promise<{ host: string, port: number }> {
+    const { server } = this.#port
     await new Promise<void>((resolve, reject) => {
-      this.#server.once('error', reject).listen(port, host, () => { resolve() })
+      server.once('error', reject).listen(port, host, () => { resolve() })
     })
-    const { address, port: bound } = this.#server.address() as AddressInfo
+    const { address, port: bound } = server.address() as AddressInfo
     return { host: address, port: bound }
   }
 
   close = async (): Promise<void> => {
-    const closed = new Promise(resolve => { this.#server.close(resolve) })
-    this.#halfOpen.close()
+    const closed = new Promise(resolve => { this.#port.server.close(resolve) })
+    this.#port.halfOpen.close()
     for (const session of this.#table.sessions) session.close()
     await closed
     this.#sessions.close()
@@ -84,17 +48,19 @@
     const connection = new Connection(ws, clock)
     const handshake = new ListenerHandshake({ identity, linkKey, binding: tlsBinding(socket), randomBytes }, this.#judge)
     const refuse = (reason: string): void => {
-      this.#refusals.add(reason)
+      this.#port.refusals.add(reason)
       connection.terminate(reason)
     }
     const receive = (data: Uint8Array): void => {
+      let step: HandshakeStep<ListenerResult>
       try {
-        const { reply, result } = handshake.receive(data)
-        if (reply !== undefined) connection.send(reply)
-        if (result !== undefined) this.#admit(connection, socket, result)
+        step = handshake.receive(data)
       } catch (err) {
         refuse(toError(err).message)
+        return
       }
+      if (step.reply !== undefined) connection.send(step.reply)
+      if (step.result !== undefined) this.#admit(connection, socket, step.result)
     }
     connection.user = { receive, malformed: () => { refuse('malformed') }, closed: () => {}, drained: () => {} }
   }
@@ -105,20 +71,19 @@
   }
 
   #admit (connection: Connection, socket: Socket, { offer, received }: ListenerResult): void {
-    this.#halfOpen.release(socket)
+    this.#port.halfOpen.release(socket)
     const session = this.#table.accept(offer, () => this.#open(offer))
     if (session === undefined) {
       connection.terminate('the session has ended')
       return
     }
-    if (offer.session === offer.attempt) this.#sessions.emit(session)
+    if (isNewSession(offer)) this.#sessions.emit(session)
     session.attach(connection, received)
   }
 
   #open (offer: Offer): LinkSession {
     const limits = sessionLimits('listener', this.options)
-    const session: LinkSession = new LinkSession(offer.identity, this.options.clock, limits, () => { this.#table.remove(offer) })
-    return session
+    return new LinkSession(offer.identity, this.options.clock, limits, () => { this.#table.remove(offer) })
   }
 }
 
--- a/packages/wire/src/link/sessionTable.ts
+++ b/packages/wire/src/link/sessionTable.ts
@@ -18,6 +18,13 @@
 }
 
 const keyOf = (offer: Offer): string => `${offer.identity.incarnation} ${offer.dialer}`
+
+/**
+ * @param offer - an offer of a dialing end
+ * @returns whether it asks for a session of its own rather than for the rest of one
+ */
+export const isNewSession = (offer: Offer): boolean => offer.session === offer.attempt
+
 const processOf = ({ identity }: Offer): string => `${identity.role} ${identity.host}`
 
 /** Sessions by the peer's incarnation and dialer. Of one process, only one incarnation has sessions. */
@@ -41,7 +48,7 @@
     if (this.#isSuperseded(offer)) return { outcome: 'superseded' }
     const entry = this.#entries.get(keyOf(offer))
     if (entry !== undefined && offer.attempt <= entry.attempt) return { outcome: 'gone' }
-    if (offer.session === offer.attempt) return { outcome: 'new' }
+    if (isNewSession(offer)) return { outcome: 'new' }
     if (entry === undefined || entry.offer.session !== offer.session) return { outcome: 'gone' }
     return { outcome: 'resumed', session: entry.session }
   }
