--- a/packages/wire/src/link/dialSessions.ts
+++ b/packages/wire/src/link/dialSessions.ts
@@ -3,13 +3,14 @@
 import { clamp, createLog, EventSource, newId, toError, type Timer } from '@fuchsiaworks/kernel'
 import { WebSocket } from 'ws'
 import { DialerHandshake } from '../handshake/handshake.js'
-import type { Answer, Offer } from '../handshake/handshakeTypes.js'
+import type { Answer, DialerResult, HandshakeStep, Offer } from '../handshake/handshakeTypes.js'
 import { LinkSession } from '../session/linkSession.js'
 import type { DialSessions, LinkOptions, Session } from '../session/sessionTypes.js'
 import { backoffDelay } from './backoff.js'
 import { Connection, noUser } from './connection.js'
-import { BUFFER_LIMIT_BYTES, HANDSHAKE_MS, MAX_FRAME_BYTES, MIN_DIAL_MS } from './linkConstants.js'
+import { HANDSHAKE_MS, MAX_FRAME_BYTES, MIN_DIAL_MS } from './linkConstants.js'
 import { RepeatedWarning } from './repeatedWarning.js'
+import { sessionLimits } from './sessionLimits.js'
 import { clientTls, tlsBinding } from './tls.js'
 
 type DialOptions = LinkOptions & { readonly host: string, readonly port: number }
@@ -85,15 +86,17 @@
 
   #shakeHands (connection: Connection, handshake: DialerHandshake, limit: Timer): void {
     const receive = (data: Uint8Array): void => {
+      let step: HandshakeStep<DialerResult>
       try {
-        const { reply, result } = handshake.receive(data)
-        if (reply !== undefined) connection.send(reply)
-        if (result === undefined) return
-        limit.close()
-        this.#admit(connection, handshake.offer, result.answer)
+        step = handshake.receive(data)
       } catch (err) {
         connection.terminate(toError(err).message)
+        return
       }
+      if (step.reply !== undefined) connection.send(step.reply)
+      if (step.result === undefined) return
+      limit.close()
+      this.#admit(connection, handshake.offer, step.result.answer)
     }
     connection.user = { ...connection.user, receive, malformed: () => { connection.terminate('malformed') } }
     connection.socket.once('open', () => { connection.send(handshake.start()) })
@@ -126,9 +129,8 @@
   }
 
   #openSession (offer: Offer, answer: Answer): LinkSession {
-    const { clock, heartbeat, silence, expiry, bufferLimit = BUFFER_LIMIT_BYTES } = this.options
-    const limits = { side: 'dialer', heartbeat, silence, expiry, bufferLimit } as const
-    const session: LinkSession = new LinkSession(answer.identity, clock, limits, () => {
+    const limits = sessionLimits('dialer', this.options)
+    const session: LinkSession = new LinkSession(answer.identity, this.options.clock, limits, () => {
       if (this.#session === session) this.#session = undefined
     })
     this.#session = session
