Send heartbeats of idle links every two seconds

Cause: at 500 ms, 25 KB/s holds 57 idle sessions (docs/LINKS.md). Change: links.idleHeartbeatMs, 2 s by default. Measured: 218 bytes/s a session at 1 s, 55 at 4 s (docs/LINKS.md); not measured anew here.

--- a/packages/fleet/src/links/linkOptions.ts
+++ b/packages/fleet/src/links/linkOptions.ts
@@ -25,6 +25,7 @@
     clock,
     random,
     heartbeat: links.heartbeatMs,
+    idleHeartbeat: links.idleHeartbeatMs,
     silence: links.silenceMs,
     expiry: links.expiryMs,
     ...(settings.tls === undefined ? {} : { tls: readTls(settings.tls) })
--- a/packages/settings/src/fleetConfig/limitsSchema.ts
+++ b/packages/settings/src/fleetConfig/limitsSchema.ts
@@ -41,6 +41,7 @@
 
 const links = z.strictObject({
   heartbeatMs: milliseconds(10, 60_000).default(500).describe('Time between two heartbeats.'),
+  idleHeartbeatMs: milliseconds(10, 60_000).default(2000).describe('Time between two heartbeats of a link that carries nothing else.'),
   silenceMs: milliseconds(20, 600_000).default(2000).describe('Time without any frame after which a connection is replaced.'),
   expiryMs: milliseconds(100, DAY_MS).default(20_000).describe('Time without a connection after which a session ends.'),
   pullTtlMs: milliseconds(10, 600_000).default(2000).describe('Age from which an agent declines what a pull brought.')
