--- /dev/null
+++ b/packages/bench/src/load/callerRequest.spec.ts
@@ -0,0 +1,43 @@
+import { createHash } from 'node:crypto'
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import { expectedChatBody, plainBytes } from '@fuchsiaworks/standins'
+import { writeRequest } from './callerRequest.js'
+import type { PlannedRequest, RequestKind } from './loadTypes.js'
+
+const requestOf = (kind: RequestKind, nonce = 'w.1'): ReturnType<typeof writeRequest> => {
+  const planned: PlannedRequest = { nonce, workspace: 'w', service: 's', kind, router: 0, at: 0, size: 10, filler: 'x' }
+  return writeRequest(planned, '/posts', () => 'key')
+}
+
+const chatAnswer = (nonce: string, stream: boolean): Buffer =>
+  Buffer.from(expectedChatBody({ prompt: `nonce=${nonce} x`, maxTokens: 10, stream, includeUsage: false, model: 'bench' }))
+
+describe('the check of an answer', () => {
+  it('takes the right completion whenever it was made, and no other', () => {
+    const timed = Buffer.from(chatAnswer('w.1', true).toString().replaceAll('"created":0', '"created":1796336403'))
+    expect(requestOf('stream').check(timed)).toEqual('')
+    expect(requestOf('stream').check(timed.subarray(0, -1))).not.toEqual('')
+    expect(requestOf('stream').check(chatAnswer('w.2', true))).not.toEqual('')
+    expect(requestOf('completion').check(chatAnswer('w.1', false))).toEqual('')
+  })
+
+  it('takes a download of the right mark and size only', () => {
+    expect(requestOf('download').check(plainBytes('w.1', 10))).toEqual('')
+    expect(requestOf('download').check(plainBytes('w.1', 9))).not.toEqual('')
+  })
+
+  it('finds an echo of another call, of a changed body or without a header', () => {
+    const req = requestOf('post')
+    const echo = {
+      method: 'POST',
+      path: '/posts?nonce=w.1',
+      nonce: 'w.1',
+      headers: { 'x-bench': 'w.1' },
+      bodySha256: createHash('sha256').update(req.body ?? '').digest('hex')
+    }
+    const check = (changes: object): string => req.check(Buffer.from(JSON.stringify({ ...echo, ...changes })))
+    expect(check({})).toEqual('')
+    for (const changes of [{ nonce: 'w.2' }, { method: 'PUT' }, { path: '/x' }, { headers: {} }, { bodySha256: '' }]) expect(check(changes)).not.toEqual('')
+  })
+})
--- a/packages/bench/src/measures/fairnessBound.ts
+++ b/packages/bench/src/measures/fairnessBound.ts
@@ -7,7 +7,7 @@
 const LONGEST_PROMPT_TOKENS = 1100
 
 /** Milliseconds between two exchanges of service totals, the default of the configuration. */
-const EXCHANGE_MS = 250
+export const EXCHANGE_MS = 250
 
 const largestCost = (service: ServiceShape): number => service.kind === 'engine'
   ? LONGEST_PROMPT_TOKENS * COST.promptToken + MAX_TOKENS * COST.outputToken
