Send to a restarted router only once it listens, and let a drain take its time

Change: callers use a router once its port is open, as a balancer's health check would; a process has 40 s to end.

--- a/packages/bench/src/processes/child.ts
+++ b/packages/bench/src/processes/child.ts
@@ -6,8 +6,8 @@
 /** Lines of output that are kept for a report. */
 const KEPT_LINES = 40
 
-/** Milliseconds that a process has to end after SIGTERM. */
-const END_LIMIT_MS = 15_000
+/** Milliseconds that a process has to end after SIGTERM, longer than the patience of every caller. */
+const END_LIMIT_MS = 40_000
 
 /** A process of the bench ended before it was asked to. */
 export class ChildEndedError extends FuchsiaError {
--- a/packages/bench/src/processes/fleet.ts
+++ b/packages/bench/src/processes/fleet.ts
@@ -70,12 +70,12 @@
     const ports = this.network.ports[index] ?? { callers: 0, links: 0, admin: 0 }
     const common = this.common(routerHost(index), this.deployment.routerZones[index] ?? '', ports.admin)
     const others = { ...common, routers: common.routers.filter((_, other) => other !== index) }
-    return this.start('router', common, routerSettings(this.deployment, others, ports.callers, ports.links))
+    return this.start('router', common, ports.callers, routerSettings(this.deployment, others, ports.callers, ports.links))
   }
 
   agent (upstream: RunningUpstream, adminPort: number): Member {
     const common = this.common(upstream.host, upstream.zone, adminPort)
-    return this.start('agent', common, agentSettings(this.deployment, common, upstream, upstream.control.url))
+    return this.start('agent', common, adminPort, agentSettings(this.deployment, common, upstream, upstream.control.url))
   }
 
   common (host: string, zone: string, adminPort: number): CommonSettings {
@@ -83,10 +83,10 @@
     return { host, zone, adminPort, routers, configurationUrl: this.configurationUrl, hostsUrl: this.network.hostsUrl(zone) }
   }
 
-  start (role: 'router' | 'agent', common: CommonSettings, text: string): Member {
+  start (role: 'router' | 'agent', common: CommonSettings, port: number, text: string): Member {
     const file = join(this.folder, `${role}-${common.host}.jsonc`)
     writeFileSync(file, text)
-    return new Member(`${role} ${common.host}`, role, common.zone, file, `http://127.0.0.1:${common.adminPort}`)
+    return new Member(`${role} ${common.host}`, role, common.zone, file, `http://127.0.0.1:${common.adminPort}`, port)
   }
 }
 
--- a/packages/bench/src/processes/member.ts
+++ b/packages/bench/src/processes/member.ts
@@ -1,10 +1,12 @@
 /** A router or an agent of the bench, which can be killed, paused and started again. */
 import { Child, ChildEndedError } from './child.js'
 import { FLEET_ENTRY } from './paths.js'
+import { waitForPort } from './portOpen.js'
 
 /** One process of the fleet over all its starts. */
 export class Member {
   #child: Child
+  #open = false
   /** Times that the process ended without being asked to. */
   failures = 0
 
@@ -14,13 +16,15 @@
    * @param zone - zone of its host
    * @param file - its settings file
    * @param adminUrl - address of its administration API
+   * @param port - port that is open once it serves
    */
   constructor (
     readonly name: string,
     readonly role: 'router' | 'agent',
     readonly zone: string,
     readonly file: string,
-    readonly adminUrl: string
+    readonly adminUrl: string,
+    readonly port: number
   ) {
     this.#child = this.#start()
   }
@@ -33,9 +37,9 @@
     return this.#child.alive
   }
 
-  /** True while it lives and was not asked to end; a balancer sends to it then. */
+  /** True while it serves and was not asked to end; a balancer sends to it then. */
   get accepting (): boolean {
-    return this.alive && !this.#child.stopping
+    return this.alive && this.#open && !this.#child.stopping
   }
 
   /** Last lines of output. */
@@ -70,6 +74,8 @@
 
   #start (): Child {
     const child = new Child(this.name, [FLEET_ENTRY, this.role, '--settings', this.file])
+    this.#open = false
+    waitForPort(this.port, () => child.alive).then(open => { if (this.#child === child) this.#open = open }, () => {})
     child.ended.then(() => { if (!child.stopping) this.failures += 1 }, () => {})
     return child
   }
