--- a/packages/bench/src/faults/faultTypes.spec.ts
+++ b/packages/bench/src/faults/faultTypes.spec.ts
@@ -1,6 +1,7 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
 import { UnknownFaultError, scheduleFaults, spanOfFaults } from './faultTypes.js'
+import { visibleFrom } from './outSpans.js'
 
 describe('the schedule of faults', () => {
   it('starts the second of a pair a second after the first', () => {
@@ -17,3 +18,12 @@
     expect(() => scheduleFaults('none+nope', false, 1)).toThrow(UnknownFaultError)
   })
 })
+
+describe('a take-out', () => {
+  const out = { kind: 'zone-out', from: 10, to: 40 } as const
+
+  it('counts from its publication, unless the configuration service hid it', () => {
+    expect(visibleFrom(out, [out, { kind: 'config-down', from: 11, to: 50 }])).toEqual(10)
+    expect(visibleFrom(out, [out, { kind: 'config-stale', from: 5, to: 30 }])).toEqual(30)
+  })
+})
