--- a/packages/wire/src/link/dialSessions.ts
+++ b/packages/wire/src/link/dialSessions.ts
@@ -1,14 +1,15 @@
 /** Keeps one peer address connected. */
 import { randomBytes } from 'node:crypto'
-import { createLog, EventSource, newId, toError, type Timer } from '@fuchsiaworks/kernel'
+import { clamp, createLog, EventSource, newId, toError, type Timer } from '@fuchsiaworks/kernel'
 import { WebSocket } from 'ws'
 import { DialerHandshake } from '../handshake/handshake.js'
 import type { Answer, Offer } from '../handshake/handshakeTypes.js'
 import { LinkSession } from '../session/linkSession.js'
 import type { DialSessions, LinkOptions, Session } from '../session/sessionTypes.js'
 import { backoffDelay } from './backoff.js'
-import { Connection } from './connection.js'
-import { BUFFER_LIMIT_BYTES, HANDSHAKE_MS, MAX_FRAME_BYTES } from './linkConstants.js'
+import { Connection, noUser } from './connection.js'
+import { BUFFER_LIMIT_BYTES, HANDSHAKE_MS, MAX_FRAME_BYTES, MIN_DIAL_MS } from './linkConstants.js'
+import { RepeatedWarning } from './repeatedWarning.js'
 import { clientTls, tlsBinding } from './tls.js'
 
 type DialOptions = LinkOptions & { readonly host: string, readonly port: number }
@@ -20,7 +21,7 @@
 
 const openSocket = ({ host, port, tls }: DialOptions): WebSocket => {
   const address = `${host.includes(':') ? `[${host}]` : host}:${port}`
-  const options = { perMessageDeflate: false, maxPayload: MAX_FRAME_BYTES, generateMask, handshakeTimeout: HANDSHAKE_MS }
+  const options = { perMessageDeflate: false, autoPong: false, maxPayload: MAX_FRAME_BYTES, generateMask, handshakeTimeout: HANDSHAKE_MS }
   if (tls === undefined) return new WebSocket(`ws://${address}`, options)
   return new WebSocket(`wss://${address}`, { ...options, ...clientTls(tls) })
 }
@@ -28,6 +29,7 @@
 /** The dialing end of links to one address. */
 class LinkDialer {
   readonly #sessions = new EventSource<Session>()
+  readonly #failedAttempts: RepeatedWarning
   readonly #name = newId<Offer['identity']['incarnation']>()
   #open = true
   #attempt = 0
@@ -41,14 +43,16 @@
   readonly sessions = this.#sessions.stream
 
   constructor (readonly options: DialOptions) {
-    this.#timer = options.clock.after(0, () => { this.#dial() })
+    this.#failedAttempts = new RepeatedWarning(options.clock, log, `found no link to ${options.host}:${options.port}`)
+    const first = setImmediate(() => { this.#dial() })
+    this.#timer = { close: () => { clearImmediate(first) } }
   }
 
   close = (): void => {
     if (!this.#open) return
     this.#open = false
     this.#timer?.close()
-    if (this.#session === undefined) this.#connection?.terminate('closed here')
+    if (this.#session?.connected !== true) this.#connection?.terminate('closed here')
     this.#session?.close()
     this.#sessions.close()
   }
@@ -58,6 +62,8 @@
     this.#attempt += 1
     const connection = new Connection(openSocket(this.options), clock)
     this.#connection = connection
+    // The user changes once the handshake is over, so this hears only of attempts that failed.
+    connection.user = { ...noUser, closed: reason => { if (this.#open) this.#failedAttempts.add(reason) } }
     const session = this.#session
     const offer: Offer = {
       identity,
@@ -66,7 +72,7 @@
       session: session === undefined ? this.#attempt : this.#sessionNumber,
       attempt: this.#attempt
     }
-    const limit = clock.after(Math.min(silence, HANDSHAKE_MS), () => { connection.terminate('the handshake took too long') })
+    const limit = clock.after(clamp(silence, MIN_DIAL_MS, HANDSHAKE_MS), () => { connection.terminate('the handshake took too long') })
     connection.socket.once('upgrade', res => {
       const context = { identity, linkKey, binding: tlsBinding(res.socket), randomBytes }
       this.#shakeHands(connection, new DialerHandshake(context, offer, () => session?.received ?? 0), limit)
@@ -78,10 +84,6 @@
   }
 
   #shakeHands (connection: Connection, handshake: DialerHandshake, limit: Timer): void {
-    const fail = (reason: string): void => {
-      log.warn('could not open a link', { host: this.options.host, port: this.options.port, reason })
-      connection.terminate(reason)
-    }
     const receive = (data: Uint8Array): void => {
       try {
         const { reply, result } = handshake.receive(data)
@@ -90,10 +92,10 @@
         limit.close()
         this.#admit(connection, handshake.offer, result.answer)
       } catch (err) {
-        fail(toError(err).message)
+        connection.terminate(toError(err).message)
       }
     }
-    connection.user = { receive, malformed: () => { fail('malformed') }, closed: () => {}, drained: () => {} }
+    connection.user = { ...connection.user, receive, malformed: () => { connection.terminate('malformed') } }
     connection.socket.once('open', () => { connection.send(handshake.start()) })
   }
 
