--- a/packages/policy/src/dispatch/dispatch.ts
+++ b/packages/policy/src/dispatch/dispatch.ts
@@ -1,7 +1,7 @@
 /** Decides which waiting requests an agent asks for when it has free slots. */
 import { assertNever, type Millis, type ServiceId, type WorkspaceId } from '@fuchsiaworks/kernel'
 import type { FairnessDb } from '../fairness/fairnessDb.js'
-import { FLOOR_SHARE, leastServed } from '../fairness/order.js'
+import { nextServed } from '../fairness/order.js'
 import type { DispatchDb, Offer } from './dispatchDb.js'
 import { tieRank } from './tieRank.js'
 import type { DispatchCommand, DispatchEvent, RouterLink } from './dispatchTypes.js'
@@ -47,7 +47,7 @@
   for (const service of db.services()) fairness.shareOf(service).expire(now - fairness.newsAge)
   const commands: DispatchCommand[] = []
   while (db.free > 0) {
-    const offer = nextOffer(db, fairness, slow)
+    const offer = nextOffer(db, fairness, slow, now)
     if (offer === undefined) return commands
     const { pull, router, service, workspace } = db.addPull(offer, now)
     commands.push({ kind: 'pull', router, service, workspace, pull })
@@ -55,25 +55,35 @@
   return commands
 }
 
-const nextOffer = (db: DispatchDb, fairness: FairnessDb, slow: ReadonlySet<RouterLink>): Offer | undefined => {
+const nextOffer = (db: DispatchDb, fairness: FairnessDb, slow: ReadonlySet<RouterLink>, now: Millis): Offer | undefined => {
   for (const service of db.services()) {
     const offers = db.offersOf(service).filter(offer => !slow.has(offer.router))
-    if (offers.length > 0) return chooseOffer(db, fairness, service, offers)
+    if (offers.length > 0) return chooseOffer(db, fairness, service, offers, now)
   }
   return undefined
 }
 
-const chooseOffer = (db: DispatchDb, fairness: FairnessDb, service: ServiceId, offers: readonly Offer[]): Offer | undefined => {
-  const use = db.floorUse(service)
-  const floorTurn = use.floor < use.total * FLOOR_SHARE
-  const contenders = [...new Set(offers.map(offer => offer.workspace))]
-    .map(workspace => ({ workspace, pending: pendingCost(db, workspace) }))
-  const workspace = leastServed(fairness, service, contenders, floorTurn)
-  const offer = longestWaiting(db, offers.filter(other => other.workspace === workspace))
-  if (offer === undefined) return undefined
-  use.total += offer.headCost
-  if (floorTurn) use.floor += offer.headCost
-  return offer
+const chooseOffer = (db: DispatchDb, fairness: FairnessDb, service: ServiceId, offers: readonly Offer[], now: Millis): Offer | undefined => {
+  const oldest = oldestByWorkspace(db, offers)
+  const contenders = [...oldest.values()]
+    .map(({ workspace, headCost }) => ({ workspace, headCost, pending: pendingCost(db, workspace) }))
+  const chosen = nextServed(fairness, service, contenders, db.floorOf(service), now)
+  return chosen === undefined ? undefined : oldest.get(chosen.workspace)
+}
+
+/** For each workspace the offer of the router where it has waited longest. */
+const oldestByWorkspace = (db: DispatchDb, offers: readonly Offer[]): Map<WorkspaceId, Offer> => {
+  const oldest = new Map<WorkspaceId, Offer>()
+  for (const offer of offers) {
+    const known = oldest.get(offer.workspace)
+    if (known === undefined || isOlder(db, offer, known)) oldest.set(offer.workspace, offer)
+  }
+  return oldest
+}
+
+const isOlder = (db: DispatchDb, one: Offer, other: Offer): boolean => {
+  if (one.oldestSince !== other.oldestSince) return one.oldestSince < other.oldestSince
+  return tieRank(db.config.seed, one.router) < tieRank(db.config.seed, other.router)
 }
 
 const pendingCost = (db: DispatchDb, workspace: WorkspaceId): number => {
@@ -83,8 +93,3 @@
   }
   return cost
 }
-
-const longestWaiting = (db: DispatchDb, offers: readonly Offer[]): Offer | undefined => {
-  const rank = (offer: Offer): number => tieRank(db.config.seed, offer.router)
-  return [...offers].sort((a, b) => a.oldestSince - b.oldestSince || rank(a) - rank(b))[0]
-}
--- a/packages/policy/src/dispatch/dispatchDb.ts
+++ b/packages/policy/src/dispatch/dispatchDb.ts
@@ -1,5 +1,6 @@
 /** State of an agent's slots and of the backlog that routers offer it, and the only functions that change it. */
 import { getOrMake, type Millis, type RequestId, type ServiceId, type WorkspaceId } from '@fuchsiaworks/kernel'
+import { FloorCredit } from '../fairness/floorCredit.js'
 import type { BacklogEntry, DispatchConfig, RouterLink } from './dispatchTypes.js'
 
 /** A pull that is not answered yet; it holds a slot. */
@@ -25,18 +26,12 @@
   readonly headCost: number
 }
 
-/** Cost pulled for a service, and the part of it that went by the order of that service alone. */
-export interface FloorUse {
-  total: number
-  floor: number
-}
-
 /** Slots, pulls and offers of one agent. */
 export class DispatchDb {
   readonly #offers = new Map<ServiceId, Map<RouterLink, Map<WorkspaceId, Offer>>>()
   readonly #pulls = new Map<number, PendingPull>()
   readonly #running = new Set<RequestId>()
-  readonly #floor = new Map<ServiceId, FloorUse>()
+  readonly #floors = new Map<ServiceId, FloorCredit>()
   #nextPull = 1
   limit = 0
 
@@ -79,8 +74,9 @@
     return byRouter.flatMap(offers => [...offers.values()]).filter(offer => offer.waiting > 0)
   }
 
-  floorUse (service: ServiceId): FloorUse {
-    return getOrMake(this.#floor, service, () => ({ total: 0, floor: 0 }))
+  /** @returns the least shares of the workspaces at a service */
+  floorOf (service: ServiceId): FloorCredit {
+    return getOrMake(this.#floors, service, () => new FloorCredit())
   }
 
   /** Replaces a router's offers; requests that pending pulls ask for are not offered again. */
--- a/packages/policy/src/exchange/exchange.ts
+++ b/packages/policy/src/exchange/exchange.ts
@@ -42,7 +42,7 @@
       return []
     case 'own-backlog':
       db.setOwnBacklog(event.service, event.entries, event.now)
-      seeBacklog(fairness, event.entries.map(({ workspace }) => ({ service: event.service, workspace })), event.now)
+      seeBacklog(fairness, event.entries.map(({ workspace }) => ({ service: event.service, workspace })), true, event.now)
       return []
     case 'slots': return coverBacklog(db, event)
     case 'tick': return tick(db, fairness, event.now)
@@ -66,7 +66,7 @@
 const tick = (db: ExchangeDb, fairness: FairnessDb, now: Millis): ExchangeCommand[] => {
   db.refresh(now)
   if (now < db.nextRoundAt) return []
-  seeBacklog(fairness, db.backlogged(now), now)
+  seeBacklog(fairness, db.backlogged(now), false, now)
   decideFairness(fairness, { kind: 'tick', now })
   db.forgetChildren(now - CHILD_MEMORY_MS)
   return runRound(db, fairness, now)
@@ -100,7 +100,7 @@
   })
   decideFairness(fairness, { ...counters, kind: 'counters-received', entries: merged, link, rejoined, now })
   for (const entry of counters.backlogged) db.see(entry, now)
-  seeBacklog(fairness, counters.backlogged, now)
+  seeBacklog(fairness, counters.backlogged, false, now)
 }
 
 /** Notes a message; true when the peer may tell of a part of the fleet that was out of reach until now. */
@@ -138,10 +138,10 @@
   }
 }
 
-const seeBacklog = (fairness: FairnessDb, backlogged: ReadonlyArray<Pick<BackloggedEntry, 'service' | 'workspace'>>, now: Millis): void => {
+const seeBacklog = (fairness: FairnessDb, backlogged: ReadonlyArray<Pick<BackloggedEntry, 'service' | 'workspace'>>, firstHand: boolean, now: Millis): void => {
   const byService = new Map<ServiceId, Set<WorkspaceId>>()
   for (const { service, workspace } of backlogged) byService.set(service, (byService.get(service) ?? new Set()).add(workspace))
-  for (const [service, workspaces] of byService) decideFairness(fairness, { kind: 'backlog-seen', service, workspaces: [...workspaces], now })
+  for (const [service, workspaces] of byService) decideFairness(fairness, { kind: 'backlog-seen', firstHand, service, workspaces: [...workspaces], now })
 }
 
 /** Counts a child's increments as this process's own; a total that was counted before adds nothing. */
--- a/packages/policy/src/fairness/fairness.ts
+++ b/packages/policy/src/fairness/fairness.ts
@@ -1,5 +1,5 @@
 /** Decides what workspaces were served and what credit they forfeit. */
-import { assertNever, type Millis, type ServiceId, type WorkspaceId } from '@fuchsiaworks/kernel'
+import { assertNever, type Millis, type ServiceId } from '@fuchsiaworks/kernel'
 import type { FairnessAccount } from './fairnessAccount.js'
 import { FLEET, type FairnessDb } from './fairnessDb.js'
 import type { FairnessCommand, FairnessEvent } from './fairnessTypes.js'
@@ -23,7 +23,7 @@
       db.endCharge(event.request, event.cost, event.now)
       return []
     case 'backlog-seen':
-      return seeBacklog(db, event.service, event.workspaces, event.now)
+      return seeBacklog(db, event)
     case 'counters-received':
       merge(db, event)
       return []
@@ -32,7 +32,7 @@
       return []
     case 'tick':
       db.foldOldOrigins(event.now)
-      return [...db.services()].flatMap(service => boundClaims(db, service, event.now))
+      return []
     default:
       return assertNever(event)
   }
@@ -45,43 +45,36 @@
   for (const entry of event.lifts) db.mergeLift(entry, event.link)
 }
 
-const seeBacklog = (db: FairnessDb, service: ServiceId, workspaces: readonly WorkspaceId[], now: Millis): FairnessCommand[] =>
+const seeBacklog = (db: FairnessDb, { firstHand, service, workspaces, now }: FairnessEvent & { kind: 'backlog-seen' }): FairnessCommand[] =>
   scopesOf(db, service).flatMap(scope => {
-    const commands = workspaces.flatMap(workspace => forfeitIdle(db, db.account(scope, workspace), now))
-    for (const workspace of workspaces) db.account(scope, workspace).backloggedAt = now
+    const accounts = workspaces.map(workspace => db.account(scope, workspace))
+    const commands = firstHand ? accounts.flatMap(account => forfeit(db, account, now)) : []
+    for (const account of accounts) account.backloggedAt = Math.max(now, account.backloggedAt)
     return commands
   })
 
 const scopesOf = (db: FairnessDb, service: ServiceId): ServiceId[] => db.config.scope === 'fleet' ? [service, FLEET] : [service]
 
-/** Raises a workspace that comes back after idleness to the least of the backlogged ones. */
-const forfeitIdle = (db: FairnessDb, account: FairnessAccount, now: Millis): FairnessCommand[] => {
-  const knownSince = Math.max(account.backloggedAt, db.observingSince)
-  if (now - knownSince <= db.config.idleGrace) return []
-  const others = backlogged(db, account.service, now).filter(other => other !== account)
-  return raise(db, account, reference(db, account, others), 'idle')
+/** Raises a workspace whose backlog begins anew to the least of the backlogged ones, or to the allowed credit below it. */
+const forfeit = (db: FairnessDb, account: FairnessAccount, now: Millis): FairnessCommand[] => {
+  const idle = now - Math.max(account.backloggedAt, db.observingSince)
+  if (idle <= db.newsAge) return []
+  if (idle > db.config.idleGrace) return raise(db, account, reference(db, account, now), 'idle')
+  const credit = creditOf(db, account.service)
+  return credit === 0 ? [] : raise(db, account, reference(db, account, now) - credit, 'short-breaks')
 }
 
 /** Least virtual time of the backlogged workspaces, else that of the one which was backlogged last. */
-const reference = (db: FairnessDb, account: FairnessAccount, others: readonly FairnessAccount[]): number => {
+const reference = (db: FairnessDb, account: FairnessAccount, now: Millis): number => {
+  const others = db.backloggedAt(account.service, now).filter(other => other !== account)
   if (others.length > 0) return Math.min(...others.map(other => other.virtualTime))
   const all = [...db.accountsOf(account.service)].filter(other => other !== account)
   const last = all.reduce<FairnessAccount | undefined>((a, b) => a === undefined || b.backloggedAt > a.backloggedAt ? b : a, undefined)
-  return last === undefined || last.backloggedAt === Number.NEGATIVE_INFINITY ? 0 : last.virtualTime
-}
-
-/** Keeps the claim of each backlogged workspace on the most served one within the allowed credit. */
-const boundClaims = (db: FairnessDb, service: ServiceId, now: Millis): FairnessCommand[] => {
-  if (now - db.observingSince <= db.config.idleGrace) return []
-  const accounts = backlogged(db, service, now)
-  const credit = creditOf(db, service)
-  if (accounts.length < 2 || credit === 0) return []
-  const bound = Math.max(...accounts.map(account => account.virtualTime)) - credit
-  return accounts.flatMap(account => raise(db, account, bound, 'claim-bound'))
+  return last === undefined || last.backloggedAt === Number.NEGATIVE_INFINITY ? Number.NEGATIVE_INFINITY : last.virtualTime
 }
 
 /**
- * Tells how far a workspace may lag behind another at a service and still be repaid.
+ * Tells how much a workspace may save up at a service over short breaks in its backlog.
  *
  * @param db - rates by service
  * @param service - the service, or FLEET
@@ -93,13 +86,10 @@
   return rate * db.config.creditMs / 1000
 }
 
-const raise = (db: FairnessDb, account: FairnessAccount, target: number, reason: 'idle' | 'claim-bound'): FairnessCommand[] => {
+const raise = (db: FairnessDb, account: FairnessAccount, target: number, reason: 'idle' | 'short-breaks'): FairnessCommand[] => {
   const amount = target - account.virtualTime
   if (amount <= 0) return []
   const { service, workspace } = account
   db.mergeLift({ service, workspace, lift: account.lift + amount }, undefined)
   return [{ kind: 'credit-forfeited', reason, service, workspace, amount }]
 }
-
-const backlogged = (db: FairnessDb, service: ServiceId, now: Millis): FairnessAccount[] =>
-  [...db.accountsOf(service)].filter(account => now - account.backloggedAt <= db.config.idleGrace)
--- a/packages/policy/src/fairness/fairnessAccount.ts
+++ b/packages/policy/src/fairness/fairnessAccount.ts
@@ -1,7 +1,11 @@
 /** Service of one workspace by one service: totals by origin, the folded base, and the lift. */
 import type { Incarnation, Millis, ServiceId, WorkspaceId } from '@fuchsiaworks/kernel'
+import { DecayingSum } from './decayingSum.js'
 import { addTally, isNothing, maxTally, netOf, NO_TALLY, subtractTally, type Tally } from './tally.js'
 
+/** Milliseconds after which service counts half in the recent service of a workspace. */
+const FLOW_HALF_LIFE_MS = 2_000
+
 /** Tally of one origin, with the place of its last change in this process's order of changes. */
 export interface OriginTally {
   tally: Tally
@@ -23,6 +27,8 @@
   liftSeq = 0
   /** Link that told the lift. */
   liftSource: string | undefined
+  /** Recent service by all processes, in virtual cost. */
+  readonly flow = new DecayingSum(FLOW_HALF_LIFE_MS)
   /** Own charges of the last moments, in virtual cost. */
   recent = 0
   /** Reading at which a backlog was last known. */
--- a/packages/policy/src/fairness/fairnessDb.ts
+++ b/packages/policy/src/fairness/fairnessDb.ts
@@ -81,6 +81,11 @@
     return this.#accounts.get(service)?.values() ?? []
   }
 
+  /** @returns the accounts of a service whose workspaces wait somewhere, or did a moment ago */
+  backloggedAt (service: ServiceId, now: Millis): FairnessAccount[] {
+    return [...this.accountsOf(service)].filter(account => now - account.backloggedAt <= this.config.idleGrace)
+  }
+
   /** @returns every service that has an account; the whole fleet counts as one */
   services (): Iterable<ServiceId> {
     return this.#accounts.keys()
@@ -159,6 +164,7 @@
     if (!recent) return
     this.rateOf(entry.service).add(netOf(grown), now)
     this.shareOf(entry.service).addOthers(netOf(grown), now)
+    account.flow.add(netOf(grown), now)
   }
 
   /** Merges a lift by the largest value. */
@@ -245,6 +251,7 @@
     account.raise(origin, { tally: addTally(account.tallyOf(origin), grown), seq: this.#seq, source: undefined })
     this.#addToFleet(account.workspace, grown)
     this.rateOf(account.service).add(netOf(grown), now)
+    account.flow.add(netOf(grown), now)
   }
 
   #addToFleet (workspace: WorkspaceId, grown: Tally): void {
--- a/packages/policy/src/fairness/fairnessTypes.ts
+++ b/packages/policy/src/fairness/fairnessTypes.ts
@@ -47,7 +47,7 @@
   readonly newsAge: Millis
   /** Milliseconds without backlog anywhere after which a workspace counts as having been idle. */
   readonly idleGrace: Millis
-  /** Milliseconds of a service's whole rate that a lagging workspace may claim at most. */
+  /** Milliseconds of a service's whole rate that a workspace may save up over short breaks in its backlog. */
   readonly creditMs: Millis
   /** Milliseconds without a change after which an origin is folded into the base. */
   readonly foldAfter: Millis
@@ -59,8 +59,11 @@
   /** The cost that is known so far and the estimate of the rest. */
   { readonly kind: 'work-progressed', readonly request: RequestId, readonly cost: number, readonly now: Millis } |
   { readonly kind: 'work-ended', readonly request: RequestId, readonly cost: number, readonly now: Millis } |
-  /** Workspaces that wait at some router for the service, as known at this moment. */
-  { readonly kind: 'backlog-seen', readonly service: ServiceId, readonly workspaces: readonly WorkspaceId[], readonly now: Millis } |
+  /**
+   * Workspaces that wait for the service, as known at this moment. Only the router at which they wait says so at
+   * first hand, and only it takes credit from a workspace that was idle: it cannot have been cut off from it.
+   */
+  { readonly kind: 'backlog-seen', readonly firstHand: boolean, readonly service: ServiceId, readonly workspaces: readonly WorkspaceId[], readonly now: Millis } |
   {
     readonly kind: 'counters-received'
     readonly entries: readonly CounterEntry[]
@@ -77,5 +80,5 @@
 
 /** What follows from an event. */
 export type FairnessCommand =
-  /** Credit was forfeited: after idleness, or because the claim was larger than the allowed one. */
-  { readonly kind: 'credit-forfeited', readonly reason: 'idle' | 'claim-bound', readonly service: ServiceId, readonly workspace: WorkspaceId, readonly amount: number }
+  /** Credit was forfeited: after idleness, or after short breaks in which more was saved up than is allowed. */
+  { readonly kind: 'credit-forfeited', readonly reason: 'idle' | 'short-breaks', readonly service: ServiceId, readonly workspace: WorkspaceId, readonly amount: number }
--- a/packages/policy/src/fairness/order.ts
+++ b/packages/policy/src/fairness/order.ts
@@ -1,35 +1,57 @@
 /** Order of workspaces at a service: the one function that knows the scope of fairness. */
-import type { ServiceId, WorkspaceId } from '@fuchsiaworks/kernel'
+import type { Millis, ServiceId } from '@fuchsiaworks/kernel'
 import { FLEET, type FairnessDb } from './fairnessDb.js'
+import { type Contender, FLOOR_SHARE, type FloorCredit } from './floorCredit.js'
 
-/** Share of each service that goes by the order of that service alone when the scope is the fleet. */
-export const FLOOR_SHARE = 0.25
-
-/** A workspace that could be served now. */
-export interface Contender {
-  readonly workspace: WorkspaceId
-  /** Cost units of pulls and requests that are not charged yet. */
-  readonly pending: number
-}
+/** Recent service up to which a claim is honoured, in least shares; recent service swings around its mean. */
+const FLOW_MARGIN = 1.5
 
 /**
- * Finds whose turn it is: the least virtual time, pending work included.
+ * Finds whose turn it is: a workspace whose least share of the service is due, else the least virtual time with the
+ * work that is under way and what other agents are assumed to have chosen meanwhile.
  *
  * @param db - totals and weights
  * @param service - service that has a free slot
  * @param contenders - workspaces with requests that it could take
- * @param floorTurn - true when this turn belongs to the floor share of the service
- * @returns the workspace, or undefined when there is none
+ * @param floor - least shares at this service; changed in place
+ * @param now - monotonic reading
+ * @returns the contender, or undefined when there is none
  */
-export const leastServed = (db: FairnessDb, service: ServiceId, contenders: Iterable<Contender>, floorTurn: boolean): WorkspaceId | undefined => {
-  const scope = db.config.scope === 'fleet' && !floorTurn ? FLEET : service
-  const { ratio } = db.shareOf(service)
-  let least: { workspace: WorkspaceId, time: number } | undefined
-  for (const { workspace, pending } of contenders) {
+export const nextServed = (db: FairnessDb, service: ServiceId, contenders: readonly Contender[], floor: FloorCredit, now: Millis): Contender | undefined => {
+  const chosen = neglected(db, service, contenders, floor, now) ?? leastServed(db, service, contenders, now)
+  if (chosen !== undefined) floor.count(contenders, chosen, workspace => db.weightOf(workspace))
+  return chosen
+}
+
+/** A workspace that had less than its least share: of late over all agents, and by the claims at this one. */
+const neglected = (db: FairnessDb, service: ServiceId, contenders: readonly Contender[], floor: FloorCredit, now: Millis): Contender | undefined => {
+  const due = floor.due(contenders)
+  if (due.length === 0) return undefined
+  const least = FLOOR_SHARE * FLOW_MARGIN * meanFlow(db, service, now)
+  return due.find(({ workspace }) => db.account(service, workspace).flow.at(now) < least)
+}
+
+/** Recent service of a workspace that has exactly its weighted share, in virtual cost. */
+const meanFlow = (db: FairnessDb, service: ServiceId, now: Millis): number => {
+  let cost = 0
+  let weights = 0
+  for (const { workspace, flow } of db.backloggedAt(service, now)) {
+    cost += flow.at(now) * db.weightOf(workspace)
+    weights += db.weightOf(workspace)
+  }
+  return weights === 0 ? 0 : cost / weights
+}
+
+const leastServed = (db: FairnessDb, service: ServiceId, contenders: readonly Contender[], now: Millis): Contender | undefined => {
+  const scope = db.config.scope === 'fleet' ? FLEET : service
+  const ratio = db.shareOf(service).ratioAt(now)
+  let least: { contender: Contender, time: number } | undefined
+  for (const contender of contenders) {
+    const { workspace, pending } = contender
     const unseen = pending / db.weightOf(workspace)
     const assumed = ratio * (db.account(service, workspace).recent + unseen)
     const time = db.virtualTime(scope, workspace) + unseen + assumed
-    if (least === undefined || time < least.time) least = { workspace, time }
+    if (least === undefined || time < least.time) least = { contender, time }
   }
-  return least?.workspace
+  return least?.contender
 }
--- a/packages/policy/src/fairness/shareEstimate.ts
+++ b/packages/policy/src/fairness/shareEstimate.ts
@@ -1,5 +1,6 @@
 /** Assumes that other agents have chosen since their last news as this one has, since they pick by the same rule. */
 import { clamp, type Millis } from '@fuchsiaworks/kernel'
+import { DecayingSum } from './decayingSum.js'
 import type { FairnessAccount } from './fairnessAccount.js'
 
 /** Milliseconds after which service counts half in the ratio of all service to the own. */
@@ -17,27 +18,25 @@
 /** Own charges at one service that others cannot have matched yet in what this process knows. */
 export class ShareEstimate {
   readonly #recent: RecentCharge[] = []
-  #own = 0
-  #others = 0
-  #at: Millis = 0
+  readonly #own = new DecayingSum(HALF_LIFE_MS)
+  readonly #others = new DecayingSum(HALF_LIFE_MS)
 
-  /** Service that others give for each unit that this process gives. */
-  get ratio (): number {
-    return this.#own <= 0 ? 0 : clamp(this.#others / this.#own, 0, MAX_RATIO)
+  /** @returns service that others give for each unit that this process gives */
+  ratioAt (now: Millis): number {
+    const own = this.#own.at(now)
+    return own <= 0 ? 0 : clamp(this.#others.at(now) / own, 0, MAX_RATIO)
   }
 
   /** Counts a charge of this process. */
   addOwn (account: FairnessAccount, amount: number, now: Millis): void {
-    this.#decay(now)
-    this.#own += amount
+    this.#own.add(amount, now)
     this.#recent.push({ at: now, account, amount })
     account.recent += amount
   }
 
   /** Counts service that others have told of. */
   addOthers (amount: number, now: Millis): void {
-    this.#decay(now)
-    this.#others += amount
+    this.#others.add(amount, now)
   }
 
   /** Forgets own charges that are older than what others have told by now. */
@@ -45,11 +44,4 @@
     const keep = this.#recent.findIndex(({ at }) => at >= before)
     for (const { account, amount } of this.#recent.splice(0, keep === -1 ? this.#recent.length : keep)) account.recent -= amount
   }
-
-  #decay (now: Millis): void {
-    const keep = 0.5 ** (Math.max(0, now - this.#at) / HALF_LIFE_MS)
-    this.#own *= keep
-    this.#others *= keep
-    this.#at = Math.max(now, this.#at)
-  }
 }
--- /dev/null
+++ b/packages/policy/src/measure/measureScope.ts
@@ -0,0 +1,60 @@
+/** Prints how fairness by service and fairness over the whole fleet compare where workspaces ask for different services. */
+import { Model } from './model.js'
+import { measureGaps } from './readings.js'
+import type { ModelLoad, ModelOptions, ModelResult } from './modelTypes.js'
+import type { FairnessScope } from '../fairness/fairnessTypes.js'
+
+const SCOPES: FairnessScope[] = ['service', 'fleet']
+
+const DURATION_MS = 40_000
+
+const load = (workspace: string, services: number[]): ModelLoad =>
+  ({ workspace, weight: 1, services, routers: [0, 1], waiting: 5, cost: [50, 500], from: 0, until: Number.POSITIVE_INFINITY })
+
+const base: ModelOptions = {
+  seed: 1,
+  order: 'fleet-fair',
+  scope: 'service',
+  routers: 2,
+  agents: [0, 0, 0, 1, 1, 1],
+  linksPerAgent: 2,
+  slots: 3,
+  loads: [],
+  faults: [],
+  delay: [0, 1],
+  period: 250,
+  unruly: false,
+  patience: 600_000,
+  duration: DURATION_MS
+}
+
+/** Least share of a backlogged workspace at a service, as a part of its equal share there. */
+const leastShare = (loads: readonly ModelLoad[], result: ModelResult): number => {
+  const last = result.samples.at(-1)
+  const shares = loads.flatMap(({ workspace, services }) => services.map(service => {
+    const sharers = loads.filter(other => other.services.includes(service)).length
+    const capacity = 9 * DURATION_MS
+    return (last?.served.get(`${workspace}/${service}`) ?? 0) * sharers / capacity
+  }))
+  return Math.min(...shares)
+}
+
+const workspaceOf = (pair: string): string => pair.slice(0, pair.indexOf('/'))
+
+const row = (name: string, scope: FairnessScope, loads: readonly ModelLoad[]): void => {
+  const result = new Model({ ...base, scope, loads }).run()
+  const cells = [measureGaps(result.samples, workspaceOf).max.toFixed(0), measureGaps(result.samples).max.toFixed(0), leastShare(loads, result).toFixed(2)]
+  console.log(`| ${`${name}, ${scope}`.padEnd(36)} | ${cells.map(cell => cell.padStart(9)).join(' | ')} |`)
+}
+
+const TOPOLOGIES: ReadonlyArray<readonly [name: string, loads: readonly ModelLoad[]]> = [
+  ['one of each kind', [load('a', [0]), load('b', [0, 1]), load('c', [1])]],
+  ['two on both, three on one', [load('a', [0]), load('b', [0, 1]), load('c', [0, 1]), load('d', [1]), load('e', [1])]],
+  ['one on both, alone at the second', [load('a', [0]), load('b', [0, 1]), load('c', [0]), load('d', [0])]],
+  ['all on both', [load('a', [0, 1]), load('b', [0, 1]), load('c', [0, 1])]],
+  ['none on both', [load('a', [0]), load('b', [0]), load('c', [1]), load('d', [1]), load('e', [1])]]
+]
+
+console.log('| workspaces and scope                 | fleet gap | serv. gap |  share of |')
+console.log('|---|---:|---:|---:|')
+for (const [name, loads] of TOPOLOGIES) for (const scope of SCOPES) row(name, scope, loads)
--- a/packages/policy/src/measure/modelProcess.ts
+++ b/packages/policy/src/measure/modelProcess.ts
@@ -27,7 +27,7 @@
 /** First come, first served, in the place of fair order: the oldest request anywhere goes first. */
 class FirstComeDb extends FairnessDb {
   constructor (incarnation: Incarnation, now: number, readonly oldest: (service: ServiceId, workspace: WorkspaceId) => number) {
-    super(incarnation, DEFAULT_FAIRNESS, now)
+    super(incarnation, { ...DEFAULT_FAIRNESS, scope: 'service' }, now)
   }
 
   override virtualTime (service: ServiceId, workspace: WorkspaceId): number {
