--- a/packages/policy/src/admission/admission.spec.ts
+++ b/packages/policy/src/admission/admission.spec.ts
@@ -1,6 +1,7 @@
 import { describe, it } from 'node:test'
 import { asId, type RequestId, type ServiceId, type UpstreamId, type WorkspaceId, type ZoneId } from '@fuchsiaworks/kernel'
 import { expect } from 'earl'
+import fc from 'fast-check'
 import { decideAdmission } from './admission.js'
 import type { AdmissionDb } from './admissionDb.js'
 import { admissionDefinition } from './admissionDefinition.js'
@@ -82,4 +83,43 @@
     decideAdmission(db, { kind: 'tick', now: 60_000 })
     expect([...refused(arrive(db, 'x', 60_001)), ...refused(arrive(db, 'y', 60_001))]).toEqual([])
   })
+
+  it('ends each request once, in order of arrival within a lane, never handed over after its deadline', () => {
+    const step = fc.oneof(
+      fc.record({ kind: fc.constant('arrive' as const), workspace: fc.constantFrom('a', 'b'), patience: fc.integer({ min: 10, max: 3_000 }), keyed: fc.boolean() }),
+      fc.record({ kind: fc.constant('pull' as const), workspace: fc.constantFrom('a', 'b'), upstream: fc.constantFrom('u', 'h'), decline: fc.boolean() }),
+      fc.record({ kind: fc.constant('gone' as const), which: fc.nat(30) }),
+      fc.record({ kind: fc.constant('tick' as const), span: fc.integer({ min: 1, max: 500 }) })
+    )
+    fc.assert(fc.property(fc.array(step, { maxLength: 60 }), steps => {
+      const db = admissionDefinition.createDb({ maxWaiting: 8 })
+      const open = new Set<string>()
+      const end = (name: string): void => { expect(open.delete(name)).toEqual(true) }
+      let now = 0
+      const obey = (commands: AdmissionCommand[], decline = false): void => {
+        for (const command of commands) {
+          if (command.kind === 'refuse') end(command.request)
+          if (command.kind !== 'hand-over') continue
+          expect(command.waiting.deadline).toBeGreaterThan(now)
+          if (decline) obey(decideAdmission(db, { kind: 'requeue', waiting: command.waiting, now }))
+          else end(command.waiting.request)
+        }
+      }
+      steps.forEach((event, i) => {
+        now += 5
+        if (event.kind === 'arrive') {
+          open.add(`${i}`)
+          obey(arrive(db, `${i}`, now, { workspace: event.workspace, patience: event.patience, ...event.keyed ? { home: home('h') } : {} }))
+        }
+        if (event.kind === 'pull') obey(pull(db, now, event.upstream, event.workspace), event.decline)
+        if (event.kind === 'gone' && decideAdmission(db, { kind: 'caller-gone', request: id(`${event.which}`), now }).length > 0) end(`${event.which}`)
+        if (event.kind === 'tick') {
+          now += event.span
+          obey(decideAdmission(db, { kind: 'tick', now }))
+        }
+      })
+      obey(decideAdmission(db, { kind: 'tick', now: now + 10_000 }))
+      expect([...open]).toEqual([])
+    }), { seed: 20261203, numRuns: 300 })
+  })
 })
--- a/packages/policy/src/admission/offerPlan.ts
+++ b/packages/policy/src/admission/offerPlan.ts
@@ -6,7 +6,7 @@
 const SLOTS_PER_REQUEST = 2
 
 /** Milliseconds between two waves to idle agents, and between two messages to one busy agent. */
-export const RETELL_MS = 10
+export const RETELL_MS = 5
 
 /** An agent as the router knows it. */
 export interface OfferTarget {
--- a/packages/policy/src/dispatch/dispatch.spec.ts
+++ b/packages/policy/src/dispatch/dispatch.spec.ts
@@ -1,6 +1,7 @@
 import { describe, it } from 'node:test'
 import { asId, type Incarnation, type RequestId, type ServiceId, type WorkspaceId } from '@fuchsiaworks/kernel'
 import { expect } from 'earl'
+import fc from 'fast-check'
 import type { FairnessDb } from '../fairness/fairnessDb.js'
 import { fairnessDefinition } from '../fairness/fairnessDefinition.js'
 import { decideDispatch } from './dispatch.js'
@@ -67,4 +68,35 @@
     expect(send({ kind: 'router-gone', router: 'r', now: 1 })).toEqual([])
     expect(db.free).toEqual(1)
   })
+
+  it('never holds more than the limit and leaves no slot free while a request is offered, whatever comes', () => {
+    const event = fc.oneof(
+      fc.record({ kind: fc.constant('router-backlog' as const), router: fc.constantFrom('r', 'q'), waiting: fc.nat(4) }),
+      fc.record({ kind: fc.constant('pull-answered' as const), pull: fc.nat(30) }),
+      fc.record({ kind: fc.constant('pull-empty' as const), pull: fc.nat(30) }),
+      fc.record({ kind: fc.constant('request-ended' as const), request: fc.nat(30) }),
+      fc.record({ kind: fc.constant('slots-changed' as const), limit: fc.nat(5) }),
+      fc.record({ kind: fc.constant('router-gone' as const), router: fc.constantFrom('r', 'q') }),
+      fc.record({ kind: fc.constant('tick' as const) })
+    )
+    const toEvent = (one: typeof event extends fc.Arbitrary<infer T> ? T : never, now: number): DispatchEvent => {
+      switch (one.kind) {
+        case 'router-backlog': return backlog(one.router, [entry('a', one.waiting), entry('b', 1)], now)
+        case 'pull-answered': return { ...one, request: asId<RequestId>(`${one.pull}`), now }
+        case 'request-ended': return { ...one, request: asId<RequestId>(`${one.request}`), now }
+        default: return { ...one, now }
+      }
+    }
+    fc.assert(fc.property(fc.array(event, { maxLength: 60 }), events => {
+      const { db, send } = setUp(3)
+      events.forEach((one, i) => {
+        const used = db.running + db.reserved
+        const pulls = send(toEvent(one, i * 30))
+        const spared = db.running + db.reserved <= Math.max(db.limit, used)
+        const slow = db.slowRouters(i * 30)
+        const idle = db.free > 0 && db.offersOf(s).some(offer => !slow.has(offer.router))
+        expect([spared, idle, pulls.length > 0 && db.free < 0]).toEqual([true, false, false])
+      })
+    }), { seed: 20261203, numRuns: 300 })
+  })
 })
--- a/packages/policy/src/exchange/exchange.ts
+++ b/packages/policy/src/exchange/exchange.ts
@@ -153,17 +153,18 @@
     const known = totals.get(account) ?? NO_TALLY
     const tally = maxTally(known, { total, refund })
     const increment = subtractTally(tally, known)
-    const sums = presentSums(child, account, origin)
+    const sums = presentSums(peer, child, account, origin)
     totals.set(account, tally)
     sums.sum = addTally(sums.sum, increment)
     fairness.addOwn(service, workspace, increment, now)
   }
 }
 
-/** What was counted under a former origin is part of the rest that the child is told. */
-const presentSums = (child: Absorbed, account: FairnessAccount, origin: Incarnation): { sum: Tally } => {
+/** What was counted under a former origin is part of the rest, which the child is then told anew. */
+const presentSums = (peer: Peer, child: Absorbed, account: FairnessAccount, origin: Incarnation): { sum: Tally } => {
   const present = child.sums.get(account)
   if (present?.origin === origin) return present
+  if (present !== undefined) peer.toldAll = 0
   const fresh = { origin, sum: NO_TALLY }
   child.sums.set(account, fresh)
   return fresh
--- a/packages/policy/src/exchange/exchangeLevel.ts
+++ b/packages/policy/src/exchange/exchangeLevel.ts
@@ -1,4 +1,5 @@
 /** Chooses, by the sizes of the fleet, which sums are told: one function for all processes. */
+import type { FairnessScope } from '../fairness/fairnessTypes.js'
 import { ENTRY_BYTES, MESSAGE_BYTES } from './tell.js'
 
 /** Totals by agent incarnation; sums by home router; or sums by zone, gathered by one router for each service. */
@@ -6,6 +7,8 @@
 
 /** Sizes that decide. */
 export interface FleetSizes {
+  /** Agents need the totals of all services when the order is that of the whole fleet. */
+  readonly scope: FairnessScope
   readonly routers: number
   readonly agents: number
   readonly zones: number
@@ -22,7 +25,7 @@
 export const SLOW_ROUNDS = 8
 
 /** Milliseconds between rounds up to which a finer level is preferred. */
-const MAX_FINE_PERIOD_MS = 1_000
+const MAX_FINE_PERIOD_MS = 1_500
 
 /**
  * Works out what the busiest process sends in one round when every entry has changed.
@@ -32,15 +35,15 @@
  * @returns bytes
  */
 export const bytesPerRound = (level: ExchangeLevel, sizes: FleetSizes): number => {
-  const { routers, agents, zones, services, linksPerAgent, activePairs, backloggedPairs } = sizes
+  const { scope, routers, agents, zones, services, linksPerAgent, activePairs, backloggedPairs } = sizes
   const pairsPerService = activePairs / services
-  const agentsPerService = agents / services
+  const toldAgents = scope === 'fleet' ? agents : agents / services
   const pairs = backloggedPairs + (activePairs - backloggedPairs) / SLOW_ROUNDS
-  const homed = message(pairs / services) * agents / routers
+  const homed = message(scope === 'fleet' ? pairs : pairs / services) * agents / routers
   switch (level) {
     case 'agent': {
       const leaves = agents * Math.min(linksPerAgent, routers) / routers
-      return (routers - 1) * message(agents * pairsPerService) + leaves * message(agentsPerService * pairsPerService)
+      return (routers - 1) * message(agents * pairsPerService) + leaves * message(toldAgents * pairsPerService)
     }
     case 'router':
       return (routers - 1) * message(pairs) + homed
--- a/packages/policy/src/measure/measureFairness.ts
+++ b/packages/policy/src/measure/measureFairness.ts
@@ -29,6 +29,7 @@
   faults: [],
   delay: [0, 1],
   period: 250,
+  offerToAll: false,
   unruly: false,
   patience: 600_000,
   duration: 60_000
@@ -83,3 +84,13 @@
 for (const order of ORDERS) row(`uneven, ${order}`, { ...uneven, order })
 for (const order of ORDERS) row(`even, faults, ${order}`, { ...even, order, faults })
 for (const order of ORDERS) row(`uneven, faults, ${order}`, { ...uneven, order, faults })
+
+/** Thirty agents of which most have free slots, and a request every few milliseconds. */
+const light: ModelOptions = {
+  ...even,
+  agents: Array.from({ length: 30 }, () => 0),
+  duration: 20_000,
+  loads: [load('a', [0, 1, 2], { every: 40, cost: [50, 500] }), load('b', [1], { every: 70, cost: [50, 500] })]
+}
+
+for (const offerToAll of [false, true]) row(`light, ${offerToAll ? 'all agents told at once' : 'agents told in waves'}`, { ...light, offerToAll })
--- a/packages/policy/src/measure/measureScope.ts
+++ b/packages/policy/src/measure/measureScope.ts
@@ -23,6 +23,7 @@
   faults: [],
   delay: [0, 1],
   period: 250,
+  offerToAll: false,
   unruly: false,
   patience: 600_000,
   duration: DURATION_MS
--- a/packages/policy/src/measure/model.spec.ts
+++ b/packages/policy/src/measure/model.spec.ts
@@ -35,6 +35,7 @@
   faults: [],
   delay: [0, 2],
   period: PERIOD_MS,
+  offerToAll: false,
   unruly: true,
   patience: 600_000,
   duration: LOAD_END
--- a/packages/policy/src/measure/modelTypes.ts
+++ b/packages/policy/src/measure/modelTypes.ts
@@ -5,7 +5,7 @@
 /** Order by which agents pick. */
 export type ModelOrder = 'fleet-fair' | 'agent-fair' | 'first-come'
 
-/** Load of one workspace: so many requests are kept waiting at each of its routers. */
+/** Load of one workspace: so many requests are kept waiting at each of its routers, or they arrive by the clock. */
 export interface ModelLoad {
   readonly workspace: string
   readonly weight: number
@@ -14,6 +14,8 @@
   readonly routers: readonly number[]
   /** Requests kept waiting at each router for each service. */
   readonly waiting: number
+  /** Milliseconds between arrivals at each router; when set, nothing is kept waiting. */
+  readonly every?: Millis
   /** Least and largest milliseconds that a request runs; one millisecond is one cost unit. */
   readonly cost: readonly [least: number, largest: number]
   readonly from: Millis
@@ -44,6 +46,8 @@
   readonly delay: readonly [least: number, largest: number]
   /** Shortest time between two rounds of counters, in milliseconds. */
   readonly period: Millis
+  /** Whether routers tell every agent of each change at once, and not in waves. */
+  readonly offerToAll: boolean
   /** Whether counters also arrive twice and out of order. */
   readonly unruly: boolean
   readonly patience: Millis
