Fairness: lifts at the router where a backlog begins also soon after quiet times and starts

Cause: messages were sent only on a change, so the first one after a quiet time looked like a rejoin and blocked lifts for two seconds; a workspace that came back in that time kept a claim on all that others had been served while it was idle. Change: peers are told at least each 500 ms that nothing changed; a process is blind for two ages of news after a start or a rejoin and not for the whole grace; the grace is never less than four ages of news.

--- a/packages/policy/src/exchange/exchange.spec.ts
+++ b/packages/policy/src/exchange/exchange.spec.ts
@@ -68,7 +68,9 @@
     link(r, 'hub', y, 'leaf')
     expect(y.served).toEqual(7)
     runRounds([r, x, y], 0)
-    expect(decideExchange(r.exchange, r.fairness, { kind: 'tick', now: 20_000 })).toEqual([])
+    const later = decideExchange(r.exchange, r.fairness, { kind: 'tick', now: 20_000 })
+    expect(later.map(command => command.kind === 'tell' && command.counters.entries.length)).toEqual([0, 0])
+    expect(decideExchange(r.exchange, r.fairness, { kind: 'tick', now: 20_250 })).toEqual([])
   })
 
   it('tells a process that starts empty again what its earlier life told over a link of the same name', () => {
--- a/packages/policy/src/exchange/exchange.ts
+++ b/packages/policy/src/exchange/exchange.ts
@@ -53,7 +53,7 @@
 /** Tells a new peer all at once, so that a process that starts empty knows the totals within a round trip. */
 const join = (db: ExchangeDb, fairness: FairnessDb, event: ExchangeEvent & { kind: 'peer-joined' }): ExchangeCommand[] => {
   const { link, relation, incarnation, services, now } = event
-  const peer: Peer = { link, relation, incarnation, services, told: 0, toldAll: 0, heardAt: undefined, gap: undefined }
+  const peer: Peer = { link, relation, incarnation, services, told: 0, toldAll: 0, toldAt: Number.NEGATIVE_INFINITY, heardAt: undefined, gap: undefined }
   db.addPeer(peer)
   if (relation === 'parent' || relation === 'mesh') {
     const counter = relation === 'mesh' ? MESH : incarnation
@@ -92,7 +92,7 @@
 const receive = (db: ExchangeDb, fairness: FairnessDb, link: string, counters: Counters, now: Millis): void => {
   const peers = db.peersOf(link)
   if (peers.length === 0) return
-  const rejoined = peers.map(peer => hear(peer, fairness.config.idleGrace, now)).includes(true)
+  const rejoined = peers.map(peer => hear(peer, fairness.grace, now)).includes(true)
   fairness.newsAge = newsAge(db, fairness.newsAge)
   const merged = peers.flatMap(peer => {
     const entries = counters.entries.filter(entry => covers(peer, entry.service))
--- a/packages/policy/src/exchange/exchangeDb.ts
+++ b/packages/policy/src/exchange/exchangeDb.ts
@@ -23,6 +23,7 @@
   told: number
   /** Change up to which it was told of all workspaces. */
   toldAll: number
+  toldAt: Millis
   heardAt: Millis | undefined
   /** Smoothed milliseconds between its messages; undefined until two came. */
   gap: Millis | undefined
--- a/packages/policy/src/exchange/tell.ts
+++ b/packages/policy/src/exchange/tell.ts
@@ -13,6 +13,9 @@
 /** Bytes of a message beside its entries. */
 export const MESSAGE_BYTES = 24
 
+/** Milliseconds after which a peer is told that nothing changed, so that silence means that it was cut off. */
+const KEEPALIVE_MS = 500
+
 /** What is told in one round. */
 export interface Round {
   readonly now: Millis
@@ -28,7 +31,7 @@
  * @param fairness - totals and lifts
  * @param peer - who is told
  * @param round - what the round tells
- * @returns the message, or undefined when there is nothing to tell
+ * @returns the message, or undefined when there is nothing to tell yet
  */
 export const collect = (db: ExchangeDb, fairness: FairnessDb, peer: Peer, round: Round): Counters | undefined => {
   const all = round.all || peer.toldAll === 0
@@ -40,7 +43,9 @@
   const base = tellsOrigins(peer) && fairness.baseSeq > peer.toldAll ? fairness.baseSnapshot() : undefined
   peer.told = fairness.seq
   if (all) peer.toldAll = fairness.seq
-  if (entries.length + lifts.length + backlogged.length === 0 && base === undefined) return undefined
+  const nothing = entries.length + lifts.length + backlogged.length === 0 && base === undefined
+  if (nothing && round.now - peer.toldAt < KEEPALIVE_MS) return undefined
+  peer.toldAt = round.now
   return { entries, lifts, backlogged, ...base === undefined ? {} : { base } }
 }
 
@@ -70,7 +75,7 @@
   [...fairness.services()].filter(service => covers(peer, service)).flatMap(service => [...fairness.accountsOf(service)])
 
 const isBacklogged = (fairness: FairnessDb, account: FairnessAccount, now: Millis): boolean =>
-  now - account.backloggedAt <= fairness.config.idleGrace
+  now - account.backloggedAt <= fairness.grace
 
 /** A peer is not told what it told itself, unless it is new: an earlier process may have told it over a link of the same name. */
 const knows = (peer: Peer, source: string | undefined): boolean => peer.toldAll > 0 && source === peer.link
--- a/packages/policy/src/fairness/fairness.spec.ts
+++ b/packages/policy/src/fairness/fairness.spec.ts
@@ -59,6 +59,14 @@
     expect(db.virtualTime(s, a)).toEqual(500)
   })
 
+  it('lifts a workspace that comes back soon after another one, when both were idle for long', () => {
+    const db = makeDb()
+    receive(db, [{ origin: peer, service: s, workspace: a, total: 500, refund: 0 }])
+    decideFairness(db, { kind: 'backlog-seen', firstHand: true, service: s, workspaces: [a], now: 60_000 })
+    decideFairness(db, { kind: 'backlog-seen', firstHand: true, service: s, workspaces: [a, b], now: 60_500 })
+    expect(db.virtualTime(s, b)).toEqual(500)
+  })
+
   it('does not take a workspace for idle that it could not have heard of', () => {
     const db = makeDb()
     receive(db, [{ origin: peer, service: s, workspace: a, total: 500, refund: 0 }], 10_000, true)
--- a/packages/policy/src/fairness/fairness.ts
+++ b/packages/policy/src/fairness/fairness.ts
@@ -4,6 +4,9 @@
 import { FLEET, type FairnessDb } from './fairnessDb.js'
 import type { FairnessCommand, FairnessEvent } from './fairnessTypes.js'
 
+/** Ages of news after a start or a rejoin for which a workspace may wait elsewhere without this process knowing it. */
+const BLIND_AGES = 2
+
 /**
  * Takes one event and returns the commands that follow from it.
  *
@@ -57,9 +60,10 @@
 
 /** Raises a workspace whose backlog begins anew to the least of the backlogged ones, or to the allowed credit below it. */
 const forfeit = (db: FairnessDb, account: FairnessAccount, now: Millis): FairnessCommand[] => {
-  const idle = now - Math.max(account.backloggedAt, db.observingSince)
+  const idle = now - account.backloggedAt
   if (idle <= db.newsAge) return []
-  if (idle > db.config.idleGrace) return raise(db, account, reference(db, account, now), 'idle')
+  const blind = now - db.observingSince <= BLIND_AGES * db.newsAge
+  if (idle > db.grace && !blind) return raise(db, account, reference(db, account, now), 'idle')
   const credit = creditOf(db, account.service)
   return credit === 0 ? [] : raise(db, account, reference(db, account, now) - credit, 'short-breaks')
 }
--- a/packages/policy/src/fairness/fairnessDb.ts
+++ b/packages/policy/src/fairness/fairnessDb.ts
@@ -18,6 +18,9 @@
 /** Folded origins that are remembered. */
 const MAX_FOLDED = 4096
 
+/** Ages of news in the least grace. */
+const GRACE_PER_AGE = 4
+
 /** Source of own totals that another process has counted as part of its sums. */
 const COUNTED = 'counted'
 
@@ -71,6 +74,11 @@
   /** Number of the last change of the base. */
   get baseSeq (): number { return this.#baseSeq }
 
+  /** Milliseconds without news of a backlog after which there is none; never less than a few ages of news. */
+  get grace (): Millis {
+    return Math.max(this.config.idleGrace, GRACE_PER_AGE * this.newsAge)
+  }
+
   /** @returns the origin that this process charges a service under now */
   originOf (service: ServiceId): Incarnation {
     return this.#own.get(service)?.origin ?? this.incarnation
@@ -83,7 +91,7 @@
 
   /** @returns the accounts of a service whose workspaces wait somewhere, or did a moment ago */
   backloggedAt (service: ServiceId, now: Millis): FairnessAccount[] {
-    return [...this.accountsOf(service)].filter(account => now - account.backloggedAt <= this.config.idleGrace)
+    return [...this.accountsOf(service)].filter(account => now - account.backloggedAt <= this.grace)
   }
 
   /** @returns every service that has an account; the whole fleet counts as one */
--- a/packages/policy/src/measure/model.spec.ts
+++ b/packages/policy/src/measure/model.spec.ts
@@ -127,6 +127,15 @@
     for (const service of [0, 1]) expect(fleet.at(-1)?.served.get(`b/${service}`) ?? 0).toBeGreaterThanOrEqual(equalShare / 4)
   })
 
+  it('lets nobody save up service while idle, at whichever router it comes back', () => {
+    fc.assert(fc.property(fc.integer({ min: 0, max: 1e6 }), fc.nat(2), scope, fc.boolean(), (seed, router, scope, restarts) => {
+      const loads = [load('always', [0, 1]), load('back', [router], { from: 8_000 })]
+      const faults: ModelFault[] = restarts ? [{ kind: 'restart', at: 7_500, process: `r${router}` }] : []
+      const { samples } = new Model({ ...base, seed, scope, loads, faults, duration: 16_000 }).run()
+      expect(measureGaps(samples).max).toBeLessThanOrEqual(BOUND)
+    }), { seed: SEED, numRuns: 8 })
+  })
+
   it('never lets a flood refuse another workspace, and lets it wait no longer than alone with its share', () => {
     fc.assert(fc.property(fc.integer({ min: 0, max: 1e6 }), seed => {
       const loads = [load('flood', [0, 1, 2], { waiting: 250 }), load('small', [1], { waiting: 1, cost: [20, 100] })]
--- a/packages/policy/src/measure/readings.ts
+++ b/packages/policy/src/measure/readings.ts
@@ -1,9 +1,18 @@
 /** Readings of a run: gaps between workspaces and their percentiles. */
 import type { ModelSample } from './modelTypes.js'
 
+interface Range {
+  /** Difference when both were backlogged first. */
+  readonly first: number
+  least: number
+  most: number
+}
+
 /** Gaps of a run, in cost units by weight. */
 export interface Gaps {
+  /** Largest movement of a difference between any two readings. */
   readonly max: number
+  /** 99th percentile over the readings of the largest movement since both were backlogged. */
   readonly p99: number
 }
 
@@ -13,24 +22,28 @@
  *
  * @param samples - readings in order of time
  * @param keyOf - groups what is compared; undefined leaves it out
- * @returns the largest gap and the 99th percentile of the largest gap at each reading
+ * @returns the largest gap and the 99th percentile over time
  */
 export const measureGaps = (samples: readonly ModelSample[], keyOf: (pair: string) => string | undefined = pair => pair): Gaps => {
-  const ranges = new Map<string, { least: number, most: number }>()
-  const gaps = samples.map(sample => largestGap(sample, ranges, keyOf)).sort((a, b) => a - b)
-  return { max: gaps.at(-1) ?? 0, p99: gaps[Math.floor(gaps.length * 0.99)] ?? 0 }
+  const ranges = new Map<string, Range>()
+  const gaps = samples.map(sample => largestGap(sample, ranges, keyOf))
+  const movements = gaps.map(({ movement }) => movement).sort((a, b) => a - b)
+  return { max: Math.max(0, ...gaps.map(({ range }) => range)), p99: movements[Math.floor(movements.length * 0.99)] ?? 0 }
 }
 
-const largestGap = (sample: ModelSample, ranges: Map<string, { least: number, most: number }>, keyOf: (pair: string) => string | undefined): number => {
+const largestGap = (sample: ModelSample, ranges: Map<string, Range>, keyOf: (pair: string) => string | undefined): { range: number, movement: number } => {
   const served = sumBy(sample, keyOf)
   const keys = [...served.keys()].sort()
   const seen = new Set<string>()
-  let largest = 0
+  const largest = { range: 0, movement: 0 }
   for (const [i, a] of keys.entries()) {
     for (const b of keys.slice(i + 1)) {
       if (!comparable(a, b)) continue
       seen.add(`${a} ${b}`)
-      largest = Math.max(largest, widen(ranges, `${a} ${b}`, (served.get(a) ?? 0) - (served.get(b) ?? 0)))
+      const difference = (served.get(a) ?? 0) - (served.get(b) ?? 0)
+      const { first, least, most } = widen(ranges, `${a} ${b}`, difference)
+      largest.range = Math.max(largest.range, most - least)
+      largest.movement = Math.max(largest.movement, Math.abs(difference - first))
     }
   }
   for (const key of [...ranges.keys()]) if (!seen.has(key)) ranges.delete(key)
@@ -40,12 +53,12 @@
 /** Pairs at different services are not compared. */
 const comparable = (a: string, b: string): boolean => a.split('/')[1] === b.split('/')[1]
 
-const widen = (ranges: Map<string, { least: number, most: number }>, key: string, difference: number): number => {
-  const range = ranges.get(key) ?? { least: difference, most: difference }
+const widen = (ranges: Map<string, Range>, key: string, difference: number): Range => {
+  const range = ranges.get(key) ?? { first: difference, least: difference, most: difference }
   range.least = Math.min(range.least, difference)
   range.most = Math.max(range.most, difference)
   ranges.set(key, range)
-  return range.most - range.least
+  return range
 }
 
 const sumBy = (sample: ModelSample, keyOf: (pair: string) => string | undefined): Map<string, number> => {
