Fairness: own origins, folding and accounts in modules of their own; trees stay exact over long rests

Change: sums and origins that a parent counts are never folded nor renewed; roots tell each other their base; going over keeps every own origin that nobody else counts.

--- a/packages/policy/src/exchange/exchange.ts
+++ b/packages/policy/src/exchange/exchange.ts
@@ -55,6 +55,7 @@
   const { link, relation, incarnation, services, now } = event
   const peer: Peer = { link, relation, incarnation, services, told: 0, toldAll: 0, toldAt: Number.NEGATIVE_INFINITY, heardAt: undefined, gap: undefined }
   db.addPeer(peer)
+  fairness.own.isSummed = service => db.isSummed(service)
   if (relation === 'parent' || relation === 'mesh') {
     const counter = relation === 'mesh' ? MESH : incarnation
     for (const service of [...fairness.services()].filter(id => covers(peer, id))) changeCounter(db, fairness, service, counter, now)
@@ -94,11 +95,11 @@
   if (peers.length === 0) return
   const rejoined = peers.map(peer => hear(peer, fairness.grace, now)).includes(true)
   fairness.newsAge = newsAge(db, fairness.newsAge)
-  const merged = peers.flatMap(peer => {
-    const entries = counters.entries.filter(entry => covers(peer, entry.service))
-    return takeEntries(db, fairness, peer, entries, now)
-  })
-  decideFairness(fairness, { ...counters, kind: 'counters-received', entries: merged, link, rejoined, now })
+  const taken = peers.map(peer => ({ peer, entries: takeEntries(db, fairness, peer, counters, now) }))
+  decideFairness(fairness, { ...counters, kind: 'counters-received', entries: [], link, rejoined, sums: false, now })
+  for (const { peer, entries } of taken) {
+    decideFairness(fairness, { kind: 'counters-received', entries, lifts: [], link, rejoined, sums: peer.relation === 'parent', now })
+  }
   for (const entry of counters.backlogged) db.see(entry, now)
   seeBacklog(fairness, counters.backlogged, false, now)
 }
@@ -117,8 +118,9 @@
   return gaps.length === 0 ? known : clamp(Math.min(...gaps) * AGE_PER_GAP, MIN_NEWS_AGE_MS, MAX_NEWS_AGE_MS)
 }
 
-/** Counts what must not be merged by origin, and returns the rest. */
-const takeEntries = (db: ExchangeDb, fairness: FairnessDb, peer: Peer, entries: readonly CounterEntry[], now: Millis): readonly CounterEntry[] => {
+/** Counts what must not be merged by origin, goes over to other sums where they come, and returns the rest. */
+const takeEntries = (db: ExchangeDb, fairness: FairnessDb, peer: Peer, counters: Counters, now: Millis): readonly CounterEntry[] => {
+  const entries = counters.entries.filter(entry => covers(peer, entry.service))
   switch (peer.relation) {
     case 'child':
       absorb(db, fairness, peer, entries, now)
@@ -127,7 +129,9 @@
       for (const { origin, service } of entries) followSums(db, fairness, service, origin)
       return entries
     case 'mesh':
-      for (const { service } of entries) followSums(db, fairness, service, MESH)
+      for (const { service } of [...entries, ...counters.base?.entries ?? []]) {
+        if (covers(peer, service)) followSums(db, fairness, service, MESH)
+      }
       return entries
     case 'router':
     case 'leaf':
--- a/packages/policy/src/exchange/exchangeDb.ts
+++ b/packages/policy/src/exchange/exchangeDb.ts
@@ -90,6 +90,13 @@
     this.#peers.delete(link)
   }
 
+  /** @returns whether a parent counts this process's service, also while its link is down */
+  isSummed (service: ServiceId): boolean {
+    const counter = this.countedBy.get(service)
+    if (counter !== undefined) return counter !== MESH
+    return this.peers().some(({ relation, services }) => relation === 'parent' && (services === undefined || services.has(service)))
+  }
+
   /** Forgets what was told of the own totals of a service. */
   forgetTold (service: ServiceId): void {
     for (const account of [...this.toldUp.keys()]) {
--- a/packages/policy/src/exchange/tell.ts
+++ b/packages/policy/src/exchange/tell.ts
@@ -1,7 +1,8 @@
 /** What one peer is told: by its relation, and only what changed. */
 import { asId, type Incarnation, type Millis, type ServiceId } from '@fuchsiaworks/kernel'
 import type { FairnessAccount } from '../fairness/fairnessAccount.js'
-import { FLEET, type FairnessDb } from '../fairness/fairnessDb.js'
+import { FLEET } from '../fairness/accountTable.js'
+import type { FairnessDb } from '../fairness/fairnessDb.js'
 import { addTally, isNothing, NO_TALLY, subtractTally, tallyOf } from '../fairness/tally.js'
 import type { CounterEntry, LiftEntry } from '../fairness/fairnessTypes.js'
 import { type ExchangeDb, MESH, type Peer } from './exchangeDb.js'
@@ -34,7 +35,7 @@
  * @returns the message, or undefined when there is nothing to tell yet
  */
 export const collect = (db: ExchangeDb, fairness: FairnessDb, peer: Peer, round: Round): Counters | undefined => {
-  const all = round.all || peer.toldAll === 0
+  const all = round.all || peer.toldAll === 0 || fairness.baseSeq > peer.toldAll
   const accounts = accountsFor(fairness, peer).filter(account => all || isBacklogged(fairness, account, round.now))
   const since = all ? peer.toldAll : peer.told
   const entries = accounts.filter(({ service }) => service !== FLEET).flatMap(account => entriesFor(db, fairness, peer, account, since))
@@ -60,7 +61,7 @@
   return MESSAGE_BYTES + ENTRY_BYTES * (entries.length + lifts.length + backlogged.length + baseItems)
 }
 
-const tellsOrigins = ({ relation }: Peer): boolean => relation === 'router' || relation === 'leaf'
+const tellsOrigins = ({ relation }: Peer): boolean => relation === 'router' || relation === 'leaf' || relation === 'mesh'
 
 /**
  * Tells whether a peer's relation holds for a service.
@@ -123,7 +124,7 @@
 /** One sum of all that others were served, without the child's own part. */
 const restEntry = (db: ExchangeDb, fairness: FairnessDb, peer: Peer, account: FairnessAccount, since: number): CounterEntry[] => {
   const { service, workspace, base, sum } = account
-  const changed = [...account.origins.values()].some(({ seq, source }) => seq > since && !knows(peer, source))
+  const changed = fairness.baseSeq > since || [...account.origins.values()].some(({ seq, source }) => seq > since && !knows(peer, source))
   if (!changed) return []
   const all = addTally(sum, tallyOf(base))
   const tally = subtractTally(all, db.child(peer.incarnation).sums.get(account)?.sum ?? NO_TALLY)
--- /dev/null
+++ b/packages/policy/src/fairness/accountTable.ts
@@ -0,0 +1,64 @@
+/** Accounts by service and workspace; those of the whole fleet are kept in step with the others. */
+import { asId, getOrMake, type Incarnation, type ServiceId, type WorkspaceId } from '@fuchsiaworks/kernel'
+import { FairnessAccount, type OriginTally } from './fairnessAccount.js'
+import { addTally, netOf, type Tally, tallyOf } from './tally.js'
+
+/** Stands for the whole fleet where a service is named. */
+export const FLEET: ServiceId = asId<ServiceId>('*')
+
+/** All accounts of one process. */
+export class AccountTable {
+  readonly #accounts = new Map<ServiceId, Map<WorkspaceId, FairnessAccount>>()
+
+  /** @returns every service that has an account, FLEET included */
+  services (): Iterable<ServiceId> {
+    return this.#accounts.keys()
+  }
+
+  /** @returns the accounts of a service */
+  of (service: ServiceId): Iterable<FairnessAccount> {
+    return this.#accounts.get(service)?.values() ?? []
+  }
+
+  /** @returns the account, or undefined when there is none */
+  find (service: ServiceId, workspace: WorkspaceId): FairnessAccount | undefined {
+    return this.#accounts.get(service)?.get(workspace)
+  }
+
+  /** @returns the account, made when missing */
+  get (service: ServiceId, workspace: WorkspaceId): FairnessAccount {
+    const byWorkspace = getOrMake(this.#accounts, service, () => new Map<WorkspaceId, FairnessAccount>())
+    return getOrMake(byWorkspace, workspace, () => new FairnessAccount(service, workspace))
+  }
+
+  /** @returns every account but those of the fleet */
+  * all (): Iterable<FairnessAccount> {
+    for (const [service, byWorkspace] of this.#accounts) {
+      if (service !== FLEET) yield * byWorkspace.values()
+    }
+  }
+
+  /** Merges the tally of an origin; returns by how much it grew. */
+  raise (account: FairnessAccount, origin: Incarnation, next: OriginTally): Tally {
+    const grown = account.raise(origin, next)
+    this.#addToFleet(account, grown)
+    return grown
+  }
+
+  /** Takes a part out of an origin's tally, or all of it; returns what was taken out. */
+  drop (account: FairnessAccount, origin: Incarnation, part: Tally = account.tallyOf(origin)): Tally {
+    const dropped = account.drop(origin, part)
+    this.#addToFleet(account, tallyOf(-netOf(dropped)))
+    return dropped
+  }
+
+  setBase (account: FairnessAccount, base: number): void {
+    this.get(FLEET, account.workspace).base += base - account.base
+    account.base = base
+  }
+
+  #addToFleet ({ workspace }: FairnessAccount, grown: Tally): void {
+    const fleet = this.get(FLEET, workspace)
+    fleet.sum = addTally(fleet.sum, grown)
+  }
+}
--- a/packages/policy/src/fairness/fairness.ts
+++ b/packages/policy/src/fairness/fairness.ts
@@ -1,7 +1,8 @@
 /** Decides what workspaces were served and what credit they forfeit. */
 import { assertNever, type Millis, type ServiceId } from '@fuchsiaworks/kernel'
 import type { FairnessAccount } from './fairnessAccount.js'
-import { FLEET, type FairnessDb } from './fairnessDb.js'
+import { FLEET } from './accountTable.js'
+import type { FairnessDb } from './fairnessDb.js'
 import type { FairnessCommand, FairnessEvent } from './fairnessTypes.js'
 
 /** Ages of news after a start or a rejoin for which a workspace may wait elsewhere without this process knowing it. */
@@ -44,7 +45,7 @@
 const merge = (db: FairnessDb, event: FairnessEvent & { kind: 'counters-received' }): void => {
   if (event.rejoined) db.observingSince = event.now
   if (event.base !== undefined) db.mergeBase(event.base)
-  for (const entry of event.entries) db.mergeTotal(entry, event.link, event.now, !event.rejoined)
+  for (const entry of event.entries) db.mergeTotal(entry, event.link, event.now, { recent: !event.rejoined, sums: event.sums })
   for (const entry of event.lifts) db.mergeLift(entry, event.link)
 }
 
--- a/packages/policy/src/fairness/fairnessTypes.ts
+++ b/packages/policy/src/fairness/fairnessTypes.ts
@@ -73,6 +73,8 @@
     readonly link: string
     /** True when the sender may tell of a part of the fleet that was out of reach for longer than the grace. */
     readonly rejoined: boolean
+    /** True when the entries are a parent's sums, which are never folded. */
+    readonly sums: boolean
     readonly now: Millis
   } |
   { readonly kind: 'weights-changed', readonly weights: ReadonlyMap<WorkspaceId, number> } |
--- a/packages/policy/src/fairness/order.ts
+++ b/packages/policy/src/fairness/order.ts
@@ -1,6 +1,7 @@
 /** Order of workspaces at a service: the one function that knows the scope of fairness. */
 import type { Millis, ServiceId } from '@fuchsiaworks/kernel'
-import { FLEET, type FairnessDb } from './fairnessDb.js'
+import { FLEET } from './accountTable.js'
+import type { FairnessDb } from './fairnessDb.js'
 import { type Contender, FLOOR_SHARE, type FloorCredit } from './floorCredit.js'
 
 /** Recent service up to which a claim is honoured, in least shares; recent service swings around its mean. */
