--- a/packages/policy/src/measure/model.ts
+++ b/packages/policy/src/measure/model.ts
@@ -1,7 +1,6 @@
 /** A small fleet in one loop: plain Db objects, a message bag, closed load and faults at given times. */
 import { asId, type HostId, type RequestId, type ServiceId, type UpstreamId, type WorkspaceId, type ZoneId } from '@fuchsiaworks/kernel'
 import { decideAdmission } from '../admission/admission.js'
-import type { AdmissionDb } from '../admission/admissionDb.js'
 import type { AdmissionCommand, AdmissionEvent } from '../admission/admissionTypes.js'
 import { backlogFor, wholeBacklog } from '../admission/backlogView.js'
 import { planOffers } from '../admission/offerPlan.js'
@@ -11,9 +10,11 @@
 import { bytesOf } from '../exchange/tell.js'
 import type { Counters, ExchangeEvent } from '../exchange/exchangeTypes.js'
 import { decideFairness } from '../fairness/fairness.js'
-import { ModelLinks, SESSION_EXPIRY_MS } from './modelLinks.js'
+import { ModelLinks } from './modelLinks.js'
 import { ModelAgent, type ModelProcess, type ModelRequest, ModelRouter } from './modelProcess.js'
-import type { ModelLoad, ModelOptions, ModelResult, ModelSample } from './modelTypes.js'
+import { ModelRecord } from './modelRecord.js'
+import { ModelSessions } from './modelSessions.js'
+import type { ModelLoad, ModelOptions, ModelResult } from './modelTypes.js'
 
 const SAMPLE_MS = 100
 const PROGRESS_MS = 50
@@ -23,32 +24,19 @@
 /** @returns the name of a service by its index */
 export const serviceOf = (index: number): ServiceId => asId<ServiceId>(`${index}`)
 
-const hasWaiting = (admission: AdmissionDb, service: ServiceId): boolean => {
-  for (const { size } of admission.queuesOf(service)) if (size > 0) return true
-  return false
-}
-
 /** Runs one model. */
 export class Model {
   readonly #links: ModelLinks
   readonly routers = new Map<string, ModelRouter>()
   readonly agents = new Map<string, ModelAgent>()
   readonly #requests = new Map<RequestId, ModelRequest>()
-  readonly #served = new Map<string, number>()
-  readonly #refusals = new Map<string, number>()
-  readonly #longestWait = new Map<string, number>()
-  readonly #bytes = new Map<string, number>()
-  readonly #samples: ModelSample[] = []
-  /** Sessions that are open, as `a0#0>r0#1`. */
-  readonly #sessions = new Set<string>()
+  readonly #record = new ModelRecord()
+  readonly #sessions: ModelSessions
   #nextRequest = 0
-  #pulls = 0
-  #handovers = 0
-  #idle = 0
-  #slotTime = 0
 
   constructor (readonly options: ModelOptions) {
     this.#links = new ModelLinks(options.seed, options.delay, options.faults)
+    this.#sessions = new ModelSessions(this.#links, name => this.#process(name), { joined: this.#joined, lost: this.#lost })
     for (let i = 0; i < options.routers; i++) this.#startRouter(`r${i}`, 0)
     options.agents.forEach((service, i) => { this.#startAgent(`a${i}`, 0, service) })
   }
@@ -58,22 +46,14 @@
   /** @returns what the run gave */
   run (): ModelResult {
     while (this.now < this.options.duration) this.#step()
-    return {
-      samples: this.#samples,
-      idleShare: this.#slotTime === 0 ? 0 : this.#idle / this.#slotTime,
-      pulls: this.#pulls,
-      handovers: this.#handovers,
-      refusals: this.#refusals,
-      longestWait: this.#longestWait,
-      counterBytes: Math.max(0, ...this.#bytes.values()) * 1000 / this.options.duration
-    }
+    return this.#record.result(this.options.duration)
   }
 
   /** Runs on without load until nothing changes, and returns the virtual times that each process knows. */
   settle (span: number): Array<Map<string, number>> {
     const end = this.now + span
     while (this.now < end) this.#step()
-    return this.#processes().map(({ fairness }) => new Map([...this.#served.keys()].map(key => {
+    return this.#processes().map(({ fairness }) => new Map([...this.served.keys()].map(key => {
       const [workspace = '', service = ''] = key.split('/')
       return [key, fairness.account(asId<ServiceId>(service), asId<WorkspaceId>(workspace)).served]
     })))
@@ -86,13 +66,13 @@
   #step (): void {
     this.#links.step()
     this.#applyFaults()
-    this.#connect()
+    this.#sessions.connect(this.routers.values(), this.#processes(), this.now)
     this.#work()
     if (this.now % TICK_MS === 0) this.#tick()
     this.#feed()
     for (const router of this.routers.values()) this.#offer(router)
-    this.#account()
-    if (this.now % SAMPLE_MS === 0) this.#samples.push(this.#sample())
+    this.#record.countSlots(this.routers.values(), this.agents.values(), this.options.slots, this.#links)
+    if (this.now % SAMPLE_MS === 0) this.#record.sample(this.routers.values(), this.now)
   }
 
   #startRouter (name: string, life: number): void {
@@ -123,53 +103,22 @@
   #restart (name: string): void {
     const router = this.routers.get(name)
     const agent = this.agents.get(name)
-    this.#endSessions(name)
+    this.#sessions.end(name)
     if (router !== undefined) this.#startRouter(name, router.life + 1)
     if (agent !== undefined) this.#startAgent(name, agent.life + 1, Number(agent.service))
   }
 
-  #endSessions (name: string, other?: string): void {
-    for (const key of [...this.#sessions]) {
-      const [one = '', two = ''] = key.split('>')
-      const ends = [one, two]
-      if (!ends.includes(name) || (other !== undefined && !ends.includes(other))) continue
-      this.#sessions.delete(key)
-      for (const [here, there] of [[one, two], [two, one]] as const) this.#lose(here, there)
-    }
+  #process (name: string): ModelProcess | undefined {
+    return this.routers.get(name) ?? this.agents.get(name)
   }
 
-  #lose (name: string, peer: string): void {
-    const process = this.#process(name)
-    if (process === undefined) return
+  readonly #lost = (process: ModelProcess, peer: string): void => {
     this.#exchange(process, { kind: 'peer-gone', link: peer, now: this.now })
     if (process instanceof ModelAgent) this.#dispatch(process, { kind: 'router-gone', router: peer, now: this.now })
     else if (process instanceof ModelRouter) process.told.delete(peer)
   }
 
-  #process (name: string): ModelProcess | undefined {
-    return this.routers.get(name) ?? this.agents.get(name)
-  }
-
-  /** Opens the sessions that can be open, and ends those that were cut for longer than their expiry. */
-  #connect (): void {
-    for (const [name, process] of this.routers) {
-      for (const other of this.#processes()) {
-        if (other.name === name || (other instanceof ModelRouter && other.name > name)) continue
-        this.#connectPair(process, other)
-      }
-    }
-  }
-
-  #connectPair (router: ModelRouter, other: ModelProcess): void {
-    const key = `${router.name}>${other.name}`
-    const cut = this.#links.cut(router.name, other.name)
-    if (this.#sessions.has(key)) {
-      if (cut && this.#links.cut(router.name, other.name, this.now - SESSION_EXPIRY_MS)) this.#endSessions(router.name, other.name)
-      return
-    }
-    if (other instanceof ModelAgent && !other.routers.has(router.name) && !other.dialled.has(router.name)) return
-    if (cut || this.#links.paused(router.name) || this.#links.paused(other.name)) return
-    this.#sessions.add(key)
+  readonly #joined = (router: ModelRouter, other: ModelProcess): void => {
     const isAgent = other instanceof ModelAgent
     const services = other instanceof ModelAgent && this.options.scope === 'service' ? { services: new Set([other.service]) } : {}
     if (isAgent) router.told.set(other.name, { at: -1e9, outOfDate: true, free: this.options.slots })
@@ -177,13 +126,8 @@
     this.#exchange(other, { kind: 'peer-joined', link: router.name, relation: isAgent ? 'hub' : 'router', incarnation: router.fairness.incarnation, now: this.now })
   }
 
-  /** Carries a message within a session; it is lost when either end has gone meanwhile. */
   #send (from: ModelProcess, to: string, take: (to: ModelProcess) => void): void {
-    const receiver = this.#process(to)
-    this.#links.send(from.name, to, () => {
-      const open = this.#sessions.has(`${from.name}>${to}`) || this.#sessions.has(`${to}>${from.name}`)
-      if (receiver !== undefined && open && this.#process(to) === receiver && this.#process(from.name) === from) take(receiver)
-    })
+    this.#sessions.send(from, to, take)
   }
 
   #exchange (process: ModelProcess, event: ExchangeEvent): void {
@@ -200,7 +144,7 @@
   }
 
   #tell (process: ModelProcess, link: string, counters: Counters): void {
-    this.#bytes.set(process.name, (this.#bytes.get(process.name) ?? 0) + bytesOf(counters))
+    this.#record.countBytes(process.name, bytesOf(counters))
     const take = (to: ModelProcess): void => { this.#exchange(to, { kind: 'counters-received', link: process.name, counters, now: this.now }) }
     this.#send(process, link, take)
     if (!this.options.unruly || this.#links.draw(0, 9) > 0) return
@@ -219,7 +163,7 @@
 
   #tickAgent (agent: ModelAgent): void {
     this.#dispatch(agent, { kind: 'tick', now: this.now })
-    const linked = new Set([...this.routers.keys()].filter(name => this.#sessions.has(`${name}>${agent.name}`)).map(name => asId<HostId>(name)))
+    const linked = new Set([...this.routers.keys()].filter(name => this.#sessions.isOpen(name, agent.name)).map(name => asId<HostId>(name)))
     const upstreams = this.options.agents.filter(service => serviceOf(service) === agent.service).length
     this.#exchange(agent, { kind: 'slots', service: agent.service, free: agent.dispatch.free, upstreams, linked, now: this.now })
   }
@@ -227,7 +171,7 @@
   #dispatch (agent: ModelAgent, event: DispatchEvent): void {
     const free = agent.dispatch.free
     for (const { router, service, workspace, pull } of decideDispatch(agent.dispatch, agent.fairness, event)) {
-      this.#pulls += 1
+      this.#record.pulls += 1
       const from = { agent: agent.name, upstream: asId<UpstreamId>(agent.name), zone: ZONE }
       this.#send(agent, router, to => { if (to instanceof ModelRouter) this.#admission(to, { kind: 'pull', pull, from, service, workspace, now: this.now }) })
     }
@@ -252,14 +196,14 @@
     switch (command.kind) {
       case 'refuse': {
         const request = this.#requests.get(command.request)
-        if (request !== undefined) this.#refusals.set(request.workspace, (this.#refusals.get(request.workspace) ?? 0) + 1)
+        if (request !== undefined) this.#record.countRefusal(request.workspace)
         return
       }
       case 'pull-empty':
         return this.#send(router, command.agent, to => { if (to instanceof ModelAgent) this.#dispatch(to, { kind: 'pull-empty', pull: command.pull, now: this.now }) })
       case 'hand-over': {
         const { request, workspace, arrivedAt } = command.waiting
-        this.#longestWait.set(workspace, Math.max(this.#longestWait.get(workspace) ?? 0, this.now - arrivedAt))
+        this.#record.countWait(workspace, this.now - arrivedAt)
         return this.#send(router, command.agent, to => { if (to instanceof ModelAgent) this.#start(router, to, command.pull, request, command.waiting.estimate, command.waiting) })
       }
       case 'backlog-changed':
@@ -276,7 +220,7 @@
       this.#send(agent, router.name, to => { if (to instanceof ModelRouter) this.#admission(to, { kind: 'requeue', waiting, now: this.now }) })
       return
     }
-    this.#handovers += 1
+    this.#record.handovers += 1
     request.startedAt = this.now
     agent.running.set(id, request)
     decideFairness(agent.fairness, { kind: 'work-started', request: id, service: request.service, workspace: request.workspace, estimate, now: this.now })
@@ -295,8 +239,7 @@
     const { id, service, workspace, cost } = request
     if (request.ran < cost) {
       request.ran += 1
-      const key = `${workspace}/${service}`
-      this.#served.set(key, (this.#served.get(key) ?? 0) + 1 / this.#weight(workspace))
+      this.#record.countService(workspace, service, 1 / this.#weight(workspace))
     }
     if (paused) return
     if (request.ran < cost) {
@@ -368,32 +311,8 @@
     this.#send(router, link, to => { if (to instanceof ModelAgent) this.#dispatch(to, { kind: 'router-backlog', router: router.name, service, entries, now: this.now }) })
   }
 
-  #account (): void {
-    const waiting = [...this.routers.values()].filter(({ name }) => !this.#links.paused(name))
-      .map(({ name, admission }) => ({ name, services: new Set([...admission.services()].filter(service => hasWaiting(admission, service))) }))
-    for (const { name, service, running } of this.agents.values()) {
-      this.#slotTime += this.options.slots
-      const served = waiting.some(router => router.services.has(service) && !this.#links.cut(name, router.name))
-      if (served && !this.#links.paused(name)) this.#idle += this.options.slots - running.size
-    }
-  }
-
-  #waiting (): Set<string> {
-    const waiting = new Set<string>()
-    for (const { admission } of this.routers.values()) {
-      for (const service of admission.services()) {
-        for (const { workspace } of wholeBacklog(admission, service, this.now)) waiting.add(`${workspace}/${service}`)
-      }
-    }
-    return waiting
-  }
-
-  #sample (): ModelSample {
-    return { at: this.now, served: new Map(this.#served), waiting: this.#waiting() }
-  }
-
   /** @returns service truly given, by workspace and service, by weight */
   get served (): ReadonlyMap<string, number> {
-    return this.#served
+    return this.#record.served
   }
 }
