--- a/packages/policy/src/admission/admissionTypes.ts
+++ b/packages/policy/src/admission/admissionTypes.ts
@@ -14,6 +14,8 @@
   readonly idempotent: boolean
   /** The only upstream that may run it. */
   readonly home: UpstreamId | undefined
+  /** Upstreams at which it failed and must not be tried again. */
+  readonly avoid?: readonly UpstreamId[]
   /** Order of arrival. */
   readonly order: number
 }
@@ -41,6 +43,8 @@
     readonly estimate: number
     readonly idempotent: boolean
     readonly home?: UpstreamId
+    /** Requests that the workspace may have waiting; the setting of the queue where it is missing. */
+    readonly maxWaiting?: number
     readonly now: Millis
   } |
   { readonly kind: 'caller-gone', readonly request: RequestId, readonly now: Millis } |
--- /dev/null
+++ b/packages/policy/src/retry/retryBudget.ts
@@ -0,0 +1,67 @@
+/** Budget of retries: a share of first attempts, with a small floor, so that it holds fleet-wide as a sum over routers. */
+import { getOrMake, type Millis, type ServiceId, type WorkspaceId } from '@fuchsiaworks/kernel'
+import type { RetryConfig } from './retryTypes.js'
+
+/** Share of a service's budget that one workspace may hold unused. */
+const WORKSPACE_SHARE = 0.5
+
+interface Bucket {
+  tokens: number
+  filledAt: Millis
+}
+
+/** Unused retries by service, by workspace within each service, and the floor of the router. */
+export class RetryBudget {
+  readonly #services = new Map<ServiceId, Bucket>()
+  readonly #workspaces = new Map<string, Bucket>()
+  readonly #floor: Bucket = { tokens: 1, filledAt: -Infinity }
+
+  /** @param config - share, floor and burst */
+  constructor (readonly config: RetryConfig) {}
+
+  /** Adds the share of one first attempt. */
+  countFirst (service: ServiceId, workspace: WorkspaceId, now: Millis): void {
+    const share = this.config.budgetPercent / 100
+    const total = this.#service(service, now)
+    const own = this.#workspace(service, workspace, now)
+    total.tokens = Math.min(this.config.burst, total.tokens + share)
+    own.tokens = Math.min(this.#workspaceBurst, own.tokens + share)
+  }
+
+  /**
+   * Takes one retry, when the workspace has one left and the service or the router's floor has.
+   *
+   * @returns false when the budget is spent
+   */
+  take (service: ServiceId, workspace: WorkspaceId, now: Millis): boolean {
+    const own = this.#workspace(service, workspace, now)
+    const total = this.#service(service, now)
+    const floor = this.#refill(this.#floor, now, 1)
+    const source = [total, floor].find(bucket => bucket.tokens >= 1)
+    if (own.tokens < 1 || source === undefined) return false
+    own.tokens -= 1
+    source.tokens -= 1
+    return true
+  }
+
+  get #workspaceBurst (): number {
+    return Math.max(1, this.config.burst * WORKSPACE_SHARE)
+  }
+
+  #service (service: ServiceId, now: Millis): Bucket {
+    return getOrMake(this.#services, service, () => ({ tokens: 0, filledAt: now }))
+  }
+
+  #workspace (service: ServiceId, workspace: WorkspaceId, now: Millis): Bucket {
+    const name = JSON.stringify([service, workspace])
+    return this.#refill(getOrMake(this.#workspaces, name, () => ({ tokens: 1, filledAt: now })), now, this.#workspaceBurst)
+  }
+
+  /** Adds the floor for the time since the last look. */
+  #refill (bucket: Bucket, now: Millis, burst: number): Bucket {
+    const gained = Math.max(0, now - bucket.filledAt) / 1_000 * this.config.floorPerSecond
+    bucket.filledAt = now
+    bucket.tokens = Math.min(burst, bucket.tokens + gained)
+    return bucket
+  }
+}
--- /dev/null
+++ b/packages/router/src/requests/homeFinder.ts
@@ -0,0 +1,35 @@
+/** Finds the home of an idempotency key: the only upstream at which a request with that key may run. */
+import { createLog, onEvent, type ServiceId, type ServiceKey, serviceKey, type UpstreamId } from '@fuchsiaworks/kernel'
+import { type ConfigurationService, listedUpstreams, type ProcessContext } from '@fuchsiaworks/fleet'
+import { type HashedMember, hashMembers, keyHome } from '@fuchsiaworks/policy'
+import type { RequestFacts } from './openRequest.js'
+
+const log = createLog('homes')
+
+/** Homes under the configuration in force. */
+export class HomeFinder {
+  readonly #members = new Map<ServiceId, Array<HashedMember<UpstreamId>>>()
+
+  constructor (readonly context: ProcessContext, configuration: ConfigurationService) {
+    onEvent(configuration.changes, log, ({ config }) => {
+      this.#members.clear()
+      for (const service of Object.keys(config.services) as ServiceId[]) {
+        this.#members.set(service, hashMembers(context.hash, listedUpstreams(config, service)))
+      }
+    })
+  }
+
+  /**
+   * Names the home of a request.
+   *
+   * @param facts - what the request is
+   * @returns the upstream; undefined when any may run it, or when the service has none
+   */
+  homeOf ({ service, workspace, key, idempotent }: RequestFacts): UpstreamId | undefined {
+    if (idempotent || key === undefined) return undefined
+    return keyHome(this.context.hash, { service, workspace, key }, this.#members.get(service) ?? [])
+  }
+}
+
+/** Key of the home finder. */
+export const homeFinderKey: ServiceKey<HomeFinder> = serviceKey('homes')
--- /dev/null
+++ b/packages/settings/src/fleetConfig/configDocuments.spec.ts
@@ -0,0 +1,53 @@
+import { describe, it } from 'node:test'
+import { asId, FindingsError, type SiteId } from '@fuchsiaworks/kernel'
+import { expect } from 'earl'
+import fc from 'fast-check'
+import { tidyFindings } from '../document/findingLists.js'
+import { checkConfig, checkSite } from './checkConfig.js'
+import { checkDocuments, configForSite, encodeDocuments, parseDocuments } from './configDocuments.js'
+
+const base = JSON.stringify({ zones: { a: { region: 'r' } }, sites: { main: { zones: ['a'] }, far: { zones: [] } } })
+const overlays = { [asId<SiteId>('main')]: '{"retries": {"percent": 5}}' }
+
+describe('a document set', () => {
+  it('comes back from its text', () => {
+    const documents = { revision: 7, base, overlays }
+    expect(parseDocuments({ name: 'set', text: encodeDocuments(documents) })).toEqual(documents)
+  })
+
+  it('gives each site the base with its own overlay', () => {
+    const documents = { revision: 7, base, overlays }
+    expect(configForSite(documents, asId('main')).retries.percent).toEqual(5)
+    expect(configForSite(documents, asId('far')).retries.percent).toEqual(10)
+  })
+
+  it('is refused as a whole when the overlay of another site has an error or names no site', () => {
+    const documents = { revision: 8, base, overlays: { ...overlays, [asId<SiteId>('far')]: '{"nope": 1}', [asId<SiteId>('lost')]: '{}' } }
+    expect(() => configForSite(documents, asId('main'))).toThrow(FindingsError)
+    expect(checkDocuments(documents).map(finding => finding.message)).toEqual(['unknown key', 'unknown site "lost"'])
+  })
+
+  it('is checked with every overlay as each overlay is alone', () => {
+    const wide = {
+      zones: { a: { region: 'r' }, b: { region: 'r' } },
+      sites: { main: { zones: ['a', 'b'] } },
+      services: { s: { kind: 'plain' } },
+      upstreams: { u: { service: 's', zone: 'a', host: 'h' }, v: { service: 's', zone: 'b', host: 'g' } },
+      workspaces: { w: { services: ['s'] } }
+    }
+    const overlay = fc.constantFrom(
+      {}, { zones: { b: null } }, { zones: { c: { region: 'r' } } }, { services: { s: { kind: 'engine' } } }, { services: { s: null } },
+      { upstreams: { v: { host: 'h' } } }, { upstreams: { v: { zone: 'x' } } }, { workspaces: { w: { services: ['t'] } } }, { workspaces: { w: { nope: 1 } } },
+      { sites: { main: { zones: ['a'] } } }, { links: { heartbeatMs: 5000 } }, { zones: 3 })
+    fc.assert(fc.property(fc.array(overlay, { maxLength: 4 }), list => {
+      const text = { name: 'base', text: JSON.stringify(wide) }
+      const texts = list.map((value, index) => ({ name: `overlay ${index}`, text: JSON.stringify(value) }))
+      const apart = [undefined, ...texts].flatMap(one => checkSite(text, one).findings)
+      expect(checkConfig(text, texts).findings).toEqual(tidyFindings(apart))
+    }), { seed: 12 })
+  })
+
+  it('is refused without a revision', () => {
+    expect(() => parseDocuments({ name: 'set', text: '{"base": "{}", "overlays": {}}' })).toThrow(FindingsError)
+  })
+})
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -1,2 +1,13 @@
 /** Public entry of the settings package. */
-export {}
+export type * from './document/documentTypes.js'
+export * from './document/findingLists.js'
+export { idSchema, port } from './document/scalars.js'
+export * from './fleetConfig/checkConfig.js'
+export * from './fleetConfig/configDocuments.js'
+export * from './fleetConfig/configSchema.js'
+export type * from './fleetConfig/fleetConfigTypes.js'
+export * from './fleetConfig/patience.js'
+export * from './page/schemaPage.js'
+export * from './page/schemaRows.js'
+export * from './processSettings/parseSettings.js'
+export * from './processSettings/settingsSchema.js'
--- /dev/null
+++ b/packages/wire/src/link/sessionTable.ts
@@ -0,0 +1,104 @@
+/** The sessions of a listening end, and what becomes of an offer. Knows no sockets. */
+import { getOrMake } from '@fuchsiaworks/kernel'
+import type { Offer, Outcome } from '../handshake/handshakeTypes.js'
+import type { SessionEnd } from '../session/sessionTypes.js'
+
+/** What the table needs of a session. */
+export interface TableSession {
+  /** Ends the session if it has expired by now. */
+  checkExpiry: () => void
+  end: (reason: SessionEnd) => void
+}
+
+interface Entry<S> {
+  readonly offer: Offer
+  readonly session: S
+  /** Last attempt of the dialer that was accepted. */
+  attempt: number
+}
+
+const keyOf = (offer: Offer): string => `${offer.identity.incarnation} ${offer.dialer}`
+const processOf = ({ identity }: Offer): string => `${identity.role} ${identity.host}`
+
+/** Sessions by the peer's incarnation and dialer. Of one process, only one incarnation has sessions. */
+export class SessionTable<S extends TableSession> {
+  readonly #entries = new Map<string, Entry<S>>()
+  readonly #byProcess = new Map<string, Set<Entry<S>>>()
+
+  /** The sessions that have not ended. */
+  get sessions (): S[] {
+    return [...this.#entries.values()].map(entry => entry.session)
+  }
+
+  /**
+   * Says what becomes of an offer, and changes nothing but expired sessions.
+   *
+   * @param offer - a proved offer
+   * @returns the outcome, with the session when it is resumed
+   */
+  judge (offer: Offer): { readonly outcome: Outcome, readonly session?: S } {
+    for (const entry of this.#entriesOf(offer)) entry.session.checkExpiry()
+    if (this.#isSuperseded(offer)) return { outcome: 'superseded' }
+    const entry = this.#entries.get(keyOf(offer))
+    if (entry !== undefined && offer.attempt <= entry.attempt) return { outcome: 'gone' }
+    if (offer.session === offer.attempt) return { outcome: 'new' }
+    if (entry === undefined || entry.offer.session !== offer.session) return { outcome: 'gone' }
+    return { outcome: 'resumed', session: entry.session }
+  }
+
+  /**
+   * Takes a confirmed offer. Ends the sessions that it replaces.
+   *
+   * @param offer - a confirmed offer, judged again, as time has passed
+   * @param make - makes a new session
+   * @returns the session to attach the connection to, or undefined when it has gone since
+   */
+  accept (offer: Offer, make: () => S): S | undefined {
+    const { outcome, session } = this.judge(offer)
+    if (outcome === 'gone' || outcome === 'superseded') return undefined
+    const entry = this.#entries.get(keyOf(offer))
+    if (session !== undefined && entry !== undefined) {
+      entry.attempt = offer.attempt
+      return session
+    }
+    entry?.session.end('expired')
+    for (const other of this.#entriesOf(offer)) {
+      if (other.offer.identity.incarnation !== offer.identity.incarnation) other.session.end('peer-restarted')
+    }
+    return this.#add(offer, make())
+  }
+
+  /**
+   * Forgets a session that has ended.
+   *
+   * @param offer - the offer that opened it
+   */
+  remove (offer: Offer): void {
+    const entry = this.#entries.get(keyOf(offer))
+    if (entry?.offer.session !== offer.session) return
+    this.#entries.delete(keyOf(offer))
+    const process = this.#byProcess.get(processOf(offer))
+    process?.delete(entry)
+    if (process?.size === 0) this.#byProcess.delete(processOf(offer))
+  }
+
+  #add (offer: Offer, session: S): S {
+    const entry = { offer, session, attempt: offer.attempt }
+    this.#entries.set(keyOf(offer), entry)
+    getOrMake(this.#byProcess, processOf(offer), () => new Set()).add(entry)
+    return session
+  }
+
+  #entriesOf (offer: Offer): Array<Entry<S>> {
+    return [...this.#byProcess.get(processOf(offer)) ?? []]
+  }
+
+  /**
+   * True while a process of the same host that started later has a session. When that session has ended the offer is good
+   * again, so a clock that was set back can't shut a host out for longer than the expiry.
+   */
+  #isSuperseded (offer: Offer): boolean {
+    return this.#entriesOf(offer).some(({ offer: { identity, started } }) =>
+      identity.incarnation !== offer.identity.incarnation && started > offer.started)
+  }
+}
