Exchange: take in what came before a peer joined; tell agents all services when the order is the fleet's

Cause: a router learns an agent's service only from its state message, and dropped the counters that came before it; and agents that are told of one service only cannot order by the whole fleet. Change: early messages are held until the peer joins, bounded; the services of a leaf are ignored in scope fleet; firsthand sightings are optional in backlog-seen, so that agents need not name them.

--- a/packages/policy/src/exchange/exchange.spec.ts
+++ b/packages/policy/src/exchange/exchange.spec.ts
@@ -82,6 +82,15 @@
     expect([r.served, again.served]).toEqual([7, 7])
   })
 
+  it('takes in what a peer told before it joined', () => {
+    const [r, x] = [new Process('r'), new Process('x')]
+    x.serve(7)
+    const told = decideExchange(x.exchange, x.fairness, { kind: 'peer-joined', link: 'r', relation: 'hub', incarnation: asId('r'), now: 0 })
+    deliver(x, r, told, 0)
+    decideExchange(r.exchange, r.fairness, { kind: 'peer-joined', link: 'x', relation: 'leaf', incarnation: asId('x'), now: 10 })
+    expect(r.served).toEqual(7)
+  })
+
   it('counts each service once in a tree of sums, and goes on after a child moves to another parent', () => {
     const [root, other, child, leaf] = [new Process('root'), new Process('other'), new Process('child'), new Process('leaf')]
     const all = [root, other, child, leaf]
--- a/packages/policy/src/exchange/exchange.ts
+++ b/packages/policy/src/exchange/exchange.ts
@@ -52,7 +52,8 @@
 
 /** Tells a new peer all at once, so that a process that starts empty knows the totals within a round trip. */
 const join = (db: ExchangeDb, fairness: FairnessDb, event: ExchangeEvent & { kind: 'peer-joined' }): ExchangeCommand[] => {
-  const { link, relation, incarnation, services, now } = event
+  const { link, relation, incarnation, now } = event
+  const services = relation === 'leaf' && fairness.config.scope === 'fleet' ? undefined : event.services
   const peer: Peer = { link, relation, incarnation, services, told: 0, toldAll: 0, toldAt: Number.NEGATIVE_INFINITY, heardAt: undefined, gap: undefined }
   db.addPeer(peer)
   fairness.own.isSummed = service => db.isSummed(service)
@@ -60,6 +61,7 @@
     const counter = relation === 'mesh' ? MESH : incarnation
     for (const service of [...fairness.services()].filter(id => covers(peer, id))) changeCounter(db, fairness, service, counter, now)
   }
+  for (const early of db.takeEarly(link)) receive(db, fairness, link, early, now)
   const counters = collect(db, fairness, peer, { now, all: true, backlogged: db.backlogged(now) })
   return counters === undefined ? [] : [{ kind: 'tell', link, counters }]
 }
@@ -92,7 +94,7 @@
 
 const receive = (db: ExchangeDb, fairness: FairnessDb, link: string, counters: Counters, now: Millis): void => {
   const peers = db.peersOf(link)
-  if (peers.length === 0) return
+  if (peers.length === 0) return db.holdEarly(link, counters)
   const rejoined = peers.map(peer => hear(peer, fairness.grace, now)).includes(true)
   fairness.newsAge = newsAge(db, fairness.newsAge)
   const taken = peers.map(peer => ({ peer, entries: takeEntries(db, fairness, peer, counters, now) }))
--- a/packages/policy/src/exchange/exchangeDb.ts
+++ b/packages/policy/src/exchange/exchangeDb.ts
@@ -2,7 +2,7 @@
 import { asId, getOrMake, type HostId, type Incarnation, type Millis, type ServiceId, type WorkspaceId } from '@fuchsiaworks/kernel'
 import type { FairnessAccount } from '../fairness/fairnessAccount.js'
 import type { Tally } from '../fairness/tally.js'
-import type { BackloggedEntry, ExchangeConfig, OwnBacklogEntry, Relation } from './exchangeTypes.js'
+import type { BackloggedEntry, Counters, ExchangeConfig, OwnBacklogEntry, Relation } from './exchangeTypes.js'
 
 /** Milliseconds after which backlog that nobody repeated is forgotten. */
 export const BACKLOGGED_TTL_MS = 3_000
@@ -10,6 +10,10 @@
 /** Stands for the roots of all trees, which count each other by origin. */
 export const MESH: Incarnation = asId<Incarnation>('mesh')
 
+/** Bounds of what is kept for links whose sender has not joined yet. */
+const MAX_EARLY_MESSAGES = 8
+const MAX_EARLY_LINKS = 64
+
 /** Routers that are told for one workspace and service. */
 const ROUTERS_PER_ENTRY = 2
 
@@ -52,6 +56,7 @@
 export class ExchangeDb {
   readonly #peers = new Map<string, Peer[]>()
   readonly #children = new Map<Incarnation, Absorbed>()
+  readonly #early = new Map<string, Counters[]>()
   readonly #sightings = new Map<string, Sighting>()
   /** Routers dialled for their backlog, with the reading of the last use. */
   readonly extraLinks = new Map<HostId, Millis>()
@@ -88,6 +93,7 @@
       if (relation === 'child') this.child(incarnation).goneAt = now
     }
     this.#peers.delete(link)
+    this.#early.delete(link)
   }
 
   /** @returns whether a parent counts this process's service, also while its link is down */
@@ -97,6 +103,21 @@
     return this.peers().some(({ relation, services }) => relation === 'parent' && (services === undefined || services.has(service)))
   }
 
+  /** Keeps a message that came before its sender joined. */
+  holdEarly (link: string, counters: Counters): void {
+    const held = getOrMake(this.#early, link, () => [])
+    if (held.length < MAX_EARLY_MESSAGES) held.push(counters)
+    const oldest = this.#early.keys().next().value
+    if (this.#early.size > MAX_EARLY_LINKS && oldest !== undefined) this.#early.delete(oldest)
+  }
+
+  /** @returns the messages that came early, which are then forgotten */
+  takeEarly (link: string): Counters[] {
+    const held = this.#early.get(link) ?? []
+    this.#early.delete(link)
+    return held
+  }
+
   /** Forgets what was told of the own totals of a service. */
   forgetTold (service: ServiceId): void {
     for (const account of [...this.toldUp.keys()]) {
--- a/packages/policy/src/exchange/exchangeTypes.ts
+++ b/packages/policy/src/exchange/exchangeTypes.ts
@@ -44,7 +44,7 @@
     readonly link: string
     readonly relation: Relation
     readonly incarnation: Incarnation
-    /** Services that the peer is told of; undefined for all. */
+    /** Services that the peer is told of; undefined for all, as for every agent when the order is that of the whole fleet. */
     readonly services?: ReadonlySet<ServiceId>
     readonly now: Millis
   } |
--- a/packages/policy/src/fairness/fairness.ts
+++ b/packages/policy/src/fairness/fairness.ts
@@ -52,7 +52,7 @@
 const seeBacklog = (db: FairnessDb, { firstHand, service, workspaces, now }: FairnessEvent & { kind: 'backlog-seen' }): FairnessCommand[] =>
   scopesOf(db, service).flatMap(scope => {
     const accounts = workspaces.map(workspace => db.account(scope, workspace))
-    const commands = firstHand ? accounts.flatMap(account => forfeit(db, account, now)) : []
+    const commands = firstHand === true ? accounts.flatMap(account => forfeit(db, account, now)) : []
     for (const account of accounts) account.backloggedAt = Math.max(now, account.backloggedAt)
     return commands
   })
--- a/packages/policy/src/fairness/fairnessTypes.ts
+++ b/packages/policy/src/fairness/fairnessTypes.ts
@@ -60,10 +60,10 @@
   { readonly kind: 'work-progressed', readonly request: RequestId, readonly cost: number, readonly now: Millis } |
   { readonly kind: 'work-ended', readonly request: RequestId, readonly cost: number, readonly now: Millis } |
   /**
-   * Workspaces that wait for the service, as known at this moment. Only the router at which they wait says so at
-   * first hand, and only it takes credit from a workspace that was idle: it cannot have been cut off from it.
+   * Workspaces that wait for the service, as known at this moment. The router at which they wait says so at first hand;
+   * only it takes credit from a workspace that was idle, since it cannot have been cut off from it.
    */
-  { readonly kind: 'backlog-seen', readonly firstHand: boolean, readonly service: ServiceId, readonly workspaces: readonly WorkspaceId[], readonly now: Millis } |
+  { readonly kind: 'backlog-seen', readonly firstHand?: boolean, readonly service: ServiceId, readonly workspaces: readonly WorkspaceId[], readonly now: Millis } |
   {
     readonly kind: 'counters-received'
     readonly entries: readonly CounterEntry[]
