--- a/packages/policy/src/exchange/tell.ts
+++ b/packages/policy/src/exchange/tell.ts
@@ -1,7 +1,8 @@
 /** What one peer is told: by its relation, and only what changed. */
 import { asId, type Incarnation, type Millis, type ServiceId } from '@fuchsiaworks/kernel'
 import type { FairnessAccount } from '../fairness/fairnessAccount.js'
-import { FLEET, type FairnessDb } from '../fairness/fairnessDb.js'
+import { FLEET } from '../fairness/accountTable.js'
+import type { FairnessDb } from '../fairness/fairnessDb.js'
 import { addTally, isNothing, NO_TALLY, subtractTally, tallyOf } from '../fairness/tally.js'
 import type { CounterEntry, LiftEntry } from '../fairness/fairnessTypes.js'
 import { type ExchangeDb, MESH, type Peer } from './exchangeDb.js'
@@ -13,6 +14,9 @@
 /** Bytes of a message beside its entries. */
 export const MESSAGE_BYTES = 24
 
+/** Milliseconds after which a peer is told that nothing changed, so that silence means that it was cut off. */
+const KEEPALIVE_MS = 500
+
 /** What is told in one round. */
 export interface Round {
   readonly now: Millis
@@ -28,10 +32,10 @@
  * @param fairness - totals and lifts
  * @param peer - who is told
  * @param round - what the round tells
- * @returns the message, or undefined when there is nothing to tell
+ * @returns the message, or undefined when there is nothing to tell yet
  */
 export const collect = (db: ExchangeDb, fairness: FairnessDb, peer: Peer, round: Round): Counters | undefined => {
-  const all = round.all || peer.toldAll === 0
+  const all = round.all || peer.toldAll === 0 || fairness.baseSeq > peer.toldAll
   const accounts = accountsFor(fairness, peer).filter(account => all || isBacklogged(fairness, account, round.now))
   const since = all ? peer.toldAll : peer.told
   const entries = accounts.filter(({ service }) => service !== FLEET).flatMap(account => entriesFor(db, fairness, peer, account, since))
@@ -40,7 +44,9 @@
   const base = tellsOrigins(peer) && fairness.baseSeq > peer.toldAll ? fairness.baseSnapshot() : undefined
   peer.told = fairness.seq
   if (all) peer.toldAll = fairness.seq
-  if (entries.length + lifts.length + backlogged.length === 0 && base === undefined) return undefined
+  const nothing = entries.length + lifts.length + backlogged.length === 0 && base === undefined
+  if (nothing && round.now - peer.toldAt < KEEPALIVE_MS) return undefined
+  peer.toldAt = round.now
   return { entries, lifts, backlogged, ...base === undefined ? {} : { base } }
 }
 
@@ -55,7 +61,7 @@
   return MESSAGE_BYTES + ENTRY_BYTES * (entries.length + lifts.length + backlogged.length + baseItems)
 }
 
-const tellsOrigins = ({ relation }: Peer): boolean => relation === 'router' || relation === 'leaf'
+const tellsOrigins = ({ relation }: Peer): boolean => relation === 'router' || relation === 'leaf' || relation === 'mesh'
 
 /**
  * Tells whether a peer's relation holds for a service.
@@ -70,7 +76,7 @@
   [...fairness.services()].filter(service => covers(peer, service)).flatMap(service => [...fairness.accountsOf(service)])
 
 const isBacklogged = (fairness: FairnessDb, account: FairnessAccount, now: Millis): boolean =>
-  now - account.backloggedAt <= fairness.config.idleGrace
+  now - account.backloggedAt <= fairness.grace
 
 /** A peer is not told what it told itself, unless it is new: an earlier process may have told it over a link of the same name. */
 const knows = (peer: Peer, source: string | undefined): boolean => peer.toldAll > 0 && source === peer.link
@@ -118,7 +124,7 @@
 /** One sum of all that others were served, without the child's own part. */
 const restEntry = (db: ExchangeDb, fairness: FairnessDb, peer: Peer, account: FairnessAccount, since: number): CounterEntry[] => {
   const { service, workspace, base, sum } = account
-  const changed = [...account.origins.values()].some(({ seq, source }) => seq > since && !knows(peer, source))
+  const changed = fairness.baseSeq > since || [...account.origins.values()].some(({ seq, source }) => seq > since && !knows(peer, source))
   if (!changed) return []
   const all = addTally(sum, tallyOf(base))
   const tally = subtractTally(all, db.child(peer.incarnation).sums.get(account)?.sum ?? NO_TALLY)
