Write the gauges that the metrics page names

Change: a reporter in both roles; agents measure the share of slot time that was idle while work waited, by samples. Conclusion: fairness.gap and control.bytes are still marked as not yet.

--- a/packages/agent/src/process/agentServices.ts
+++ b/packages/agent/src/process/agentServices.ts
@@ -1,7 +1,7 @@
 /** The services of an agent, as registered with the kernel. */
 import type { ServiceDefinition } from '@fuchsiaworks/kernel'
 import {
-  adminKey, AdminService, configurationKey, ConfigurationService, contextKey, fairnessKey, FairnessService, LinkHub, linkHubKey, membershipKey, MembershipService,
+  adminKey, AdminService, configurationKey, ConfigurationService, contextKey, fairnessKey, FairnessService, LinkHub, linkHubKey, membershipKey, MembershipService, MetricsReporter, metricsReporterKey,
   type ProcessContext
 } from '@fuchsiaworks/fleet'
 import type { AgentSettings } from '@fuchsiaworks/settings'
@@ -54,9 +54,10 @@
   },
   {
     id: slotsKey.id,
-    needs: [membershipKey.id, fairnessKey.id],
+    needs: [membershipKey.id, fairnessKey.id, runTableKey.id],
     create: kernel => new Slots(
-      context, kernel.get(linkHubKey), kernel.get(fairnessKey), kernel.get(limitKey), kernel.get(membershipKey), kernel.get(configurationKey)
+      context, kernel.get(linkHubKey), kernel.get(fairnessKey), kernel.get(limitKey), kernel.get(membershipKey), kernel.get(runTableKey),
+      kernel.get(configurationKey)
     )
   },
   {
@@ -88,6 +89,13 @@
       context, kernel.get(linkHubKey), kernel.get(configurationKey), kernel.get(membershipKey), kernel.get(limitKey), kernel.get(runTableKey), settings
     )
   },
+  {
+    id: metricsReporterKey.id,
+    needs: [slotsKey.id],
+    create: kernel => new MetricsReporter(
+      context, kernel.get(linkHubKey), kernel.get(configurationKey), metrics => { kernel.get(slotsKey).report(metrics) }
+    )
+  },
   {
     id: adminKey.id,
     needs: [stateTellerKey.id],
--- a/packages/agent/src/work/slots.ts
+++ b/packages/agent/src/work/slots.ts
@@ -1,6 +1,6 @@
 /** Fills the slots of the upstream by pulling requests from routers, least served workspace first. */
 import {
-  createLog, type Millis, onEvent, type RequestId, type Service, type ServiceId, type ServiceKey, serviceKey,
+  createLog, type Metrics, type Millis, onEvent, type RequestId, type Service, type ServiceId, type ServiceKey, serviceKey,
   type Timer, type UpstreamId, type WorkspaceId
 } from '@fuchsiaworks/kernel'
 import {
@@ -10,7 +10,9 @@
 import type { AgentSettings, FleetConfig } from '@fuchsiaworks/settings'
 import type { BacklogMessage } from '@fuchsiaworks/wire'
 import type { LimitService } from '../limits/limitService.js'
+import { IdleMeter } from './idleMeter.js'
 import { PullAhead } from './pullAhead.js'
+import type { RunTable } from './runTable.js'
 
 /** Milliseconds between two ticks of the policy. */
 const TICK_MS = 50
@@ -27,6 +29,7 @@
   #offer: { readonly service: ServiceId | undefined, readonly upstreams: number } = { service: undefined, upstreams: 0 }
   #timer: Timer | undefined
   readonly #ahead = new PullAhead()
+  readonly #idle = new IdleMeter()
   #pulls = 0
   #held = false
 
@@ -36,6 +39,7 @@
     readonly fairness: FairnessService,
     readonly limits: LimitService,
     readonly membership: MembershipService,
+    readonly runs: RunTable,
     configuration: ConfigurationService
   ) {
     this.#upstream = (context.settings as AgentSettings).upstream
@@ -63,9 +67,14 @@
     return this.#db.reserved
   }
 
-  /** Pulls sent since the start. */
-  get pulls (): number {
-    return this.#pulls
+  /** Writes what the slots did since the last report. */
+  report (metrics: Metrics): void {
+    const { service } = this.#offer
+    if (service === undefined) return
+    metrics.count('pulls', this.#pulls, { service })
+    this.#pulls = 0
+    const idle = this.#idle.report()
+    if (idle !== undefined) metrics.gauge('utilisation.idle_waiting', idle, { service })
   }
 
   start (): void {
@@ -123,6 +132,7 @@
     this.#decide({ kind: 'tick', now })
     const { service, upstreams } = this.#offer
     if (service === undefined) return
+    this.#idle.take({ limit: this.limits.capacity.limit, running: this.runs.size, waiting: this.#db.offersOf(service).length > 0 || this.#db.reserved > 0 })
     const linked = new Set(this.hub.withRole('router').map(link => link.peer.host))
     this.fairness.exchange({ kind: 'slots', service, free: this.#db.free, upstreams, linked, now })
   }
--- a/packages/policy/src/admission/admissionDb.ts
+++ b/packages/policy/src/admission/admissionDb.ts
@@ -78,6 +78,13 @@
     return this.#waiting.size
   }
 
+  /** @returns requests that wait for a service */
+  waitingFor (service: ServiceId): number {
+    let waiting = 0
+    for (const queue of this.queuesOf(service)) waiting += queue.size
+    return waiting
+  }
+
   /** @returns services with requests that wait */
   waitingServices (): ServiceId[] {
     return [...this.#queues].filter(([, queues]) => [...queues.values()].some(queue => queue.size > 0)).map(([service]) => service)
--- a/packages/router/src/process/routerServices.ts
+++ b/packages/router/src/process/routerServices.ts
@@ -1,7 +1,7 @@
 /** The services of a router, as registered with the kernel. */
 import { type ServiceDefinition, type ServiceKey, serviceKey } from '@fuchsiaworks/kernel'
 import {
-  adminKey, AdminService, configurationKey, ConfigurationService, contextKey, fairnessKey, FairnessService, LinkHub, linkHubKey, membershipKey, MembershipService, type ProcessContext
+  adminKey, AdminService, configurationKey, ConfigurationService, contextKey, fairnessKey, FairnessService, LinkHub, linkHubKey, membershipKey, MembershipService, MetricsReporter, metricsReporterKey, type ProcessContext
 } from '@fuchsiaworks/fleet'
 import { type AdmissionDb, admissionDefinition } from '@fuchsiaworks/policy'
 import type { RouterSettings } from '@fuchsiaworks/settings'
@@ -84,6 +84,14 @@
     needs: [answerRelayKey.id],
     create: kernel => new LinkServer(context, kernel.get(linkHubKey), settings)
   },
+  {
+    id: metricsReporterKey.id,
+    needs: [queueKey.id],
+    create: kernel => new MetricsReporter(context, kernel.get(linkHubKey), kernel.get(configurationKey), metrics => {
+      const { db } = kernel.get(queueKey)
+      for (const service of db.services()) metrics.gauge('queue.waiting', db.waitingFor(service), { service })
+    })
+  },
   {
     id: adminKey.id,
     needs: [callerServerKey.id, linkServerKey.id],
--- a/packages/router/src/requests/requestFlow.ts
+++ b/packages/router/src/requests/requestFlow.ts
@@ -95,6 +95,7 @@
     const now = this.#now()
     this.table.add(request)
     this.record('request-received', request)
+    this.context.metrics.count('requests.received', 1, { service })
     // A body that was not read whole cannot be sent a second time.
     const repeatable = idempotent && request.start.ended
     this.#decide({ kind: 'request-opened', now, request: id, workspace, service, idempotent: repeatable, deadline: now + patience })
