--- a/packages/policy/src/admission/admission.spec.ts
+++ b/packages/policy/src/admission/admission.spec.ts
@@ -84,6 +84,20 @@
     expect([...refused(arrive(db, 'x', 60_001)), ...refused(arrive(db, 'y', 60_001))]).toEqual([])
   })
 
+  it('refuses nothing for a stall of seconds after steady service', () => {
+    const db = admissionDefinition.createDb()
+    for (let now = 0; now < 30_000; now += 50) {
+      arrive(db, `steady ${now}`, now, { patience: 20_000 })
+      pull(db, now + 1)
+    }
+    const stalled: AdmissionCommand[] = []
+    for (let now = 30_000; now < 34_000; now += 50) {
+      stalled.push(...arrive(db, `stalled ${now}`, now, { patience: 20_000 }))
+      stalled.push(...decideAdmission(db, { kind: 'tick', now }))
+    }
+    expect(refused(stalled)).toEqual([])
+  })
+
   it('ends each request once, in order of arrival within a lane, never handed over after its deadline', () => {
     const step = fc.oneof(
       fc.record({ kind: fc.constant('arrive' as const), workspace: fc.constantFrom('a', 'b'), patience: fc.integer({ min: 10, max: 3_000 }), keyed: fc.boolean() }),
