Show the time until requests start at an upstream

Cause: idle slots while work waits do not say how long it waits.

Change: the bench shows the time from the intended sending to the start of the first run, p50 and p95.

--- a/packages/bench/src/measures/utilisation.ts
+++ b/packages/bench/src/measures/utilisation.ts
@@ -2,6 +2,7 @@
 import type { Deployment } from '../deployment/deploymentTypes.js'
 import type { RequestResult } from '../load/loadTypes.js'
 import { type Interval, sweep } from './intervals.js'
+import { type LatencySummary, summariseLatency } from './latency.js'
 import type { UpstreamFacts } from './runFacts.js'
 import { waitsOf } from './waiting.js'
 
@@ -15,6 +16,8 @@
   readonly waited: number
   /** Share of the configured slot time of that span in which nothing ran, from 0 to 1. */
   readonly idleShare: number
+  /** From the intended time of sending until the first run began. */
+  readonly startDelay: LatencySummary
 }
 
 /**
@@ -57,5 +60,7 @@
   // A request with a key may run at its home only, so its wait does not make other slots idle.
   const anywhere = results.filter(({ planned }) => planned.service === service.id && planned.kind !== 'post-keyed')
   const waits = waitsOf(anywhere, runs, grace)
-  return { service: service.id, ...idleWhileWaiting(clip(taken, span), clip(waits, span), service.slots * service.upstreamZones.length) }
+  const sent = anywhere.filter(({ intendedAt }) => intendedAt >= span.from && intendedAt < span.to)
+  const startDelay = summariseLatency(waitsOf(sent, runs, 0).map(({ from, to }) => to - from))
+  return { service: service.id, startDelay, ...idleWhileWaiting(clip(taken, span), clip(waits, span), service.slots * service.upstreamZones.length) }
 })
--- a/packages/bench/src/report/runReport.ts
+++ b/packages/bench/src/report/runReport.ts
@@ -6,6 +6,7 @@
 import type { MemberUse } from '../measures/fleetUse.js'
 import type { Interval } from '../measures/intervals.js'
 import { summariseLatency } from '../measures/latency.js'
+import type { ServiceUtilisation } from '../measures/utilisation.js'
 import type { Measures, Verdict } from '../measures/verdicts.js'
 import { ROOT } from '../processes/paths.js'
 import { type PlotLine, type PlotPanel, drawPlot } from './plot.js'
@@ -78,6 +79,9 @@
   return [files.json, files.svg]
 }
 
+const utilisationCells = (item: ServiceUtilisation | undefined): number[] =>
+  item === undefined ? [0, 0, 0, 0] : [item.waited / 1000, 100 * item.idleShare, item.startDelay.p50, item.startDelay.p95]
+
 /**
  * Lays a run out as tables.
  *
@@ -96,11 +100,11 @@
     return [name, (idle?.bytesPerSecond ?? 0) / 1000, 100 * (idle?.processorShare ?? 0), bytesPerSecond / 1000, 100 * processorShare, residentBytes / 1e6]
   })
   const serviceRows = fairness.map(({ service, gap, bound, backlogged, pair }, index) =>
-    [service, gap, bound, backlogged, pair?.join(' and ') ?? '', (utilisation[index]?.waited ?? 0) / 1000, 100 * (utilisation[index]?.idleShare ?? 0)])
+    [service, gap, bound, backlogged, pair?.join(' and ') ?? '', ...utilisationCells(utilisation[index])])
   const verdictRows = report.verdicts.map(({ name, value, bound, pass }) => [pass ? 'pass' : 'FAIL', name, value, bound])
   return [
     formatTable(['service', 'phase', 'requests', 'right', 'not-run', 'unknown', 'other', 'p50 ms', 'p95 ms', 'p99 ms', 'first byte p95 ms'], phaseRows),
-    formatTable(['service', 'gap', 'bound', 'backlogged', 'pair', 'waited s (before)', 'idle % (before)'], serviceRows),
+    formatTable(['service', 'gap', 'bound', 'backlogged', 'pair', 'waited s (before)', 'idle % (before)', 'start p50 ms (before)', 'start p95 ms (before)'], serviceRows),
     'Processes; bytes are those of all system calls in /proc/PID/io, without load (control only) and under load:',
     formatTable(['process', 'idle KB/s', 'idle core %', 'load KB/s', 'load core %', 'memory MB'], useRows),
     formatReasons(report.results),
