--- a/packages/fleet/src/configuration/configurationService.ts
+++ b/packages/fleet/src/configuration/configurationService.ts
@@ -24,7 +24,7 @@
 const WATCH_AFTER_MS = 1_000
 
 /** Longest random addition to that wait, in milliseconds. */
-const WATCH_JITTER_MS = 1_000
+const WATCH_JITTER_MS = 3_000
 
 /** Refused revisions that are remembered. */
 const MAX_REFUSED = 64
--- a/packages/fleet/src/membership/membershipService.ts
+++ b/packages/fleet/src/membership/membershipService.ts
@@ -18,10 +18,10 @@
 const TICK_MS = 200
 
 /** Routers that an agent links with in any case. */
-const BASE_LINKS = 8
+const BASE_LINKS = 4
 
 /** Agents of each service that link with each router. */
-const AGENTS_PER_ROUTER = 4
+const AGENTS_PER_ROUTER = 6
 
 /** Links that an agent adds for routers that call for agents. */
 const HUNGER_LINKS = 2
--- a/packages/router/src/callers/callerServer.ts
+++ b/packages/router/src/callers/callerServer.ts
@@ -11,6 +11,7 @@
 import type { OpenRequest, RequestFacts } from '../requests/openRequest.js'
 import { notReady, type RequestFlow } from '../requests/requestFlow.js'
 import type { RequestTable } from '../requests/requestTable.js'
+import { SilenceLimit } from '../requests/silenceLimit.js'
 import { upstreamHeaders } from './headers.js'
 import { IdentityIndex } from './identity.js'
 import { notRun, type Problem, sendProblem } from './problem.js'
@@ -149,15 +150,11 @@
 
   async #read (admitted: Admitted, req: IncomingMessage, res: ServerResponse): Promise<void> {
     const { limits } = admitted.force.config
-    const reader = new BodyReader(req, limits.bodyBytes, () => { sendProblem(res, tooLarge) })
-    const timer = this.context.clock.after(limits.bodyIdleTimeoutMs, () => { sendProblem(res, bodyTimeout) })
-    try {
-      const start = await reader.readStart(limits.bufferedBodyBytes)
-      if (res.writableEnded || res.destroyed) return
-      this.flow.open(this.#openRequest(admitted, req, res, reader, start))
-    } finally {
-      timer.close()
-    }
+    const silence = new SilenceLimit(this.context.clock, limits.bodyIdleTimeoutMs, () => { sendProblem(res, bodyTimeout) })
+    const reader = new BodyReader(req, limits.bodyBytes, () => { sendProblem(res, tooLarge) }, silence)
+    const start = await reader.readStart(limits.bufferedBodyBytes)
+    if (res.writableEnded || res.destroyed) return
+    this.flow.open(this.#openRequest(admitted, req, res, reader, start))
   }
 
   #openRequest (admitted: Admitted, req: IncomingMessage, res: ServerResponse, reader: BodyReader, start: BodyStart): OpenRequest {
@@ -170,7 +167,7 @@
       reader,
       writer: new AnswerWriter(res, bytes => {
         request.holder?.send({ kind: 'credit', request: facts.id, direction: 'response', bytes })
-      }),
+      }, new SilenceLimit(this.context.clock, admitted.force.config.limits.bodyIdleTimeoutMs, () => { res.destroy() })),
       holder: undefined,
       waiting: undefined,
       accepted: false,
--- a/packages/router/src/requests/answerWriter.ts
+++ b/packages/router/src/requests/answerWriter.ts
@@ -3,6 +3,7 @@
 import type { HeaderList } from '@fuchsiaworks/wire'
 import { endToEndHeaders } from '../callers/headers.js'
 import { type Problem, sendProblem } from '../callers/problem.js'
+import type { SilenceLimit } from './silenceLimit.js'
 
 /** Bytes taken by the caller after which credit is granted. */
 const CREDIT_STEP_BYTES = 16 * 1024
@@ -18,10 +19,12 @@
   /**
    * @param res - the caller's response
    * @param grant - called when the caller has taken more bytes
+   * @param silence - told when the caller has to take bytes before more can be sent
    */
-  constructor (res: ServerResponse, grant: (bytes: number) => void) {
+  constructor (res: ServerResponse, grant: (bytes: number) => void, readonly silence: SilenceLimit) {
     this.#res = res
     this.#grant = grant
+    res.once('close', () => { silence.close() })
   }
 
   /** True once status and headers were sent. */
@@ -44,7 +47,11 @@
       this.#take(data.length)
       return
     }
-    this.#res.once('drain', () => { this.#take(data.length) })
+    this.silence.expect()
+    this.#res.once('drain', () => {
+      this.silence.close()
+      this.#take(data.length)
+    })
   }
 
   /** Ends the answer. */
--- a/packages/router/src/requests/bodyReader.ts
+++ b/packages/router/src/requests/bodyReader.ts
@@ -1,5 +1,6 @@
 /** Reads a caller's request body: first a bounded part, later the rest under credit. */
 import type { IncomingMessage } from 'node:http'
+import type { SilenceLimit } from './silenceLimit.js'
 
 /** First part of a body. */
 export interface BodyStart {
@@ -22,8 +23,9 @@
    * @param req - the caller's request
    * @param maxBytes - longest body that is taken
    * @param onTooLarge - called once when the body is longer
+   * @param silence - told when it is the caller's turn
    */
-  constructor (req: IncomingMessage, readonly maxBytes: number, readonly onTooLarge: () => void) {
+  constructor (req: IncomingMessage, readonly maxBytes: number, readonly onTooLarge: () => void, readonly silence: SilenceLimit) {
     this.#req = req
   }
 
@@ -40,16 +42,22 @@
       const finish = (ended: boolean): void => {
         req.pause()
         req.off('data', onData).off('end', onEnd).off('close', onClose)
+        this.silence.close()
         resolve({ data: Buffer.concat(chunks), ended })
       }
       const onData = (chunk: Buffer): void => {
         chunks.push(chunk)
+        this.silence.expect()
         if (!this.#count(chunk)) return
         if (this.#received >= limit) finish(false)
       }
       const onEnd = (): void => { finish(true) }
-      const onClose = (): void => { reject(new Error('the caller closed the connection')) }
+      const onClose = (): void => {
+        this.silence.close()
+        reject(new Error('the caller closed the connection'))
+      }
       req.on('data', onData).on('end', onEnd).on('close', onClose).on('error', () => {})
+      this.silence.expect()
       req.resume()
     })
   }
@@ -67,9 +75,16 @@
       if (!this.#count(chunk)) return
       this.#credit -= chunk.length
       sink(chunk, false)
-      if (this.#credit <= 0) this.#req.pause()
+      if (this.#credit > 0) return this.silence.expect()
+      this.silence.close()
+      this.#req.pause()
+    })
+    this.#req.on('end', () => {
+      this.silence.close()
+      sink(new Uint8Array(0), true)
     })
-    this.#req.on('end', () => { sink(new Uint8Array(0), true) })
+    this.#req.on('close', () => { this.silence.close() })
+    this.silence.expect()
     this.#req.resume()
   }
 
@@ -80,7 +95,9 @@
    */
   addCredit (bytes: number): void {
     this.#credit += bytes
-    if (this.#sink !== undefined && this.#credit > 0) this.#req.resume()
+    if (this.#sink === undefined || this.#credit <= 0 || this.#req.readableEnded) return
+    this.silence.expect()
+    this.#req.resume()
   }
 
   #count (chunk: Buffer): boolean {
