Prove a limit by every slot, and let no short hiccup lower it

Cause: agents report token gaps five times a second. Windows filled within a tenth of a second, so that a limit could grow before the requests of its new slots had shown a first token, and one hiccup of 200 ms could lower it or make the upstream count as cold. Change: a request proves the limit by a completion or by a second of tokens within target, and 90 in 100 slots must have proved it; a fall needs a window of a second; samples of a jump are 250 ms apart; ready upstreams step by up to 1.5 as cold ones do. The modelled engine reports as agents do.

--- a/packages/policy/src/limit/latencyWindow.ts
+++ b/packages/policy/src/limit/latencyWindow.ts
@@ -26,13 +26,21 @@
 export class LatencyWindow {
   readonly #samples: Readonly<Record<SampleKind, Millis[]>> = { 'first-byte': [], 'token-gap': [] }
   #next = 0
+  #since: Millis | undefined
 
   /** Number of samples of the kind that has more. */
   get size (): number {
     return Math.max(...SAMPLE_KINDS.map(kind => this.#samples[kind].length))
   }
 
-  add (kind: SampleKind, value: Millis): void {
+  /** @returns milliseconds since the first sample, 0 without one */
+  span (now: Millis): Millis {
+    return this.#since === undefined ? 0 : now - this.#since
+  }
+
+  /** Adds a sample. */
+  add (kind: SampleKind, value: Millis, now: Millis): void {
+    this.#since ??= now
     const samples = this.#samples[kind]
     if (samples.length < WINDOW_CAPACITY) samples.push(value)
     else samples[this.#next++ % WINDOW_CAPACITY] = value
@@ -43,7 +51,9 @@
     return quantile(this.#samples[kind], share)
   }
 
+  /** Forgets every sample. */
   clear (): void {
+    this.#since = undefined
     for (const kind of SAMPLE_KINDS) this.#samples[kind].length = 0
   }
 }
--- a/packages/policy/src/limit/limit.ts
+++ b/packages/policy/src/limit/limit.ts
@@ -20,15 +20,12 @@
 /** Milliseconds for which a load report bounds the limit, counted from its measurement. */
 const REPORT_LIFE_MS = 5_000
 
-/** Part of a completion that a summary of token gaps within the target proves when all slots are in use. */
-const GAP_PROOF = 0.2
-
 /** Milliseconds between two ticks from which this process counts as paused. */
 const PAUSE_MS = 1_000
 
 const takeSample = (db: LimitDb, now: Millis, kind: SampleKind, value: Millis): void => {
   if (db.state === 'down') return
-  db.addSample(kind, value)
+  db.addSample(kind, value, now)
   if (db.state === 'ready' && db.jumped(kind, JUMP_FACTOR)) return goCold(db, now, 'latency jumped above its own record')
   evaluate(db, now)
 }
@@ -56,7 +53,7 @@
   db.running.delete(event.request)
   if (ran === undefined || !event.ok) return
   db.timeouts = 0
-  if (ran.epoch === db.epoch) db.proved += 1
+  if (ran.epoch === db.epoch) db.prove(ran)
   evaluate(db, event.now)
 }
 
@@ -103,7 +100,7 @@
 const apply = (db: LimitDb, event: LimitEvent): LimitCommand[] => {
   switch (event.kind) {
     case 'started':
-      db.running.set(event.request, { startedAt: event.now, epoch: db.epoch, sampled: false, overPause: false })
+      db.running.set(event.request, { startedAt: event.now, epoch: db.epoch, sampled: false, overPause: false, goodSince: undefined, provedIn: -1 })
       db.peak = Math.max(db.peak, db.running.size)
       return []
     case 'first-byte': {
@@ -115,9 +112,12 @@
     }
     case 'token-gap': {
       const request = db.running.get(event.request)
-      if (db.running.size >= db.limit && event.gap <= db.target('token-gap')) db.proved += GAP_PROOF
-      if (request?.overPause === false) takeSample(db, event.now, 'token-gap', event.gap)
-      if (request !== undefined) request.overPause = false
+      if (request === undefined) return []
+      if (!request.overPause) {
+        db.followTokens(request, event.gap, event.now)
+        takeSample(db, event.now, 'token-gap', event.gap)
+      }
+      request.overPause = false
       return []
     }
     case 'ended':
--- a/packages/policy/src/limit/limitDb.ts
+++ b/packages/policy/src/limit/limitDb.ts
@@ -12,11 +12,21 @@
   sampled: boolean
   /** True when the next summary of its token gaps covers a pause of this process. */
   overPause: boolean
+  /** Since when its tokens have come within target, in this epoch; undefined before the first byte. */
+  goodSince: Millis | undefined
+  /** Epoch in which it last proved the limit. */
+  provedIn: number
 }
 
 /** Samples that are compared with the record to see a jump. */
 const RECENT_SAMPLES = 5
 
+/** Milliseconds between two of these samples, so that one short hiccup does not fill them. */
+const RECENT_SPACING_MS = 250
+
+/** Milliseconds of tokens within target that prove as much as a completion. */
+const PROOF_MS = 1_000
+
 /** Weight of a new window in the record. */
 const RECORD_WEIGHT = 0.2
 
@@ -34,8 +44,10 @@
   /** Counts changes of the limit; a request proves only the limit under which it started. */
   epoch = 0
   changedAt: Millis = 0
-  /** Good completions of requests that started in this epoch, and parts of one for token gaps while all slots were in use. */
+  /** Good completions of requests that started in this epoch, and seconds of tokens within target in it. */
   proved = 0
+  /** Requests among them; the limit has shown itself once each slot's request has. */
+  shown = 0
   /** Most requests that ran at the same time since the window began. */
   peak = 0
   /** Largest limit that missed its target; 0 when none is known. */
@@ -45,12 +57,15 @@
   readonly running = new Map<RequestId, RunningRequest>()
   readonly window = new LatencyWindow()
   readonly probe: { due: Millis | undefined, inFlight: boolean, failures: number } = { due: undefined, inFlight: false, failures: 0 }
+  /** When the window was last judged. */
+  judgedAt: Millis = -Infinity
   /** Time of the last tick; undefined before the first. */
   tickedAt: Millis | undefined
   /** Upper bound from a load report, until it is too old. */
   bound: { value: number, until: Millis } | undefined
   readonly #record: Record<SampleKind, Millis> = { 'first-byte': 0, 'token-gap': 0 }
   readonly #recent: Readonly<Record<SampleKind, Millis[]>> = { 'first-byte': [], 'token-gap': [] }
+  readonly #recentAt: Record<SampleKind, Millis> = { 'first-byte': -Infinity, 'token-gap': -Infinity }
   /** Time to first byte that 95 in 100 calls of a plain service keep under little load; 0 until learnt. */
   #base: Millis = 0
   #published: { limit: number, state: LimitState } = { limit: -1, state: 'down' }
@@ -77,6 +92,7 @@
     return this.running.size <= this.limit
   }
 
+  /** Changes the limit and begins a new epoch. */
   setLimit (limit: number, now: Millis, reason: string): void {
     this.limit = clamp(Math.floor(limit), 1, this.config.hardCap)
     this.reason = reason
@@ -85,14 +101,17 @@
     this.restartWindow()
   }
 
+  /** Changes the state. */
   setState (state: LimitState, reason: string): void {
     this.state = state
     this.reason = reason
   }
 
+  /** Begins a new window under the same limit. */
   restartWindow (): void {
     this.window.clear()
     this.proved = 0
+    this.shown = 0
     this.peak = this.running.size
   }
 
@@ -117,11 +136,28 @@
   }
 
   /** Keeps a sample for the window and for the comparison with the record. */
-  addSample (kind: SampleKind, value: Millis): void {
+  addSample (kind: SampleKind, value: Millis, now: Millis): void {
+    if (this.settled) this.window.add(kind, value, now)
+    if (now - this.#recentAt[kind] < RECENT_SPACING_MS) return
+    this.#recentAt[kind] = now
     const recent = this.#recent[kind]
     recent.push(value)
     if (recent.length > RECENT_SAMPLES) recent.shift()
-    if (this.settled) this.window.add(kind, value)
+  }
+
+  /** Counts a completion, or a second of good tokens, of a request. */
+  prove (request: RunningRequest): void {
+    this.proved += 1
+    if (request.provedIn !== this.epoch) this.shown += 1
+    request.provedIn = this.epoch
+  }
+
+  /** Follows the tokens of a request; each second within target proves the limit. */
+  followTokens (request: RunningRequest, gap: Millis, now: Millis): void {
+    const isGood = gap <= this.target('token-gap')
+    const since = Math.max(request.goodSince ?? now, this.changedAt)
+    if (isGood && now - since >= PROOF_MS) this.prove(request)
+    request.goodSince = isGood && now - since < PROOF_MS ? since : now
   }
 
   /**
@@ -159,6 +195,7 @@
     for (const request of this.running.values()) {
       request.sampled = true
       request.overPause = true
+      request.goodSince = undefined
     }
     this.forgetRecent()
     this.restartWindow()
--- a/packages/policy/src/limit/limitSteps.ts
+++ b/packages/policy/src/limit/limitSteps.ts
@@ -5,6 +5,15 @@
 /** Samples from which a 95th percentile is read. */
 const MIN_SAMPLES = 20
 
+/** Milliseconds that a window spans, at least, before the limit falls; one short hiccup is no overload. */
+const MIN_SPAN_MS = 1_000
+
+/** Milliseconds between two looks for a fall. */
+const JUDGE_PERIOD_MS = 100
+
+/** Share of the slots whose requests must have shown themselves before the limit grows. */
+const SHOWN_SHARE = 0.9
+
 /** Share of the target under which the limit grows in proportion to the headroom. */
 const GROW_BELOW = 0.9
 
@@ -15,7 +24,7 @@
 const COLD_STEP = 1.5
 
 /** Largest growth of a ready upstream's limit in one step. */
-const READY_STEP = 1.25
+const READY_STEP = 1.5
 
 /** Share of the last limit that missed, from which the limit grows by one. */
 const NEAR_CEILING = 0.85
@@ -97,9 +106,10 @@
   if (db.state === 'cold' && db.limit >= READY_GROWTH * db.config.coldConcurrency) db.setState('ready', 'proved by completions')
 }
 
-const enoughSamples = (db: LimitDb): boolean => {
-  if (db.state === 'cold') return db.proved >= Math.max(MIN_PROOF, db.limit)
-  return db.window.size >= Math.max(MIN_SAMPLES, db.limit)
+/** True when the requests of nearly every slot have shown how they fare at this limit. */
+const hasShown = (db: LimitDb): boolean => {
+  if (db.shown < SHOWN_SHARE * db.limit || db.proved < MIN_PROOF) return false
+  return db.state === 'cold' || db.window.size >= MIN_SAMPLES
 }
 
 /**
@@ -110,11 +120,16 @@
  */
 export const evaluate = (db: LimitDb, now: Millis): void => {
   if (db.state === 'down' || !db.settled) return
+  const shown = hasShown(db)
+  const spans = db.window.span(now) >= MIN_SPAN_MS
+  if (!shown && (!spans || now - db.judgedAt < JUDGE_PERIOD_MS)) return
+  db.judgedAt = now
   const pressure = db.pressure()
   // Few samples speak of the middle only; 95 in 100 need more.
   const few = db.window.size >= Math.max(MIN_PROOF, db.limit) && db.medianPressure() > 1
-  if (few || (pressure > 1 && db.window.size >= MIN_SAMPLES)) return fall(db, now, pressure, 'target missed')
-  if (!enoughSamples(db)) return
+  const many = db.window.size >= MIN_SAMPLES && pressure > 1
+  if (spans && (few || many)) return fall(db, now, pressure, 'target missed')
+  if (!shown) return
   db.learnBase()
   if (db.state === 'ready') db.learnRecord()
   if (db.peak < db.effective(now)) return db.restartWindow()
--- a/packages/policy/src/limit/upstreamModel.ts
+++ b/packages/policy/src/limit/upstreamModel.ts
@@ -34,7 +34,7 @@
 const KNEE_GAP_MS = 59
 
 /** Milliseconds between a stream's summaries of its token gaps. */
-const SUMMARY_PERIOD_MS = 1_000
+const SUMMARY_PERIOD_MS = 200
 
 /** An engine that slows down with load, is cold at first and may end under load. */
 export class UpstreamModel {
@@ -69,6 +69,7 @@
     this.#warmth = 1
   }
 
+  /** Starts a request. */
   start (now: Millis): LimitEvent {
     const id = asId<RequestId>(`r${this.#count++}`)
     const load = (this.running.size + 1) / this.knee
