--- a/packages/agent/src/process/agentServices.ts
+++ b/packages/agent/src/process/agentServices.ts
@@ -1,7 +1,7 @@
 /** The services of an agent, as registered with the kernel. */
 import type { ServiceDefinition } from '@fuchsiaworks/kernel'
 import {
-  adminKey, AdminService, configurationKey, ConfigurationService, contextKey, fairnessKey, FairnessService, LinkHub, linkHubKey, membershipKey, MembershipService,
+  adminKey, AdminService, configurationKey, ConfigurationService, contextKey, fairnessKey, FairnessService, LinkHub, linkHubKey, membershipKey, MembershipService, MetricsReporter, metricsReporterKey,
   type ProcessContext
 } from '@fuchsiaworks/fleet'
 import type { AgentSettings } from '@fuchsiaworks/settings'
@@ -10,12 +10,12 @@
 import { LimitService, limitKey } from '../limits/limitService.js'
 import { LoadWatch, loadWatchKey } from '../limits/loadWatch.js'
 import { StateTeller, stateTellerKey } from '../links/stateTeller.js'
-import { AloneGate, aloneGateKey } from '../work/aloneGate.js'
 import { Handovers, handoversKey } from '../work/handovers.js'
 import { KeyedAnswers, keyedAnswersKey } from '../work/keyedAnswers.js'
 import { Runner, runnerKey } from '../work/runner.js'
 import { RunTable, runTableKey } from '../work/runTable.js'
 import { Slots, slotsKey } from '../work/slots.js'
+import { StartGate, startGateKey } from '../work/startGate.js'
 
 /**
  * Lists the services of an agent.
@@ -54,9 +54,10 @@
   },
   {
     id: slotsKey.id,
-    needs: [membershipKey.id, fairnessKey.id],
+    needs: [membershipKey.id, fairnessKey.id, runTableKey.id],
     create: kernel => new Slots(
-      context, kernel.get(linkHubKey), kernel.get(fairnessKey), kernel.get(limitKey), kernel.get(membershipKey), kernel.get(configurationKey)
+      context, kernel.get(linkHubKey), kernel.get(fairnessKey), kernel.get(limitKey), kernel.get(membershipKey), kernel.get(runTableKey),
+      kernel.get(configurationKey)
     )
   },
   {
@@ -68,13 +69,17 @@
     )
   },
   { id: loadWatchKey.id, needs: [limitKey.id], create: kernel => new LoadWatch(context, kernel.get(limitKey), settings) },
-  { id: aloneGateKey.id, needs: [slotsKey.id, runTableKey.id], create: kernel => new AloneGate(kernel.get(runTableKey), kernel.get(slotsKey)) },
+  {
+    id: startGateKey.id,
+    needs: [slotsKey.id, runTableKey.id],
+    create: kernel => new StartGate(kernel.get(runTableKey), kernel.get(slotsKey), kernel.get(limitKey))
+  },
   {
     id: handoversKey.id,
-    needs: [runnerKey.id, aloneGateKey.id],
+    needs: [runnerKey.id, startGateKey.id],
     create: kernel => new Handovers(
       context, kernel.get(linkHubKey), kernel.get(membershipKey), kernel.get(limitKey), kernel.get(slotsKey), kernel.get(keyServiceKey),
-      kernel.get(keyedAnswersKey), kernel.get(runnerKey), kernel.get(aloneGateKey)
+      kernel.get(keyedAnswersKey), kernel.get(runnerKey), kernel.get(startGateKey)
     )
   },
   {
@@ -84,6 +89,13 @@
       context, kernel.get(linkHubKey), kernel.get(configurationKey), kernel.get(membershipKey), kernel.get(limitKey), kernel.get(runTableKey), settings
     )
   },
+  {
+    id: metricsReporterKey.id,
+    needs: [slotsKey.id],
+    create: kernel => new MetricsReporter(
+      context, kernel.get(linkHubKey), kernel.get(configurationKey), metrics => { kernel.get(slotsKey).report(metrics) }
+    )
+  },
   {
     id: adminKey.id,
     needs: [stateTellerKey.id],
--- a/packages/wire/src/link/dialSessions.ts
+++ b/packages/wire/src/link/dialSessions.ts
@@ -3,12 +3,14 @@
 import { clamp, createLog, EventSource, newId, toError, type Timer } from '@fuchsiaworks/kernel'
 import { WebSocket } from 'ws'
 import { DialerHandshake } from '../handshake/handshake.js'
-import type { Answer, Offer } from '../handshake/handshakeTypes.js'
+import type { Answer, DialerResult, HandshakeStep, Offer } from '../handshake/handshakeTypes.js'
 import { LinkSession } from '../session/linkSession.js'
 import type { DialSessions, LinkOptions, Session } from '../session/sessionTypes.js'
 import { backoffDelay } from './backoff.js'
-import { Connection } from './connection.js'
-import { BUFFER_LIMIT_BYTES, HANDSHAKE_MS, MAX_FRAME_BYTES, MIN_DIAL_MS } from './linkConstants.js'
+import { Connection, noUser } from './connection.js'
+import { HANDSHAKE_MS, MAX_FRAME_BYTES, MIN_DIAL_MS } from './linkConstants.js'
+import { RepeatedWarning } from './repeatedWarning.js'
+import { sessionLimits } from './sessionLimits.js'
 import { clientTls, tlsBinding } from './tls.js'
 
 type DialOptions = LinkOptions & { readonly host: string, readonly port: number }
@@ -28,6 +30,7 @@
 /** The dialing end of links to one address. */
 class LinkDialer {
   readonly #sessions = new EventSource<Session>()
+  readonly #failedAttempts: RepeatedWarning
   readonly #name = newId<Offer['identity']['incarnation']>()
   #open = true
   #attempt = 0
@@ -41,6 +44,7 @@
   readonly sessions = this.#sessions.stream
 
   constructor (readonly options: DialOptions) {
+    this.#failedAttempts = new RepeatedWarning(options.clock, log, `found no link to ${options.host}:${options.port}`)
     const first = setImmediate(() => { this.#dial() })
     this.#timer = { close: () => { clearImmediate(first) } }
   }
@@ -59,6 +63,8 @@
     this.#attempt += 1
     const connection = new Connection(openSocket(this.options), clock)
     this.#connection = connection
+    // The user changes once the handshake is over, so this hears only of attempts that failed.
+    connection.user = { ...noUser, closed: reason => { if (this.#open) this.#failedAttempts.add(reason) } }
     const session = this.#session
     const offer: Offer = {
       identity,
@@ -79,22 +85,20 @@
   }
 
   #shakeHands (connection: Connection, handshake: DialerHandshake, limit: Timer): void {
-    const fail = (reason: string): void => {
-      log.warn('could not open a link', { host: this.options.host, port: this.options.port, reason })
-      connection.terminate(reason)
-    }
     const receive = (data: Uint8Array): void => {
+      let step: HandshakeStep<DialerResult>
       try {
-        const { reply, result } = handshake.receive(data)
-        if (reply !== undefined) connection.send(reply)
-        if (result === undefined) return
-        limit.close()
-        this.#admit(connection, handshake.offer, result.answer)
+        step = handshake.receive(data)
       } catch (err) {
-        fail(toError(err).message)
+        connection.terminate(toError(err).message)
+        return
       }
+      if (step.reply !== undefined) connection.send(step.reply)
+      if (step.result === undefined) return
+      limit.close()
+      this.#admit(connection, handshake.offer, step.result.answer)
     }
-    connection.user = { receive, malformed: () => { fail('malformed') }, closed: () => {}, drained: () => {} }
+    connection.user = { ...connection.user, receive, malformed: () => { connection.terminate('malformed') } }
     connection.socket.once('open', () => { connection.send(handshake.start()) })
   }
 
@@ -125,9 +129,8 @@
   }
 
   #openSession (offer: Offer, answer: Answer): LinkSession {
-    const { clock, heartbeat, silence, expiry, bufferLimit = BUFFER_LIMIT_BYTES } = this.options
-    const limits = { side: 'dialer', heartbeat, silence, expiry, bufferLimit } as const
-    const session: LinkSession = new LinkSession(answer.identity, clock, limits, () => {
+    const limits = sessionLimits('dialer', this.options)
+    const session: LinkSession = new LinkSession(answer.identity, this.options.clock, limits, () => {
       if (this.#session === session) this.#session = undefined
     })
     this.#session = session
