Measure the slopes of the capacity page

Cause: docs/CAPACITY.md needs slopes of the queue, the choice of a pull, the exchange of counters, message sizes and the reading of a configuration, and no command measured them.

--- /dev/null
+++ b/packages/bench/src/capacity/messageSlopes.ts
@@ -0,0 +1,66 @@
+/** Encoded bytes of messages, read off a session over loopback. */
+import { asId, newId, systemClock } from '@fuchsiaworks/kernel'
+import { dialSessions, type LinkOptions, listenSessions, type Message, type Session } from '@fuchsiaworks/wire'
+import { countersOf } from './counterSlopes.js'
+import { type Slope, slopeOf } from './slopes.js'
+
+const ENTRIES = [1, 28, 280] as const
+
+const optionsOf = (host: string, role: 'router' | 'agent'): LinkOptions & { readonly host: string } => ({
+  identity: { host: asId(host), incarnation: newId(), role, zone: asId('zone-1') },
+  linkKey: 'a key for measurements',
+  clock: systemClock,
+  heartbeat: 1_000,
+  silence: 3_000,
+  expiry: 30_000,
+  host: '127.0.0.1'
+})
+
+const backlogOf = (size: number): Message => ({
+  kind: 'backlog',
+  service: asId('service-1'),
+  entries: Array.from({ length: size }, (_, index) => ({ workspace: asId(`workspace-${index}`), waiting: 120, oldestWait: 1234.567, headCost: 4096 }))
+})
+
+const backloggedOf = (size: number): Message => ({
+  kind: 'counters',
+  entries: [],
+  lifts: [],
+  backlogged: Array.from({ length: size }, (_, index) => ({
+    service: asId('service-1'), workspace: asId(`workspace-${index}`), router: asId('router-1.zone-1'), waiting: 120, age: 123.456
+  }))
+})
+
+const messages: ReadonlyArray<readonly [name: string, make: (size: number) => Message]> = [
+  ['backlog message', backlogOf],
+  ['counters message, totals', size => ({ kind: 'counters', entries: countersOf(size, 123456.789), lifts: [], backlogged: [] })],
+  ['counters message, backlogged', backloggedOf]
+]
+
+/** Messages that are sent whole, of one size. */
+const single: Message = {
+  kind: 'agent-state', upstream: asId('upstream-1234'), service: asId('service-1'), zone: asId('zone-1'), state: 'ready', reason: 'target met', limit: 48, running: 31
+}
+
+const bytesIn = (session: Session, message: Message): number => {
+  const before = session.unconfirmed
+  session.send(message)
+  return session.unconfirmed - before
+}
+
+/**
+ * Measures the bytes of messages without frames and headers.
+ *
+ * @returns slopes by entries, and the bytes of one agent-state message
+ */
+export const messageSlopes = async (): Promise<{ readonly slopes: readonly Slope[], readonly agentState: number }> => {
+  const server = await listenSessions({ ...optionsOf('router-1', 'router'), port: 0 })
+  const dialer = dialSessions({ ...optionsOf('agent-1', 'agent'), port: server.address.port })
+  const session = await new Promise<Session>(resolve => { dialer.sessions.take(1).observe(resolve) })
+  const slopes = messages.map(([name, make]) =>
+    slopeOf({ name, unit: 'bytes', against: 'entries' }, ENTRIES, size => bytesIn(session, make(size))))
+  const agentState = bytesIn(session, single)
+  dialer.close()
+  await server.close()
+  return { slopes, agentState }
+}
