Take only a standing queue for a load report's bound

Change: three reports in a row with waiting requests are needed; the spec of the bound now sends three and checks that two do not bind.

--- a/packages/policy/src/limit/limit.spec.ts
+++ b/packages/policy/src/limit/limit.spec.ts
@@ -245,6 +245,11 @@
 
   it('takes a load report as a bound for its life, and never as leave to grow', () => {
     const db = new LimitDb({ ...config, coldConcurrency: 8 })
+    // A request that was just admitted waits for a moment; a queue that stands is seen in every report.
+    for (const now of [1_000, 1_500]) {
+      decideLimit(db, { kind: 'load-report', now, age: 500, running: 5, waiting: 3 })
+      expect(db.effective(now)).toEqual(8)
+    }
     decideLimit(db, { kind: 'load-report', now: 2_000, age: 1_000, running: 5, waiting: 3 })
     expect([db.effective(2_001), db.effective(5_999), db.effective(6_000)]).toEqual([5, 5, 8])
     decideLimit(db, { kind: 'load-report', now: 7_000, age: 0, running: 50, waiting: 0 })
--- a/packages/policy/src/limit/limit.ts
+++ b/packages/policy/src/limit/limit.ts
@@ -20,6 +20,9 @@
 /** Milliseconds for which a load report bounds the limit, counted from its measurement. */
 const REPORT_LIFE_MS = 5_000
 
+/** Reports in a row with waiting requests that show a standing queue; a request that was just admitted waits for a moment. */
+const STANDING_REPORTS = 3
+
 /** Milliseconds between two ticks from which this process counts as paused. */
 const PAUSE_MS = 1_000
 
@@ -61,10 +64,9 @@
   const measuredAt = event.now - event.age
   if (measuredAt < db.changedAt || event.age >= REPORT_LIFE_MS) return
   if (event.cold === true && db.state === 'ready') goCold(db, event.now, 'reported cold')
-  if (event.waiting === 0) {
-    db.bound = undefined
-    return
-  }
+  db.waitingReports = event.waiting === 0 ? 0 : db.waitingReports + 1
+  if (event.waiting === 0) db.bound = undefined
+  if (db.waitingReports < STANDING_REPORTS) return
   db.bound = { value: Math.max(1, event.running), until: measuredAt + REPORT_LIFE_MS }
 }
 
--- a/packages/policy/src/limit/limitDb.ts
+++ b/packages/policy/src/limit/limitDb.ts
@@ -61,6 +61,8 @@
   judgedAt: Millis = -Infinity
   /** Time of the last tick; undefined before the first. */
   tickedAt: Millis | undefined
+  /** Load reports in a row that told of waiting requests. */
+  waitingReports = 0
   /** Upper bound from a load report, until it is too old. */
   bound: { value: number, until: Millis } | undefined
   readonly #record: Record<SampleKind, Millis> = { 'first-byte': 0, 'token-gap': 0 }
