Tell one agent of its own state change, idle ones in waves above twelve, and tick less often

Change: planOffers is used above twelve agents of a service, so that today's fleets keep the shortest wait; a state change tells its own link only; policies tick every 100 or 200 ms in place of 50 or 250, in step.

--- a/packages/agent/src/work/slots.ts
+++ b/packages/agent/src/work/slots.ts
@@ -15,7 +15,7 @@
 import type { RunTable } from './runTable.js'
 
 /** Milliseconds between two ticks of the policy. */
-const TICK_MS = 50
+const TICK_MS = 100
 
 /** Values of a 32-bit number. */
 const UINT32_RANGE = 2 ** 32
--- a/packages/fleet/src/configuration/configurationService.ts
+++ b/packages/fleet/src/configuration/configurationService.ts
@@ -18,7 +18,7 @@
 }
 
 /** Milliseconds between two ticks of the policy. */
-const TICK_MS = 250
+const TICK_MS = 200
 
 /** Milliseconds without a link after which an agent watches the configuration service. */
 const WATCH_AFTER_MS = 1_000
--- a/packages/fleet/src/fairness/fairnessService.ts
+++ b/packages/fleet/src/fairness/fairnessService.ts
@@ -14,7 +14,7 @@
 import type { MembershipService } from '../membership/membershipService.js'
 
 /** Milliseconds between two ticks of the policies. */
-const TICK_MS = 50
+const TICK_MS = 100
 
 /** Values of a 32-bit number. */
 const UINT32_RANGE = 2 ** 32
--- a/packages/router/src/links/agentStates.ts
+++ b/packages/router/src/links/agentStates.ts
@@ -5,10 +5,16 @@
 
 const log = createLog('agents')
 
+/** What an agent said, and over which link. */
+export interface AgentChange {
+  readonly link: FleetLink
+  readonly state: AgentStateMessage
+}
+
 /** Agents by link. */
 export class AgentStates {
   readonly #states = new Map<FleetLink, AgentStateMessage>()
-  readonly #changes = new EventSource<AgentStateMessage>()
+  readonly #changes = new EventSource<AgentChange>()
   /** States as agents tell them. */
   readonly changes = this.#changes.stream
 
@@ -18,7 +24,7 @@
     hub.table.on('agent-state', (link, message) => {
       if (!this.#states.has(link)) fairness.joinAgent(link, message.service)
       this.#states.set(link, message)
-      this.#changes.emit(message)
+      this.#changes.emit({ link, state: message })
     })
     onEvent(hub.closed, log, ({ link }) => { this.#states.delete(link) })
   }
--- a/packages/router/src/links/backlogTeller.ts
+++ b/packages/router/src/links/backlogTeller.ts
@@ -1,22 +1,38 @@
 /** Tells the agents of a service what waits for them here. Changes of one turn of the loop are told together. */
-import { createLog, onEvent, type ServiceId, type ServiceKey, serviceKey } from '@fuchsiaworks/kernel'
+import { createLog, getOrMake, type Millis, onEvent, type ServiceId, type ServiceKey, serviceKey } from '@fuchsiaworks/kernel'
 import type { FairnessService, FleetLink, ProcessContext } from '@fuchsiaworks/fleet'
-import { type AdmissionDb, backlogFor, wholeBacklog } from '@fuchsiaworks/policy'
+import { type AdmissionDb, backlogFor, type OfferTarget, planOffers, RETELL_MS, wholeBacklog } from '@fuchsiaworks/policy'
+import type { AgentStateMessage } from '@fuchsiaworks/wire'
 import type { AgentStates } from './agentStates.js'
 
+/** Agents of a service up to which all are told at once; above, idle ones are told in waves. */
+const TELL_ALL_UP_TO = 12
+
+/** Values of a 32-bit number. */
+const UINT32_RANGE = 2 ** 32
+
 const log = createLog('backlog')
 
+/** What one agent was told last. */
+interface Told {
+  at: Millis
+  outOfDate: boolean
+  empty: boolean
+}
+
 /** Sends backlog messages. */
 export class BacklogTeller {
   readonly #changed = new Set<ServiceId>()
-  readonly #toldEmpty = new Map<FleetLink, boolean>()
+  readonly #told = new Map<FleetLink, Told>()
+  readonly #seed: number
   #scheduled = false
 
   constructor (
     readonly context: ProcessContext, readonly admission: AdmissionDb, readonly states: AgentStates, readonly fairness: FairnessService
   ) {
-    onEvent(fairness.links.hub.closed, log, ({ link }) => { this.#toldEmpty.delete(link) })
-    onEvent(states.changes, log, ({ service }) => { this.mark(service) })
+    this.#seed = Math.floor(context.random() * UINT32_RANGE)
+    onEvent(fairness.links.hub.closed, log, ({ link }) => { this.#told.delete(link) })
+    onEvent(states.changes, log, ({ link, state }) => { this.#markOne(link, state.service) })
   }
 
   /**
@@ -25,6 +41,22 @@
    * @param service - the service
    */
   mark (service: ServiceId): void {
+    for (const [link, state] of this.states.all()) {
+      if (state.service === service) this.#toldTo(link).outOfDate = true
+    }
+    this.#schedule(service)
+  }
+
+  #markOne (link: FleetLink, service: ServiceId): void {
+    this.#toldTo(link).outOfDate = true
+    this.#schedule(service)
+  }
+
+  #toldTo (link: FleetLink): Told {
+    return getOrMake(this.#told, link, () => ({ at: Number.NEGATIVE_INFINITY, outOfDate: true, empty: true }))
+  }
+
+  #schedule (service: ServiceId): void {
     this.#changed.add(service)
     if (this.#scheduled) return
     this.#scheduled = true
@@ -33,27 +65,52 @@
 
   #tellAll (): void {
     this.#scheduled = false
-    for (const [link, state] of this.states.all()) {
-      if (this.#changed.has(state.service)) this.#tell(link, state.service)
-    }
-    for (const service of this.#changed) this.#tellExchange(service)
+    const services = [...this.#changed]
     this.#changed.clear()
+    for (const service of services) {
+      this.#tellService(service)
+      this.#tellExchange(service)
+    }
     this.fairness.links.membership.countBacklog(this.admission.waitingServices())
   }
 
-  #tellExchange (service: ServiceId): void {
-    const now = this.context.clock.now()
-    this.fairness.exchange({ kind: 'own-backlog', service, entries: wholeBacklog(this.admission, service, now), now })
+  #tellService (service: ServiceId): void {
+    const agents = [...this.states.all()].filter(([link, state]) => state.service === service && this.#toldTo(link).outOfDate)
+    const chosen = agents.length <= TELL_ALL_UP_TO ? undefined : this.#chooseWave(service, agents)
+    for (const [link, state] of agents) {
+      if (chosen === undefined || chosen.has(link.id)) this.#tell(link, state)
+    }
+    if (chosen !== undefined && chosen.size < agents.length) this.context.clock.after(RETELL_MS, () => { this.#schedule(service) })
+  }
+
+  /** Agents that may not take work are told with each wave, so that they stop asking. */
+  #chooseWave (service: ServiceId, agents: ReadonlyArray<readonly [FleetLink, AgentStateMessage]>): Set<string> {
+    const able = agents.filter(([link]) => this.states.mayTakeWork(link))
+    const targets: OfferTarget[] = able.map(([link, { limit, running }]) => {
+      const { at, outOfDate } = this.#toldTo(link)
+      return { link: link.id, free: limit - running, toldAt: at, outOfDate }
+    })
+    const wave = planOffers(targets, this.admission.waitingFor(service), this.#seed, this.context.clock.now())
+    const barred = agents.filter(([link]) => !this.states.mayTakeWork(link)).map(([link]) => link.id)
+    return new Set([...wave, ...barred])
   }
 
-  #tell (link: FleetLink, service: ServiceId): void {
-    const state = this.states.of(link)
-    if (state === undefined) return
-    const entries = this.states.mayTakeWork(link) ? backlogFor(this.admission, service, state, this.context.clock.now()) : []
-    if (entries.length === 0 && this.#toldEmpty.get(link) !== false) return
-    this.#toldEmpty.set(link, entries.length === 0)
+  #tell (link: FleetLink, state: AgentStateMessage): void {
+    const { service } = state
+    const told = this.#toldTo(link)
+    const now = this.context.clock.now()
+    const entries = this.states.mayTakeWork(link) ? backlogFor(this.admission, service, state, now) : []
+    told.outOfDate = false
+    if (entries.length === 0 && told.empty) return
+    told.empty = entries.length === 0
+    told.at = now
     link.send({ kind: 'backlog', service, entries })
   }
+
+  #tellExchange (service: ServiceId): void {
+    const now = this.context.clock.now()
+    this.fairness.exchange({ kind: 'own-backlog', service, entries: wholeBacklog(this.admission, service, now), now })
+  }
 }
 
 /** Key of the backlog teller. */
--- a/packages/router/src/requests/requestFlow.ts
+++ b/packages/router/src/requests/requestFlow.ts
@@ -23,7 +23,7 @@
 import type { RequestTable } from './requestTable.js'
 
 /** Milliseconds between two ticks of the policies. */
-const TICK_MS = 50
+const TICK_MS = 100
 
 /** Bytes of a body that may be on the way without having been taken at the other end. */
 export const BODY_WINDOW_BYTES = 64 * 1024
