Ask the previous home of a key that moved, instead of answering unknown

Cause: after each change of a service's upstreams every key whose home moved was answered unknown for spread + skews, although the previous home lives and knows.

Change: key-ask and key-told go from the present home over a router to the previous one and back. The previous home promises `never` by revisions, not by time, or names the home before itself; the present home runs, replays, waits or says unknown. A home that started shortly before the move asks nobody. The word on an opaque key counts only for a time after its presentation: a generated sequence found a double run where an answer came after the key had lapsed at the previous home. A request that waited without a slot is declined and offered again, so that the concurrency limit holds; so far it ran beside the others.

Tests: the model of the fleet moved to a fixture, and has messages that are late, lost and repeated, and restarts with a stale list.

--- a/packages/agent/src/keys/keyService.ts
+++ b/packages/agent/src/keys/keyService.ts
@@ -1,7 +1,7 @@
 /** Keeps the idempotency keys that this agent's upstream is the home of. */
 import { createLog, onEvent, type Millis, type Service, type ServiceId, type ServiceKey, serviceKey, type Timer } from '@fuchsiaworks/kernel'
 import { type ConfigInForce, type ConfigurationService, listedUpstreams, type ProcessContext } from '@fuchsiaworks/fleet'
-import { type KeysCommand, type KeysDb, keysDefinition, type KeysEvent } from '@fuchsiaworks/policy'
+import { type KeyFate, type KeyName, type KeyQuestion, type KeysCommand, type KeysDb, keysDefinition, type KeysEvent } from '@fuchsiaworks/policy'
 import type { AgentSettings } from '@fuchsiaworks/settings'
 
 /** Milliseconds between two ticks of the policy. */
@@ -16,6 +16,9 @@
 /** Milliseconds within which a configuration is in force everywhere. */
 const SPREAD_MS = 5_000
 
+/** Milliseconds within which the word of a previous home counts for an opaque key. */
+const TOLD_WITHIN_MS = 10_000
+
 /** Bytes of the largest answer that is kept to be given again. */
 export const KEPT_ANSWER_BYTES = 64 * 1024
 
@@ -27,9 +30,13 @@
 
 const log = createLog('keys')
 
+/** Carries out what the keys policy decides for requests. */
+export type KeyCommandHandler = (command: KeysCommand) => void
+
 /** Joins the keys policy to time and configuration. */
 export class KeyService implements Service {
   readonly #db: KeysDb
+  #handle: KeyCommandHandler = () => {}
   #timer: Timer | undefined
 
   constructor (readonly context: ProcessContext, configuration: ConfigurationService, settings: AgentSettings) {
@@ -38,6 +45,7 @@
       callerSkew: CALLER_SKEW_MS,
       hostSkew: HOST_SKEW_MS,
       spread: SPREAD_MS,
+      toldWithin: TOLD_WITHIN_MS,
       get maxKeys () { return configuration.effective.keys.maxRemembered },
       answerBytes: KEPT_ANSWER_BYTES,
       storeBytes: STORE_BYTES,
@@ -79,11 +87,46 @@
     return keysDefinition.decide(this.#db, event)
   }
 
-  #configure ({ config }: ConfigInForce): void {
+  /** Sets who carries out commands for requests that waited. */
+  onCommand (handle: KeyCommandHandler): void {
+    this.#handle = handle
+  }
+
+  /**
+   * Tells the policy of an event, and has the commands for requests that waited carried out.
+   *
+   * @param event - what happened to a key
+   */
+  report (event: KeysEvent): void {
+    for (const command of this.decide(event)) this.#handle(command)
+  }
+
+  /**
+   * Answers the present home of a key of which this was the home.
+   *
+   * @param question - the key
+   * @returns what is known here
+   */
+  fateOf (question: KeyQuestion): KeyFate {
+    return keysDefinition.fateOf(this.#db, { ...question, now: this.now(), wall: this.context.clock.wall() })
+  }
+
+  /**
+   * Tells whether requests still wait for the answer to a question.
+   *
+   * @param name - the key
+   * @param ask - number of the question
+   */
+  isAsking (name: KeyName, ask: number): boolean {
+    const state = this.#db.find(name)?.state
+    return state?.kind === 'asking' && state.ask === ask
+  }
+
+  #configure ({ config, revision }: ConfigInForce): void {
     const now = this.now()
     const wall = this.context.clock.wall()
     for (const service of Object.keys(config.services) as ServiceId[]) {
-      this.decide({ kind: 'upstreams-listed', now, wall, service, upstreams: listedUpstreams(config, service) })
+      this.report({ kind: 'upstreams-listed', now, wall, service, upstreams: listedUpstreams(config, service), revision })
     }
   }
 }
--- a/packages/agent/src/process/agentServices.ts
+++ b/packages/agent/src/process/agentServices.ts
@@ -6,6 +6,7 @@
 } from '@fuchsiaworks/fleet'
 import type { AgentSettings } from '@fuchsiaworks/settings'
 import { agentHandlers } from '../admin/agentAdmin.js'
+import { KeyAsks, keyAsksKey } from '../keys/keyAsks.js'
 import { KeyService, keyServiceKey } from '../keys/keyService.js'
 import { LimitService, limitKey } from '../limits/limitService.js'
 import { LoadWatch, loadWatchKey } from '../limits/loadWatch.js'
@@ -69,12 +70,17 @@
   },
   { id: loadWatchKey.id, needs: [limitKey.id], create: kernel => new LoadWatch(context, kernel.get(limitKey), settings) },
   { id: aloneGateKey.id, needs: [slotsKey.id, runTableKey.id], create: kernel => new AloneGate(kernel.get(runTableKey), kernel.get(slotsKey)) },
+  {
+    id: keyAsksKey.id,
+    needs: [keyServiceKey.id],
+    create: kernel => new KeyAsks(context, kernel.get(linkHubKey), kernel.get(keyServiceKey))
+  },
   {
     id: handoversKey.id,
-    needs: [runnerKey.id, aloneGateKey.id],
+    needs: [runnerKey.id, aloneGateKey.id, keyAsksKey.id],
     create: kernel => new Handovers(
       context, kernel.get(linkHubKey), kernel.get(membershipKey), kernel.get(limitKey), kernel.get(slotsKey), kernel.get(keyServiceKey),
-      kernel.get(keyedAnswersKey), kernel.get(runnerKey), kernel.get(aloneGateKey)
+      kernel.get(keyAsksKey), kernel.get(runnerKey), kernel.get(aloneGateKey)
     )
   },
   {
--- a/packages/agent/src/work/handovers.ts
+++ b/packages/agent/src/work/handovers.ts
@@ -3,20 +3,23 @@
 import type { FleetLink, LinkHub, MembershipService, ProcessContext } from '@fuchsiaworks/fleet'
 import type { KeyName, KeysCommand } from '@fuchsiaworks/policy'
 import type { DeclinedMessage, HandoverMessage } from '@fuchsiaworks/wire'
+import type { KeyAsks } from '../keys/keyAsks.js'
 import type { KeyService } from '../keys/keyService.js'
 import type { LimitService } from '../limits/limitService.js'
 import type { AloneGate } from './aloneGate.js'
-import { type KeyedAnswers, keyNameOf } from './keyedAnswers.js'
+import { keyNameOf } from './keyedAnswers.js'
 import { answerNotKept, keyConflict, keyRefusals, sendAnswer, sendReplyProblem } from './replies.js'
 import type { Runner } from './runner.js'
 import type { Slots } from './slots.js'
 
 const log = createLog('handovers')
 
-/** A request that waits here for the first run of its key. */
+/** A request that has not started. */
 interface Held {
   readonly link: FleetLink
   readonly handover: HandoverMessage
+  /** False once it has given its slot back, to wait for a run of its key. */
+  slotTaken: boolean
 }
 
 /** The door through which requests come to the upstream. */
@@ -30,13 +33,13 @@
     readonly limits: LimitService,
     readonly slots: Slots,
     readonly keys: KeyService,
-    keyed: KeyedAnswers,
+    readonly asks: KeyAsks,
     readonly runner: Runner,
     readonly gate: AloneGate
   ) {
     hub.table.on('handover', (link, message) => { this.#onHandover(link, message) })
     hub.table.on('cancel', (link, message) => { this.#onCancel(link, message.request) })
-    keyed.onCommand(command => { this.#runKey(command) })
+    keys.onCommand(command => { this.#runKey(command) })
     onEvent(hub.closed, log, ({ link }) => { this.#dropLink(link) })
   }
 
@@ -48,12 +51,11 @@
       this.#decline(link, request, refusal)
       return this.slots.release(request)
     }
-    this.#held.set(request, { link, handover })
+    this.#held.set(request, { link, handover, slotTaken: true })
     const name = keyNameOf(handover)
     if (name === undefined) return this.#start(request)
     const { clock } = this.context
-    const event = { kind: 'key-presented', ...name, request, fingerprint: handover.fingerprint, now: clock.now(), wall: clock.wall() } as const
-    this.#runKeys(this.keys.decide(event))
+    this.keys.report({ kind: 'key-presented', ...name, request, fingerprint: handover.fingerprint, now: clock.now(), wall: clock.wall() })
   }
 
   #refusalOf (handover: HandoverMessage): DeclinedMessage['reason'] | undefined {
@@ -67,9 +69,9 @@
     if (held === undefined) return
     const { link } = held
     switch (command.kind) {
-      case 'run': return this.#start(command.request)
-      // The slot is not needed while the first run goes on.
-      case 'wait': return this.slots.release(command.request)
+      case 'run': return this.#startKeyed(held)
+      case 'wait': return this.#releaseSlot(held)
+      case 'ask': return this.asks.ask(link, command)
       case 'replay': return this.#finish(held, () => { sendAnswer(link, command.request, command.answer) })
       case 'answer-unknown': return this.#finish(held, () => { this.#decline(link, command.request, 'key-unknown') })
       case 'answer-ran': return this.#finish(held, () => { sendReplyProblem(link, command.request, answerNotKept) })
@@ -84,6 +86,23 @@
     sendReplyProblem(link, handover.request, keyRefusals[reason])
   }
 
+  /** The slot is not needed while the key runs for another request. */
+  #releaseSlot (held: Held): void {
+    if (!held.slotTaken) return
+    held.slotTaken = false
+    this.slots.release(held.handover.request)
+  }
+
+  /** A request that waited may no longer be welcome; without a slot its router has to offer it again. */
+  #startKeyed (held: Held): void {
+    const { handover, link } = held
+    const refusal = held.slotTaken ? this.#refusalOf(handover) : 'expired'
+    if (refusal === undefined) return this.#start(handover.request)
+    this.#finish(held, () => { this.#decline(link, handover.request, refusal) })
+    const name = keyNameOf(handover)
+    if (name !== undefined) this.keys.report({ kind: 'run-failed', ...name, now: this.keys.now(), outcome: 'not-run' })
+  }
+
   #start (request: RequestId): void {
     const held = this.#held.get(request)
     const service = held === undefined ? undefined : this.runner.serviceOf(held.handover)
@@ -131,12 +150,8 @@
   /** The first run of a key that never started has not run; what waits for it may go on. */
   #dropKey (name: KeyName, request: RequestId): void {
     const now = this.context.clock.now()
-    if (!this.gate.isWaiting(request)) return this.#runKeys(this.keys.decide({ kind: 'waiter-gone', ...name, request }))
-    this.#runKeys(this.keys.decide({ kind: 'run-failed', ...name, now, outcome: 'not-run' }))
-  }
-
-  #runKeys (commands: readonly KeysCommand[]): void {
-    for (const command of commands) this.#runKey(command)
+    if (!this.gate.isWaiting(request)) return this.keys.report({ kind: 'waiter-gone', ...name, request })
+    this.keys.report({ kind: 'run-failed', ...name, now, outcome: 'not-run' })
   }
 }
 
--- a/packages/policy/src/keys/homeHistory.ts
+++ b/packages/policy/src/keys/homeHistory.ts
@@ -14,6 +14,26 @@
 interface ListedUpstreams {
   readonly members: ReadonlyArray<HashedMember<UpstreamId>>
   readonly since: Moment
+  /** Revision with which the list came in force here. */
+  readonly from: number
+  /** Newest revision that was in force here with this list. */
+  to: number
+}
+
+/** Where a key had its home before it moved. */
+export interface Move {
+  readonly upstream: UpstreamId
+  /** Revision that moved it. */
+  readonly revision: number
+  readonly at: Moment
+}
+
+/** A time in which one upstream was the home of a key. */
+export interface Stay {
+  /** Undefined when it began longer ago than counts. */
+  readonly since: Moment | undefined
+  /** How the key came; undefined when its home before is not known for certain. */
+  readonly move: Move | undefined
 }
 
 /** Upstream lists of a service, newest last. */
@@ -27,11 +47,15 @@
    *
    * @param members - the upstreams with their hashes
    * @param since - when it came in force here
+   * @param revision - the configuration's revision
    */
-  add (members: ReadonlyArray<HashedMember<UpstreamId>>, since: Moment): void {
+  add (members: ReadonlyArray<HashedMember<UpstreamId>>, since: Moment, revision: number): void {
     const newest = this.#lists.at(-1)
-    if (newest !== undefined && sameMembers(newest.members, members)) return
-    this.#lists.push({ members, since })
+    if (newest !== undefined && sameMembers(newest.members, members)) {
+      newest.to = revision
+      return
+    }
+    this.#lists.push({ members, since, from: revision, to: revision })
     if (newest === undefined) this.#dropped = since
     if (this.#lists.length <= MAX_LISTS) return
     this.#lists.shift()
@@ -49,19 +73,52 @@
     return newest === undefined ? undefined : rendezvous(newest.members, subject)
   }
 
+  /** Newest revision that came in force here; -1 before the first. */
+  get revision (): number {
+    return this.#lists.at(-1)?.to ?? -1
+  }
+
   /**
-   * Tells when a key last moved to this upstream.
+   * Tells since when this upstream was the home of a key at a revision, and where the key had been before.
    *
    * @param subject - hash of the key
    * @param self - this upstream
-   * @returns the moment; undefined when it was the home all the time that counts
+   * @param revision - the newest revision or a past one
+   * @returns the stay; undefined when this is not known to have been the home then
    */
-  movedAt (subject: number, self: UpstreamId): Moment | undefined {
-    for (let i = this.#lists.length - 2; i >= 0; i -= 1) {
+  stayAt (subject: number, self: UpstreamId, revision: number): Stay | undefined {
+    const at = this.#lists.findIndex(list => list.from <= revision && revision <= list.to)
+    const list = this.#lists[at]
+    if (list === undefined || rendezvous(list.members, subject) !== self) return undefined
+    const other = this.#lastOther(subject, self, at)
+    return { since: this.#since(other), move: this.#moveAfter(other, subject) }
+  }
+
+  /** When this process began to know lists; undefined when that is longer ago than counts. */
+  get began (): Moment | undefined {
+    return this.#dropped
+  }
+
+  #since (other: number): Moment | undefined {
+    return other === -1 ? this.#dropped : this.#lists[other + 1]?.since
+  }
+
+  /** The move away from a list; undefined when revisions are missing between it and the next, so that another home may have been between. */
+  #moveAfter (other: number, subject: number): Move | undefined {
+    const old = this.#lists[other]
+    const next = this.#lists[other + 1]
+    if (old === undefined || next === undefined || old.to !== next.from - 1) return undefined
+    const upstream = rendezvous(old.members, subject)
+    return upstream === undefined ? undefined : { upstream, revision: next.from, at: next.since }
+  }
+
+  /** Index of the last list before one that names another home; -1 when there is none. */
+  #lastOther (subject: number, self: UpstreamId, before: number): number {
+    for (let i = before - 1; i >= 0; i -= 1) {
       const list = this.#lists[i]
-      if (list !== undefined && rendezvous(list.members, subject) !== self) return this.#lists[i + 1]?.since
+      if (list !== undefined && rendezvous(list.members, subject) !== self) return i
     }
-    return this.#dropped
+    return -1
   }
 
   /**
--- a/packages/policy/src/keys/keys.measure.ts
+++ b/packages/policy/src/keys/keys.measure.ts
@@ -38,7 +38,7 @@
 
 const self = asId<UpstreamId>('upstream-0')
 const config = {
-  window: WINDOW_MS, callerSkew: 2_000, hostSkew: 2_000, spread: 10_000, maxKeys: KEYS, answerBytes: 65_536, storeBytes: 16_777_216, maxWaiters: 8
+  window: WINDOW_MS, callerSkew: 2_000, hostSkew: 2_000, spread: 10_000, toldWithin: 10_000, maxKeys: KEYS, answerBytes: 65_536, storeBytes: 16_777_216, maxWaiters: 8
 }
 const memory = (): number => {
   globalThis.gc?.()
@@ -46,7 +46,7 @@
 }
 const before = memory()
 const db = new KeysDb(self, config, hash)
-decideKeys(db, { kind: 'upstreams-listed', now: 0, wall: 0, service, upstreams: [self] })
+decideKeys(db, { kind: 'upstreams-listed', now: 0, wall: 0, service, upstreams: [self], revision: 1 })
 const now = 2 * WINDOW_MS
 const micros = timed(n => {
   decideKeys(db, { kind: 'key-presented', now, wall: now, ...name(n), request: asId<RequestId>(`r${n}`), fingerprint: asId<Fingerprint>('f') })
--- a/packages/policy/src/keys/keys.ts
+++ b/packages/policy/src/keys/keys.ts
@@ -1,26 +1,13 @@
 /** Decides at a key's home whether a keyed request may run: at most once for each key. */
 import { assertNever, type RequestId } from '@fuchsiaworks/kernel'
-import type { KeyEntry, KeysDb } from './keysDb.js'
+import { judgeKey, type KeyJudgement, stayOf } from './keyDoubt.js'
+import { dropMovedQuestions, finish, leaveQuestion, onTold } from './keyHandoff.js'
+import type { KeyEntry, KeysDb, KeyState } from './keysDb.js'
 import type { KeyName, KeysCommand, KeysEvent } from './keysTypes.js'
 import { uuidTime } from './uuidTime.js'
 
 type KeyPresented = Extract<KeysEvent, { kind: 'key-presented' }>
 
-/** True when a key without an entry may have run before: here before the start, at an earlier home, or before it was forgotten. */
-const mayHaveRun = (db: KeysDb, event: KeyPresented, made: number | undefined): boolean => {
-  const { window, callerSkew, hostSkew, spread } = db.config
-  const moved = db.history(event.service).movedAt(db.subject(event), db.self)
-  const forgotten = db.forgotten(event.workspace)
-  if (made === undefined) {
-    const movedUntil = moved === undefined ? -Infinity : moved.now + window + spread
-    return event.now < Math.max(movedUntil, forgotten.opaqueUntil)
-  }
-  const skew = callerSkew + hostSkew
-  const movedWall = moved === undefined ? -Infinity : moved.wall + spread + skew
-  const oldest = event.wall - window + skew
-  return made <= Math.max(movedWall, forgotten.timedUntil, oldest)
-}
-
 const onKnown = (db: KeysDb, entry: KeyEntry, event: KeyPresented): KeysCommand[] => {
   const { request } = event
   if (entry.fingerprint !== event.fingerprint) return [{ kind: 'conflict', request }]
@@ -29,6 +16,7 @@
       return [{ kind: 'answer-unknown', request }]
     case 'ended':
       return [finish(request, entry.state.answer)]
+    case 'asking':
     case 'running':
       if (entry.waiters.length >= db.config.maxWaiters) return [{ kind: 'refuse', request, reason: 'too-many-waiters' }]
       entry.waiters.push(request)
@@ -38,20 +26,26 @@
   }
 }
 
-const finish = (request: RequestId, answer: Parameters<KeysDb['endWith']>[1]): KeysCommand =>
-  answer === undefined ? { kind: 'answer-ran', request } : { kind: 'replay', request, answer }
-
 const onPresented = (db: KeysDb, event: KeyPresented): KeysCommand[] => {
   const { request } = event
-  if (db.history(event.service).home(db.subject(event)) !== db.self) return [{ kind: 'refuse', request, reason: 'not-home' }]
+  if (!db.isHome(event)) return [{ kind: 'refuse', request, reason: 'not-home' }]
   const entry = db.find(event)
   if (entry !== undefined) return onKnown(db, entry, event)
   const made = uuidTime(event.key)
   if (made !== undefined && made > event.wall + db.config.callerSkew) return [{ kind: 'refuse', request, reason: 'key-from-future' }]
-  if (mayHaveRun(db, event, made)) return [{ kind: 'answer-unknown', request }]
-  const name = { service: event.service, workspace: event.workspace, key: event.key }
-  if (!db.addRunning(name, event.fingerprint, request, event.now)) return [{ kind: 'refuse', request, reason: 'too-many-keys' }]
-  return [{ kind: 'run', request }]
+  const judgement = judgeKey(db, event, stayOf(db, event, db.history(event.service).revision))
+  return judgement.kind === 'unknown' ? [{ kind: 'answer-unknown', request }] : open(db, event, judgement)
+}
+
+/** Runs a key, or asks the home before whether it may run. */
+const open = (db: KeysDb, { request, fingerprint, now, service, workspace, key }: KeyPresented, judgement: Exclude<KeyJudgement, { kind: 'unknown' }>): KeysCommand[] => {
+  const name = { service, workspace, key }
+  const ask = db.nextAsk()
+  const state: KeyState = judgement.kind === 'never' ? { kind: 'running', first: request } : { kind: 'asking', first: request, ask }
+  if (!db.add(name, fingerprint, state, now)) return [{ kind: 'refuse', request, reason: 'too-many-keys' }]
+  if (judgement.kind === 'never') return [{ kind: 'run', request }]
+  const { upstream, revision } = judgement.home
+  return [{ kind: 'ask', request, ask, upstream, question: { ...name, fingerprint, revision } }]
 }
 
 const takeWaiters = (entry: KeyEntry): RequestId[] => {
@@ -101,8 +95,8 @@
 export const decideKeys = (db: KeysDb, event: KeysEvent): KeysCommand[] => {
   switch (event.kind) {
     case 'upstreams-listed':
-      db.setUpstreams(event.service, event.upstreams, { now: event.now, wall: event.wall })
-      return []
+      db.setUpstreams(event.service, event.upstreams, { now: event.now, wall: event.wall }, event.revision)
+      return dropMovedQuestions(db)
     case 'key-presented':
       return onPresented(db, event)
     case 'run-started': {
@@ -122,9 +116,13 @@
     }
     case 'waiter-gone': {
       const entry = db.find(event)
-      if (entry !== undefined) entry.waiters = entry.waiters.filter(request => request !== event.request)
+      if (entry === undefined) return []
+      entry.waiters = entry.waiters.filter(request => request !== event.request)
+      if (entry.state.kind === 'asking') leaveQuestion(db, entry, entry.state, event.request)
       return []
     }
+    case 'key-told':
+      return onTold(db, event)
     case 'tick':
       db.expire(event.now)
       return []
--- a/packages/policy/src/keys/keysDb.ts
+++ b/packages/policy/src/keys/keysDb.ts
@@ -8,6 +8,7 @@
 
 /** How far the run of a key has come. */
 export type KeyState =
+  { readonly kind: 'asking', readonly first: RequestId, readonly ask: number } |
   { readonly kind: 'running', readonly first: RequestId } |
   { readonly kind: 'ended', readonly answer: StoredAnswer | undefined } |
   { readonly kind: 'unknown' }
@@ -41,6 +42,7 @@
   /** Entries with a stored answer, oldest first. */
   readonly #answers = new Map<KeyEntry, number>()
   #bytes = 0
+  #asks = 0
 
   /**
    * @param self - the upstream beside which the agent runs
@@ -59,8 +61,24 @@
     return [...this.#workspaces.values()].reduce((sum, keys) => sum + keys.size, 0)
   }
 
-  setUpstreams (service: ServiceId, upstreams: readonly UpstreamId[], since: Moment): void {
-    this.history(service).add(hashMembers(this.hash, upstreams), since)
+  setUpstreams (service: ServiceId, upstreams: readonly UpstreamId[], since: Moment, revision: number): void {
+    this.history(service).add(hashMembers(this.hash, upstreams), since, revision)
+  }
+
+  /** @returns the number of the next question */
+  nextAsk (): number {
+    this.#asks += 1
+    return this.#asks
+  }
+
+  /** @returns keys whose previous home has not told yet */
+  asking (): KeyEntry[] {
+    return [...this.#workspaces.values()].flatMap(keys => [...keys.values()].filter(entry => entry.state.kind === 'asking'))
+  }
+
+  /** @returns true when this upstream is the home of the key under the newest list */
+  isHome (name: KeyName): boolean {
+    return this.history(name.service).home(this.subject(name)) === this.self
   }
 
   history (service: ServiceId): HomeHistory {
@@ -81,14 +99,14 @@
   }
 
   /**
-   * Remembers that a key runs, and makes room for it.
+   * Remembers a key that runs or is asked for, and makes room for it.
    *
-   * @returns false when every remembered key of the workspace still runs
+   * @returns false when every remembered key of the workspace is open
    */
-  addRunning (name: KeyName, fingerprint: Fingerprint, first: RequestId, now: Millis): boolean {
+  add (name: KeyName, fingerprint: Fingerprint, state: KeyState, now: Millis): boolean {
     const keys = getOrMake(this.#workspaces, name.workspace, () => new Map<string, KeyEntry>())
     if (keys.size >= this.config.maxKeys && !this.#evictOldest(keys)) return false
-    keys.set(entryKey(name), { name, fingerprint, since: now, state: { kind: 'running', first }, waiters: [] })
+    keys.set(entryKey(name), { name, fingerprint, since: now, state, waiters: [] })
     return true
   }
 
@@ -116,15 +134,15 @@
     const before = now - this.config.window
     for (const keys of this.#workspaces.values()) {
       for (const entry of keys.values()) {
-        if (entry.since < before && entry.state.kind !== 'running') this.#forget(keys, entry)
+        if (entry.since < before && !isOpen(entry)) this.#forget(keys, entry)
       }
     }
-    for (const history of this.#histories.values()) history.prune(before - this.config.spread)
+    for (const history of this.#histories.values()) history.prune(before - this.config.spread - this.config.toldWithin)
   }
 
   #evictOldest (keys: Map<string, KeyEntry>): boolean {
     for (const entry of keys.values()) {
-      if (entry.state.kind === 'running') continue
+      if (isOpen(entry)) continue
       this.#forget(keys, entry)
       return true
     }
@@ -149,4 +167,7 @@
   }
 }
 
+/** True while a request of the key has neither ended nor been refused. */
+const isOpen = ({ state }: KeyEntry): boolean => state.kind === 'running' || state.kind === 'asking'
+
 const entryKey = (name: KeyName): string => `${name.service}\n${name.key}`
--- a/packages/policy/src/keys/keysDefinition.ts
+++ b/packages/policy/src/keys/keysDefinition.ts
@@ -1,4 +1,5 @@
 /** Registers the idempotency keys of a home. */
+import { fateOf } from './keyHandoff.js'
 import { decideKeys } from './keys.js'
 import { KeysDb } from './keysDb.js'
 
@@ -6,5 +7,6 @@
 export const keysDefinition = {
   id: 'keys',
   createDb: (...args: ConstructorParameters<typeof KeysDb>): KeysDb => new KeysDb(...args),
-  decide: decideKeys
+  decide: decideKeys,
+  fateOf
 } as const
--- /dev/null
+++ b/packages/policy/src/keys/keysFixtures.spec.ts
@@ -0,0 +1,184 @@
+/** What the specs of keys share: homes as plain state, and a fleet of them with routers, clocks, a publisher and messages that go astray. */
+import { asId, type Fingerprint, type RequestId, type ServiceId, type UpstreamId, type WorkspaceId } from '@fuchsiaworks/kernel'
+import { fateOf } from './keyHandoff.js'
+import { keyHome } from './keyHome.js'
+import { decideKeys } from './keys.js'
+import { KeysDb } from './keysDb.js'
+import type { KeyFate, KeyQuestion, KeysCommand, KeysConfig, StoredAnswer } from './keysTypes.js'
+import { hashMembers, loadStringHash } from './rendezvous.js'
+import { uuidTime } from './uuidTime.js'
+
+export const EPOCH = 1_700_000_000_000
+export const service = asId<ServiceId>('ledger')
+export const workspace = asId<WorkspaceId>('small')
+export const fingerprint = asId<Fingerprint>('f')
+export const upstreams = ['u0', 'u1', 'u2', 'u3'].map(name => asId<UpstreamId>(name))
+const lists = [upstreams.slice(0, 3), upstreams.slice(1), upstreams.slice(0, 2), upstreams]
+export const config: KeysConfig = {
+  window: 10_000, callerSkew: 300, hostSkew: 200, spread: 2_000, toldWithin: 3_000, maxKeys: 4, answerBytes: 100, storeBytes: 250, maxWaiters: 2
+}
+export const stored: StoredAnswer = { status: 201, headers: [], body: new Uint8Array(90) }
+export const request = (n: number): RequestId => asId<RequestId>(`r${n}`)
+
+export const uuidAt = (time: number, n: number): string => {
+  const hex = time.toString(16).padStart(12, '0')
+  return `${hex.slice(0, 8)}-${hex.slice(8)}-7000-8000-${n.toString(16).padStart(12, '0')}`
+}
+
+export const hash = await loadStringHash()
+
+/** A home that has run long enough to trust itself, and the only upstream of its service. */
+export const settled = (cfg: Partial<KeysConfig> = {}): KeysDb => {
+  const db = new KeysDb(upstreams[0]!, { ...config, ...cfg }, hash)
+  decideKeys(db, { kind: 'upstreams-listed', now: 0, wall: EPOCH, service, upstreams: [upstreams[0]!], revision: 1 })
+  return db
+}
+
+export const present = (db: KeysDb, now: number, key: string, n: number, print = fingerprint): KeysCommand[] =>
+  decideKeys(db, { kind: 'key-presented', now, wall: EPOCH + now, service, workspace, key, request: request(n), fingerprint: print })
+
+export const name = (key: string): { service: ServiceId, workspace: WorkspaceId, key: string } => ({ service, workspace, key })
+
+/** One life of a home. */
+interface Home {
+  readonly db: KeysDb
+  readonly offset: number
+  revision: number
+}
+
+/** A question on its way to a previous home, or what that home told on its way back. */
+type Letter =
+  { readonly kind: 'ask', readonly asker: Home, readonly ask: number, readonly to: UpstreamId, readonly question: KeyQuestion } |
+  { readonly kind: 'told', readonly asker: Home, readonly ask: number, readonly to: UpstreamId, readonly question: KeyQuestion, readonly fate: KeyFate }
+
+/** Homes, routers, clocks, a publisher and messages; every run is counted. */
+export class Fleet {
+  now = 0
+  published = { list: 0, at: -Infinity, before: 0, revision: 1 }
+  unknown = 0
+  asked = 0
+  readonly letters: Letter[] = []
+  readonly runs = new Map<string, number>()
+  readonly sent = new Map<string, number>()
+  readonly running: Array<{ home: Home, key: string, request: RequestId }> = []
+  readonly keys: string[] = []
+  readonly homes: Home[]
+  #requests = 0
+
+  /**
+   * @param config - bounds
+   * @param offsets - of the homes' wall clocks, in milliseconds
+   * @param linked - false when every question is lost
+   */
+  constructor (readonly config: KeysConfig, offsets: readonly number[], readonly linked = true) {
+    this.homes = upstreams.map((_, i) => this.boot(i, offsets[i] ?? 0))
+  }
+
+  boot (i: number, offset: number, stale = false): Home {
+    const home = { db: new KeysDb(upstreams[i]!, this.config, hash), offset, revision: 0 }
+    this.learn(home, stale)
+    return home
+  }
+
+  /** A view of the configuration: within the spread the older one may still hold. */
+  view (stale = false): { list: number, revision: number } {
+    const { list, at, before, revision } = this.published
+    return stale && this.now - at < this.config.spread ? { list: before, revision: revision - 1 } : { list, revision }
+  }
+
+  learn (home: Home, stale = false): void {
+    const { list, revision } = this.view(stale)
+    if (revision <= home.revision) return
+    home.revision = revision
+    const event = { now: this.now, wall: EPOCH + this.now + home.offset, service, upstreams: lists[list]!, revision }
+    this.carryOut(home, decideKeys(home.db, { kind: 'upstreams-listed', ...event }))
+  }
+
+  catchUp (): void {
+    if (this.now - this.published.at >= this.config.spread) this.homes.forEach(home => { this.learn(home) })
+  }
+
+  present (slot: number, timed: boolean, callerOffset: number, stale: boolean): void {
+    const first = this.sent.get(this.keys[slot] ?? '')
+    const life = uuidTime(this.keys[slot] ?? '') === undefined ? this.config.window : 4 * this.config.window
+    if (first === undefined || this.now - first > life) {
+      this.keys[slot] = timed ? uuidAt(EPOCH + this.now + callerOffset, this.#requests) : `k${this.#requests}`
+      this.sent.set(this.keys[slot], this.now)
+    }
+    const key = this.keys[slot]!
+    const chosen = keyHome(hash, name(key), hashMembers(hash, lists[this.view(stale).list]!))
+    const home = this.homes[upstreams.indexOf(chosen!)]!
+    this.carryOut(home, decideKeys(home.db, { kind: 'key-presented', ...this.clocks(home), ...name(key), request: request(this.#requests++), fingerprint }), key)
+  }
+
+  clocks (home: Home): { now: number, wall: number } {
+    return { now: this.now, wall: EPOCH + this.now + home.offset }
+  }
+
+  carryOut (home: Home, commands: KeysCommand[], key = ''): void {
+    for (const command of commands) {
+      if (command.kind === 'answer-unknown') this.unknown += 1
+      if (command.kind === 'ask') this.ask(home, command)
+      if (command.kind !== 'run') continue
+      this.runs.set(key, (this.runs.get(key) ?? 0) + 1)
+      this.running.push({ home, key, request: command.request })
+    }
+  }
+
+  ask (asker: Home, { ask, upstream, question }: Extract<KeysCommand, { kind: 'ask' }>): void {
+    this.asked += 1
+    this.letters.push({ kind: 'ask', asker, ask, to: upstream, question })
+    if (!this.linked) this.lose(this.letters.length - 1)
+  }
+
+  /** Delivers a letter, out of turn; it may stay in the bag and come again. */
+  deliver (pick: number, keep: boolean): void {
+    const at = pick % Math.max(1, this.letters.length)
+    const letter = this.letters[at]
+    if (letter === undefined) return
+    if (!keep) this.letters.splice(at, 1)
+    if (letter.kind === 'ask') this.answer(letter)
+    else this.tell(letter, letter.fate)
+  }
+
+  answer (letter: Letter): void {
+    const home = this.homes[upstreams.indexOf(letter.to)]!
+    this.letters.push({ ...letter, kind: 'told', fate: fateOf(home.db, { ...letter.question, ...this.clocks(home) }) })
+  }
+
+  tell ({ asker, ask, to, question }: Letter, fate: KeyFate): void {
+    if (!this.homes.includes(asker)) return
+    const { key } = question
+    this.carryOut(asker, decideKeys(asker.db, { kind: 'key-told', ...name(key), ...this.clocks(asker), ask, fate }), key)
+    const state = asker.db.find(name(key))?.state
+    if (state?.kind === 'asking' && state.ask === ask) this.letters.push({ kind: 'ask', asker, ask, to, question })
+  }
+
+  /** A letter is lost: its asker gives up waiting. */
+  lose (pick: number): void {
+    const [letter] = this.letters.splice(pick % Math.max(1, this.letters.length), 1)
+    if (letter !== undefined) this.tell(letter, { kind: 'unknown' })
+  }
+
+  finish (outcome: 'answer' | 'not-run' | 'unknown' | 'ran'): void {
+    const run = this.running.shift()
+    if (run === undefined) return
+    const { db } = run.home
+    if (outcome === 'not-run') this.runs.set(run.key, (this.runs.get(run.key) ?? 0) - 1)
+    const commands = outcome === 'answer'
+      ? decideKeys(db, { kind: 'answer-recorded', now: this.now, ...name(run.key), answer: stored })
+      : decideKeys(db, { kind: 'run-failed', now: this.now, ...name(run.key), outcome })
+    this.carryOut(run.home, commands, run.key)
+  }
+
+  restart (i: number, stale = false): void {
+    const old = this.homes[i]!
+    for (let n = this.running.length - 1; n >= 0; n -= 1) if (this.running[n]!.home === old) this.running.splice(n, 1)
+    this.homes[i] = this.boot(i, old.offset, stale)
+  }
+
+  publish (list: number): void {
+    if (this.now - this.published.at < this.config.spread) return
+    this.published = { list, at: this.now, before: this.published.list, revision: this.published.revision + 1 }
+  }
+}
--- a/packages/policy/src/keys/keysTypes.ts
+++ b/packages/policy/src/keys/keysTypes.ts
@@ -12,6 +12,8 @@
   readonly hostSkew: Millis
   /** Milliseconds within which a configuration is in force everywhere. */
   readonly spread: Millis
+  /** Milliseconds after an opaque key was presented within which the word of a previous home counts for it. */
+  readonly toldWithin: Millis
   /** Keys remembered for one workspace. */
   readonly maxKeys: number
   /** Bytes of one answer above which only its outcome is remembered. */
@@ -36,6 +38,35 @@
   readonly key: string
 }
 
+/** A home that a key had before a revision moved it. */
+export interface FormerHome {
+  readonly upstream: UpstreamId
+  /** Revision that moved the key away from there. */
+  readonly revision: number
+}
+
+/** What a previous home of a key knows of it. */
+export type KeyFate =
+  /** It did not run there or before, and from now on never will there unless the home moves back. */
+  { readonly kind: 'never' } |
+  /** It did not run there and will not, but may have run at the home before. */
+  { readonly kind: 'earlier', readonly home: FormerHome } |
+  { readonly kind: 'running' } |
+  /** One of the two homes has not heard of the newest revision, so that nothing can be promised yet. */
+  { readonly kind: 'behind' } |
+  /** It ran to its end; the answer is absent when it is no longer kept. */
+  { readonly kind: 'ended', readonly answer: StoredAnswer | undefined } |
+  /** It was used for another request. */
+  { readonly kind: 'conflict' } |
+  { readonly kind: 'unknown' }
+
+/** A question to the previous home of a key. */
+export interface KeyQuestion extends KeyName {
+  readonly fingerprint: Fingerprint
+  /** Revision that moved the key. */
+  readonly revision: number
+}
+
 /** What happens at a home. `now` is monotonic, `wall` is wall-clock time, both in milliseconds. */
 export type KeysEvent =
   {
@@ -45,6 +76,8 @@
     readonly wall: Millis
     readonly service: ServiceId
     readonly upstreams: readonly UpstreamId[]
+    /** Revision of the configuration. */
+    readonly revision: number
   } |
   KeyName & {
     readonly kind: 'key-presented'
@@ -57,6 +90,8 @@
   KeyName & { readonly kind: 'answer-recorded', readonly now: Millis, readonly answer: StoredAnswer } |
   KeyName & { readonly kind: 'run-failed', readonly now: Millis, readonly outcome: FailureOutcome } |
   KeyName & { readonly kind: 'waiter-gone', readonly request: RequestId } |
+  /** The previous home answered a question, or nobody did in time: then the fate is unknown. */
+  KeyName & { readonly kind: 'key-told', readonly now: Millis, readonly wall: Millis, readonly ask: number, readonly fate: KeyFate } |
   { readonly kind: 'tick', readonly now: Millis }
 
 /** Why a keyed request is refused; it was not run and stays not run. */
@@ -72,6 +107,15 @@
     readonly request: RequestId
     readonly first: RequestId
   } |
+  {
+    /** The previous home of the key is to be asked; the request waits for what it tells. */
+    readonly kind: 'ask'
+    readonly request: RequestId
+    /** Rising number within the life of this home. */
+    readonly ask: number
+    readonly upstream: UpstreamId
+    readonly question: KeyQuestion
+  } |
   { readonly kind: 'answer-unknown', readonly request: RequestId } |
   {
     /** The key ran to its end, but its answer is no longer kept. */
--- a/packages/router/src/process/routerServices.ts
+++ b/packages/router/src/process/routerServices.ts
@@ -7,6 +7,7 @@
 import type { RouterSettings } from '@fuchsiaworks/settings'
 import { routerHandlers } from '../admin/routerAdmin.js'
 import { CallerServer, callerServerKey } from '../callers/callerServer.js'
+import { KeyRelay, keyRelayKey } from '../keys/keyRelay.js'
 import { AgentStates, agentStatesKey } from '../links/agentStates.js'
 import { BacklogTeller, backlogTellerKey } from '../links/backlogTeller.js'
 import { LinkServer, linkServerKey } from '../links/linkServer.js'
@@ -79,9 +80,10 @@
     create: kernel => new AnswerRelay(kernel.get(linkHubKey), kernel.get(requestTableKey), kernel.get(requestFlowKey))
   },
   { id: homeFinderKey.id, needs: [configurationKey.id], create: kernel => new HomeFinder(context, kernel.get(configurationKey)) },
+  { id: keyRelayKey.id, needs: [agentStatesKey.id], create: kernel => new KeyRelay(kernel.get(linkHubKey), kernel.get(agentStatesKey)) },
   {
     id: linkServerKey.id,
-    needs: [answerRelayKey.id],
+    needs: [answerRelayKey.id, keyRelayKey.id],
     create: kernel => new LinkServer(context, kernel.get(linkHubKey), settings)
   },
   {
--- a/packages/wire/src/codec/codec.spec.ts
+++ b/packages/wire/src/codec/codec.spec.ts
@@ -47,7 +47,17 @@
     base: fc.record({ sum: amount, entries: fc.array(fc.record({ service: id, workspace: id, total: amount }, plain)), folded: fc.array(id) }, plain)
   }, plain),
   fc.record({ kind: fc.constant('revision' as const), revision: whole, documents: fc.string() }, { ...plain, requiredKeys: ['kind', 'revision'] }) as fc.Arbitrary<Message>,
-  fc.record({ kind: fc.constant('leaving' as const), hosts: fc.array(id) }, plain)
+  fc.record({ kind: fc.constant('leaving' as const), hosts: fc.array(id) }, plain),
+  fc.record({
+    kind: fc.constant('key-ask' as const), ask: whole, revision: whole, service: id, workspace: id, key: fc.string(), fingerprint: id, upstream: id
+  }, plain),
+  fc.record({
+    kind: fc.constant('key-told' as const),
+    ask: whole,
+    state: fc.constantFrom('never', 'earlier', 'ended'),
+    answer: fc.record({ status: whole, headers, body: data }, plain),
+    home: fc.record({ upstream: id, revision: whole }, plain)
+  }, { ...plain, requiredKeys: ['kind', 'ask', 'state'] }) as fc.Arbitrary<Message>
 )
 
 const dataFrame = (sent: readonly Message[]): OutgoingFrame => ({ kind: 'data', ack: 3, first: 9, payloads: sent.map(encodeMessage) })
--- a/packages/wire/src/codec/messageFields.ts
+++ b/packages/wire/src/codec/messageFields.ts
@@ -2,7 +2,7 @@
  * Fields of every kind of message. The order of kinds and of fields is the order on the wire: new kinds go to the end, new
  * fields go to the end of their kind and are optional, so that processes of two versions understand each other.
  */
-import type { Crash, HeaderList, Message } from '../protocol/protocolTypes.js'
+import type { Crash, HeaderList, KeptAnswer, Message } from '../protocol/protocolTypes.js'
 import { amount, bytes, type Field, type Fields, flag, list, maybe, oneOf, optional, pair, record, text, whole } from './fields.js'
 
 /** Any kind of message. */
@@ -17,6 +17,8 @@
 
 const headers: Field<HeaderList> = list(pair(text(), text()))
 
+const keptAnswer: Field<KeptAnswer> = record({ status: whole, headers, body: bytes })
+
 /** Fields by kind, in the order of the wire. */
 export const messageFields: MessageFields = {
   backlog: {
@@ -78,5 +80,14 @@
   quarantine: { workspace: text(), fingerprint: text(), remaining: amount },
   'crash-report': { workspace: text(), fingerprint: text(), upstream: text(), crash },
   'revision-ask': { revision: whole },
-  hunger: { router: text(), zone: text(), service: text(), round: whole }
+  hunger: { router: text(), zone: text(), service: text(), round: whole },
+  'key-ask': {
+    ask: whole, revision: whole, service: text(), workspace: text(), key: text(), fingerprint: text(), upstream: text()
+  },
+  'key-told': {
+    ask: whole,
+    state: oneOf('never', 'earlier', 'running', 'behind', 'ended', 'conflict', 'unknown'),
+    answer: optional(keptAnswer),
+    home: optional(record({ upstream: text(), revision: whole }))
+  }
 }
--- a/packages/wire/src/protocol/protocolTypes.ts
+++ b/packages/wire/src/protocol/protocolTypes.ts
@@ -257,6 +257,39 @@
   readonly crash: Crash
 }
 
+/** The present home of a key asks the previous one what it knows; a router passes it on. */
+export interface KeyAskMessage {
+  readonly kind: 'key-ask'
+  /** Rising number by which the sender knows the answer again. */
+  readonly ask: number
+  /** Revision that moved the key. */
+  readonly revision: number
+  readonly service: ServiceId
+  readonly workspace: WorkspaceId
+  readonly key: string
+  readonly fingerprint: Fingerprint
+  /** The previous home. */
+  readonly upstream: UpstreamId
+}
+
+/** An answer that is given again. */
+export interface KeptAnswer {
+  readonly status: number
+  readonly headers: HeaderList
+  readonly body: Uint8Array
+}
+
+/** What the previous home of a key knows; a router passes it back. */
+export interface KeyToldMessage {
+  readonly kind: 'key-told'
+  readonly ask: number
+  /** `earlier`: never there. `behind`: one of the two homes has yet to hear of a revision. `ended` without an answer: it is no longer kept. */
+  readonly state: 'never' | 'earlier' | 'running' | 'behind' | 'ended' | 'conflict' | 'unknown'
+  readonly answer?: KeptAnswer
+  /** The home before, and the revision that moved the key away from there; present when the state is `earlier`. */
+  readonly home?: { readonly upstream: UpstreamId, readonly revision: number }
+}
+
 /** From an agent to a router. */
 export type AgentMessage = PullMessage | AcceptedMessage | DeclinedMessage | CreditMessage | ResponseHeadMessage |
   ResponseBodyMessage | ResponseEndMessage | ResponseFailedMessage | AgentStateMessage | SharedMessage
@@ -266,7 +299,8 @@
   CreditMessage | SharedMessage
 
 /** Between any two processes. */
-export type SharedMessage = CountersMessage | RevisionMessage | RevisionAskMessage | LeavingMessage | HungerMessage | QuarantineMessage | CrashReportMessage
+export type SharedMessage = CountersMessage | RevisionMessage | RevisionAskMessage | LeavingMessage | HungerMessage | QuarantineMessage | CrashReportMessage |
+  KeyAskMessage | KeyToldMessage
 
 /** Any message of a session. */
 export type Message = AgentMessage | RouterMessage
