--- a/packages/policy/src/exchange/exchange.ts
+++ b/packages/policy/src/exchange/exchange.ts
@@ -42,7 +42,7 @@
       return []
     case 'own-backlog':
       db.setOwnBacklog(event.service, event.entries, event.now)
-      seeBacklog(fairness, event.entries.map(({ workspace }) => ({ service: event.service, workspace })), event.now)
+      seeBacklog(fairness, event.entries.map(({ workspace }) => ({ service: event.service, workspace })), true, event.now)
       return []
     case 'slots': return coverBacklog(db, event)
     case 'tick': return tick(db, fairness, event.now)
@@ -52,13 +52,16 @@
 
 /** Tells a new peer all at once, so that a process that starts empty knows the totals within a round trip. */
 const join = (db: ExchangeDb, fairness: FairnessDb, event: ExchangeEvent & { kind: 'peer-joined' }): ExchangeCommand[] => {
-  const { link, relation, incarnation, services, now } = event
-  const peer: Peer = { link, relation, incarnation, services, told: 0, toldAll: 0, heardAt: undefined, gap: undefined }
+  const { link, relation, incarnation, now } = event
+  const services = relation === 'leaf' && fairness.config.scope === 'fleet' ? undefined : event.services
+  const peer: Peer = { link, relation, incarnation, services, told: 0, toldAll: 0, toldAt: Number.NEGATIVE_INFINITY, heardAt: undefined, gap: undefined }
   db.addPeer(peer)
+  fairness.own.isSummed = service => db.isSummed(service)
   if (relation === 'parent' || relation === 'mesh') {
     const counter = relation === 'mesh' ? MESH : incarnation
     for (const service of [...fairness.services()].filter(id => covers(peer, id))) changeCounter(db, fairness, service, counter, now)
   }
+  for (const early of db.takeEarly(link)) receive(db, fairness, link, early, now)
   const counters = collect(db, fairness, peer, { now, all: true, backlogged: db.backlogged(now) })
   return counters === undefined ? [] : [{ kind: 'tell', link, counters }]
 }
@@ -66,7 +69,7 @@
 const tick = (db: ExchangeDb, fairness: FairnessDb, now: Millis): ExchangeCommand[] => {
   db.refresh(now)
   if (now < db.nextRoundAt) return []
-  seeBacklog(fairness, db.backlogged(now), now)
+  seeBacklog(fairness, db.backlogged(now), false, now)
   decideFairness(fairness, { kind: 'tick', now })
   db.forgetChildren(now - CHILD_MEMORY_MS)
   return runRound(db, fairness, now)
@@ -91,16 +94,16 @@
 
 const receive = (db: ExchangeDb, fairness: FairnessDb, link: string, counters: Counters, now: Millis): void => {
   const peers = db.peersOf(link)
-  if (peers.length === 0) return
-  const rejoined = peers.map(peer => hear(peer, fairness.config.idleGrace, now)).includes(true)
+  if (peers.length === 0) return db.holdEarly(link, counters)
+  const rejoined = peers.map(peer => hear(peer, fairness.grace, now)).includes(true)
   fairness.newsAge = newsAge(db, fairness.newsAge)
-  const merged = peers.flatMap(peer => {
-    const entries = counters.entries.filter(entry => covers(peer, entry.service))
-    return takeEntries(db, fairness, peer, entries, now)
-  })
-  decideFairness(fairness, { ...counters, kind: 'counters-received', entries: merged, link, rejoined, now })
+  const taken = peers.map(peer => ({ peer, entries: takeEntries(db, fairness, peer, counters, now) }))
+  decideFairness(fairness, { ...counters, kind: 'counters-received', entries: [], link, rejoined, sums: false, now })
+  for (const { peer, entries } of taken) {
+    decideFairness(fairness, { kind: 'counters-received', entries, lifts: [], link, rejoined, sums: peer.relation === 'parent', now })
+  }
   for (const entry of counters.backlogged) db.see(entry, now)
-  seeBacklog(fairness, counters.backlogged, now)
+  seeBacklog(fairness, counters.backlogged, false, now)
 }
 
 /** Notes a message; true when the peer may tell of a part of the fleet that was out of reach until now. */
@@ -117,8 +120,9 @@
   return gaps.length === 0 ? known : clamp(Math.min(...gaps) * AGE_PER_GAP, MIN_NEWS_AGE_MS, MAX_NEWS_AGE_MS)
 }
 
-/** Counts what must not be merged by origin, and returns the rest. */
-const takeEntries = (db: ExchangeDb, fairness: FairnessDb, peer: Peer, entries: readonly CounterEntry[], now: Millis): readonly CounterEntry[] => {
+/** Counts what must not be merged by origin, goes over to other sums where they come, and returns the rest. */
+const takeEntries = (db: ExchangeDb, fairness: FairnessDb, peer: Peer, counters: Counters, now: Millis): readonly CounterEntry[] => {
+  const entries = counters.entries.filter(entry => covers(peer, entry.service))
   switch (peer.relation) {
     case 'child':
       absorb(db, fairness, peer, entries, now)
@@ -127,7 +131,9 @@
       for (const { origin, service } of entries) followSums(db, fairness, service, origin)
       return entries
     case 'mesh':
-      for (const { service } of entries) followSums(db, fairness, service, MESH)
+      for (const { service } of [...entries, ...counters.base?.entries ?? []]) {
+        if (covers(peer, service)) followSums(db, fairness, service, MESH)
+      }
       return entries
     case 'router':
     case 'leaf':
@@ -138,10 +144,10 @@
   }
 }
 
-const seeBacklog = (fairness: FairnessDb, backlogged: ReadonlyArray<Pick<BackloggedEntry, 'service' | 'workspace'>>, now: Millis): void => {
+const seeBacklog = (fairness: FairnessDb, backlogged: ReadonlyArray<Pick<BackloggedEntry, 'service' | 'workspace'>>, firstHand: boolean, now: Millis): void => {
   const byService = new Map<ServiceId, Set<WorkspaceId>>()
   for (const { service, workspace } of backlogged) byService.set(service, (byService.get(service) ?? new Set()).add(workspace))
-  for (const [service, workspaces] of byService) decideFairness(fairness, { kind: 'backlog-seen', service, workspaces: [...workspaces], now })
+  for (const [service, workspaces] of byService) decideFairness(fairness, { kind: 'backlog-seen', firstHand, service, workspaces: [...workspaces], now })
 }
 
 /** Counts a child's increments as this process's own; a total that was counted before adds nothing. */
@@ -153,17 +159,18 @@
     const known = totals.get(account) ?? NO_TALLY
     const tally = maxTally(known, { total, refund })
     const increment = subtractTally(tally, known)
-    const sums = presentSums(child, account, origin)
+    const sums = presentSums(peer, child, account, origin)
     totals.set(account, tally)
     sums.sum = addTally(sums.sum, increment)
     fairness.addOwn(service, workspace, increment, now)
   }
 }
 
-/** What was counted under a former origin is part of the rest that the child is told. */
-const presentSums = (child: Absorbed, account: FairnessAccount, origin: Incarnation): { sum: Tally } => {
+/** What was counted under a former origin is part of the rest, which the child is then told anew. */
+const presentSums = (peer: Peer, child: Absorbed, account: FairnessAccount, origin: Incarnation): { sum: Tally } => {
   const present = child.sums.get(account)
   if (present?.origin === origin) return present
+  if (present !== undefined) peer.toldAll = 0
   const fresh = { origin, sum: NO_TALLY }
   child.sums.set(account, fresh)
   return fresh
--- a/packages/router/src/callers/callerServer.ts
+++ b/packages/router/src/callers/callerServer.ts
@@ -11,6 +11,7 @@
 import type { OpenRequest, RequestFacts } from '../requests/openRequest.js'
 import { notReady, type RequestFlow } from '../requests/requestFlow.js'
 import type { RequestTable } from '../requests/requestTable.js'
+import { SilenceLimit } from '../requests/silenceLimit.js'
 import { upstreamHeaders } from './headers.js'
 import { IdentityIndex } from './identity.js'
 import { notRun, type Problem, sendProblem } from './problem.js'
@@ -24,6 +25,12 @@
 /** Milliseconds between two looks for connections whose headers are late. */
 const LATE_HEADERS_CHECK_MS = 1_000
 
+/** Milliseconds between the word that a router drains and the end of its listening. */
+const DRAIN_NOTICE_MS = 2_000
+
+/** Milliseconds between two looks for connections that have become idle. */
+const IDLE_CHECK_MS = 100
+
 /** Characters of the longest Idempotency-Key. */
 const MAX_KEY_LENGTH = 256
 
@@ -83,15 +90,22 @@
     })
   }
 
-  /** Stops taking connections; requests on open ones are still served, and each is the last of its connection. */
-  drain (): void {
+  /**
+   * Lets callers go. For a while the router says that it is not ready and still takes connections, so that the balancer can
+   * send callers elsewhere; each answer is then the last of its connection. Afterwards it takes no new connections.
+   *
+   * @returns settles once every connection has ended, each with its last answer whole
+   */
+  async drain (): Promise<void> {
     this.#draining = true
-    this.#server.close()
-    this.#server.closeIdleConnections()
+    await new Promise<void>(resolve => { this.context.clock.after(DRAIN_NOTICE_MS, resolve) })
+    const timer = this.context.clock.every(IDLE_CHECK_MS, () => { this.#server.closeIdleConnections() })
+    await new Promise<void>(resolve => { this.#server.close(() => { resolve() }) })
+    timer.close()
   }
 
-  async close (): Promise<void> {
-    this.drain()
+  close (): void {
+    this.#server.close()
     this.#server.closeAllConnections()
   }
 
@@ -136,15 +150,11 @@
 
   async #read (admitted: Admitted, req: IncomingMessage, res: ServerResponse): Promise<void> {
     const { limits } = admitted.force.config
-    const reader = new BodyReader(req, limits.bodyBytes, () => { sendProblem(res, tooLarge) })
-    const timer = this.context.clock.after(limits.bodyIdleTimeoutMs, () => { sendProblem(res, bodyTimeout) })
-    try {
-      const start = await reader.readStart(limits.bufferedBodyBytes)
-      if (res.writableEnded || res.destroyed) return
-      this.flow.open(this.#openRequest(admitted, req, res, reader, start))
-    } finally {
-      timer.close()
-    }
+    const silence = new SilenceLimit(this.context.clock, limits.bodyIdleTimeoutMs, () => { sendProblem(res, bodyTimeout) })
+    const reader = new BodyReader(req, limits.bodyBytes, () => { sendProblem(res, tooLarge) }, silence)
+    const start = await reader.readStart(limits.bufferedBodyBytes)
+    if (res.writableEnded || res.destroyed) return
+    this.flow.open(this.#openRequest(admitted, req, res, reader, start))
   }
 
   #openRequest (admitted: Admitted, req: IncomingMessage, res: ServerResponse, reader: BodyReader, start: BodyStart): OpenRequest {
@@ -157,7 +167,7 @@
       reader,
       writer: new AnswerWriter(res, bytes => {
         request.holder?.send({ kind: 'credit', request: facts.id, direction: 'response', bytes })
-      }),
+      }, new SilenceLimit(this.context.clock, admitted.force.config.limits.bodyIdleTimeoutMs, () => { res.destroy() })),
       holder: undefined,
       waiting: undefined,
       accepted: false,
