--- a/packages/agent/src/work/handovers.ts
+++ b/packages/agent/src/work/handovers.ts
@@ -4,10 +4,11 @@
 import type { KeyName, KeysCommand } from '@fuchsiaworks/policy'
 import type { ServiceConfig } from '@fuchsiaworks/settings'
 import type { DeclinedMessage, HandoverMessage } from '@fuchsiaworks/wire'
+import type { KeyAsks } from '../keys/keyAsks.js'
 import type { KeyService } from '../keys/keyService.js'
 import type { LimitService } from '../limits/limitService.js'
 import type { StartGate } from './startGate.js'
-import { type KeyedAnswers, keyNameOf } from './keyedAnswers.js'
+import { keyNameOf } from './keyedAnswers.js'
 import { answerNotKept, keyConflict, keyRefusals, sendAnswer, sendReplyProblem } from './replies.js'
 import type { Runner } from './runner.js'
 import type { Slots } from './slots.js'
@@ -20,6 +21,8 @@
   readonly handover: HandoverMessage
   /** Reading after which it may no longer start, because its router may have given it up. */
   readonly startableUntil: Millis
+  /** False once it has given its slot back, to wait for a run of its key. */
+  slotTaken: boolean
 }
 
 /** The door through which requests come to the upstream. */
@@ -33,13 +36,13 @@
     readonly limits: LimitService,
     readonly slots: Slots,
     readonly keys: KeyService,
-    keyed: KeyedAnswers,
+    readonly asks: KeyAsks,
     readonly runner: Runner,
     readonly gate: StartGate
   ) {
     hub.table.on('handover', (link, message) => { this.#onHandover(link, message) })
     hub.table.on('cancel', (link, message) => { this.#onCancel(link, message.request) })
-    keyed.onCommand(command => { this.#runKey(command) })
+    keys.onCommand(command => { this.#runKey(command) })
     onEvent(hub.closed, log, ({ link }) => { this.#dropLink(link) })
   }
 
@@ -52,12 +55,11 @@
       this.#decline(link, request, refusal)
       return this.slots.release(request)
     }
-    this.#held.set(request, { link, handover, startableUntil })
+    this.#held.set(request, { link, handover, startableUntil, slotTaken: true })
     const name = keyNameOf(handover)
     if (name === undefined) return this.#start(request)
     const { clock } = this.context
-    const event = { kind: 'key-presented', ...name, request, fingerprint: handover.fingerprint, now: clock.now(), wall: clock.wall() } as const
-    this.#runKeys(this.keys.decide(event))
+    this.keys.report({ kind: 'key-presented', ...name, request, fingerprint: handover.fingerprint, now: clock.now(), wall: clock.wall() })
   }
 
   #refusalOf (handover: HandoverMessage): DeclinedMessage['reason'] | undefined {
@@ -71,9 +73,9 @@
     if (held === undefined) return
     const { link } = held
     switch (command.kind) {
-      case 'run': return this.#start(command.request)
-      // The slot is not needed while the first run goes on.
-      case 'wait': return this.slots.release(command.request)
+      case 'run': return this.#startKeyed(held)
+      case 'wait': return this.#releaseSlot(held)
+      case 'ask': return this.asks.ask(link, command)
       case 'replay': return this.#finish(held, () => { sendAnswer(link, command.request, command.answer) })
       case 'answer-unknown': return this.#finish(held, () => { this.#decline(link, command.request, 'key-unknown') })
       case 'answer-ran': return this.#finish(held, () => { sendReplyProblem(link, command.request, answerNotKept) })
@@ -88,6 +90,20 @@
     sendReplyProblem(link, handover.request, keyRefusals[reason])
   }
 
+  /** The slot is not needed while the key runs for another request. */
+  #releaseSlot (held: Held): void {
+    if (!held.slotTaken) return
+    held.slotTaken = false
+    this.slots.release(held.handover.request)
+  }
+
+  /** A request that waited may no longer be welcome; without a slot its router has to offer it again. */
+  #startKeyed (held: Held): void {
+    const refusal = held.slotTaken ? this.#refusalOf(held.handover) : 'expired'
+    if (refusal === undefined) return this.#start(held.handover.request)
+    this.#giveBack(held, refusal)
+  }
+
   #start (request: RequestId): void {
     const held = this.#held.get(request)
     const service = held === undefined ? undefined : this.runner.serviceOf(held.handover)
@@ -113,7 +129,7 @@
     this.#held.delete(handover.request)
     this.#decline(link, handover.request, reason)
     this.slots.release(handover.request)
-    if (name !== undefined) this.#runKeys(this.keys.decide({ kind: 'run-failed', ...name, now: this.context.clock.now(), outcome: 'not-run' }))
+    if (name !== undefined) this.keys.report({ kind: 'run-failed', ...name, now: this.context.clock.now(), outcome: 'not-run' })
   }
 
   #finish (held: Held, answer: () => void): void {
@@ -153,12 +169,8 @@
   /** The first run of a key that never started has not run; what waits for it may go on. */
   #dropKey (name: KeyName, request: RequestId): void {
     const now = this.context.clock.now()
-    if (!this.gate.isWaiting(request)) return this.#runKeys(this.keys.decide({ kind: 'waiter-gone', ...name, request }))
-    this.#runKeys(this.keys.decide({ kind: 'run-failed', ...name, now, outcome: 'not-run' }))
-  }
-
-  #runKeys (commands: readonly KeysCommand[]): void {
-    for (const command of commands) this.#runKey(command)
+    if (!this.gate.isWaiting(request)) return this.keys.report({ kind: 'waiter-gone', ...name, request })
+    this.keys.report({ kind: 'run-failed', ...name, now, outcome: 'not-run' })
   }
 }
 
