Let a load report keep more from being added, but not hold a limit down

Cause: 23 % of scribe's slot time idle while work waited at 1.5 times the capacity: reports count a newly admitted request as waiting, the bound was what ran beside it, and a limit of 2 proved itself a limit of 2 in every further report (scribe-5 stayed there for 20 s). The engine stand-in samples its load at each first token as well.

--- a/packages/policy/src/limit/limit.ts
+++ b/packages/policy/src/limit/limit.ts
@@ -67,7 +67,8 @@
   db.waitingReports = event.waiting === 0 ? 0 : db.waitingReports + 1
   if (event.waiting === 0) db.bound = undefined
   if (db.waitingReports < STANDING_REPORTS) return
-  db.bound = { value: Math.max(1, event.running), until: measuredAt + REPORT_LIFE_MS }
+  // What is in the upstream is no more than it was given; the bound keeps more from being added to its queue.
+  db.bound = { value: Math.max(1, event.running + event.waiting), until: measuredAt + REPORT_LIFE_MS }
 }
 
 /** Counts requests whose first byte is late as samples before they end. */
--- a/packages/standins/src/engine/engine.ts
+++ b/packages/standins/src/engine/engine.ts
@@ -63,6 +63,7 @@
       maxTokens: chat.maxTokens,
       onToken: index => {
         this.log.serve(run, index === 0 ? promptTokens : 0, 1)
+        if (index === 0) this.load.sample()
         writer.token(index)
       },
       onEnd: () => {
