--- a/packages/router/src/admin/routerAdmin.ts
+++ b/packages/router/src/admin/routerAdmin.ts
@@ -5,7 +5,7 @@
 import { type AdmissionDb, wholeBacklog } from '@fuchsiaworks/policy'
 import type { CallerServer } from '../callers/callerServer.js'
 import type { AgentStates } from '../links/agentStates.js'
-import type { RequestFlow } from '../requests/requestFlow.js'
+import type { RequestJournal } from '../requests/requestJournal.js'
 import type { RequestTable } from '../requests/requestTable.js'
 import type { QuarantineService } from '../quarantine/quarantineService.js'
 
@@ -13,7 +13,7 @@
 export interface RouterAdminSources extends AdminSources {
   readonly callers: CallerServer
   readonly table: RequestTable
-  readonly flow: RequestFlow
+  readonly journal: RequestJournal
   readonly states: AgentStates
   readonly quarantine: QuarantineService
   readonly admission: AdmissionDb
@@ -47,8 +47,8 @@
   }
 }
 
-const refusalsOf = ({ flow, quarantine }: RouterAdminSources): AdminAnswer<'refusals'> => ({
-  refusals: flow.refusals.all(),
+const refusalsOf = ({ journal, quarantine }: RouterAdminSources): AdminAnswer<'refusals'> => ({
+  refusals: journal.refusals.all(),
   quarantined: quarantine.refused()
 })
 
--- a/packages/router/src/process/routerServices.ts
+++ b/packages/router/src/process/routerServices.ts
@@ -15,6 +15,7 @@
 import { AnswerRelay, answerRelayKey } from '../requests/answerRelay.js'
 import { HomeFinder, homeFinderKey } from '../requests/homeFinder.js'
 import { RequestFlow, requestFlowKey } from '../requests/requestFlow.js'
+import { RequestJournal, requestJournalKey } from '../requests/requestJournal.js'
 import { RequestTable, requestTableKey } from '../requests/requestTable.js'
 
 /** Holds the state of the router's queue. */
@@ -51,6 +52,7 @@
       context, { hub: kernel.get(linkHubKey), membership: kernel.get(membershipKey) }, kernel.get(configurationKey)
     )
   },
+  { id: requestJournalKey.id, needs: [], create: () => new RequestJournal(context) },
   { id: requestTableKey.id, needs: [], create: () => new RequestTable() },
   { id: queueKey.id, needs: [], create: () => ({ db: admissionDefinition.createDb() }) },
   {
@@ -68,9 +70,10 @@
   { id: quarantineKey.id, needs: [configurationKey.id], create: kernel => new QuarantineService(context, kernel.get(linkHubKey), kernel.get(configurationKey)) },
   {
     id: requestFlowKey.id,
-    needs: [backlogTellerKey.id, requestTableKey.id, quarantineKey.id, homeFinderKey.id],
+    needs: [backlogTellerKey.id, requestTableKey.id, quarantineKey.id, homeFinderKey.id, requestJournalKey.id],
     create: kernel => new RequestFlow(
-      context, kernel.get(linkHubKey), kernel.get(requestTableKey), kernel.get(backlogTellerKey), kernel.get(quarantineKey),
+      context, kernel.get(linkHubKey), kernel.get(requestTableKey), kernel.get(backlogTellerKey),
+      kernel.get(requestJournalKey), kernel.get(quarantineKey),
       kernel.get(configurationKey), kernel.get(homeFinderKey), kernel.get(queueKey).db, kernel.get(agentStatesKey)
     )
   },
@@ -105,7 +108,7 @@
       fairness: kernel.get(fairnessKey),
       callers: kernel.get(callerServerKey),
       table: kernel.get(requestTableKey),
-      flow: kernel.get(requestFlowKey),
+      journal: kernel.get(requestJournalKey),
       states: kernel.get(agentStatesKey),
       quarantine: kernel.get(quarantineKey),
       admission: kernel.get(queueKey).db
--- a/packages/router/src/requests/answerRelay.ts
+++ b/packages/router/src/requests/answerRelay.ts
@@ -19,7 +19,7 @@
     const request = this.table.heldBy(message.request, link)
     if (request === undefined) return
     this.flow.bytesSent(request)
-    this.flow.record('request-first-byte', request)
+    this.flow.journal.record('request-first-byte', request)
     request.writer.head(message.status, message.headers)
   }
 
--- /dev/null
+++ b/packages/router/src/requests/handoverOf.ts
@@ -0,0 +1,29 @@
+/** Writes the handover of a request. */
+import type { HandoverMessage } from '@fuchsiaworks/wire'
+import type { OpenRequest } from './openRequest.js'
+
+/**
+ * Makes the message by which an agent becomes the holder of a request.
+ *
+ * @param request - the request
+ * @param pull - number of the pull that it answers
+ * @returns the message
+ */
+export const handoverOf = ({ facts, start, attempts, alone }: OpenRequest, pull: number): HandoverMessage => ({
+  kind: 'handover',
+  pull,
+  request: facts.id,
+  service: facts.service,
+  workspace: facts.workspace,
+  method: facts.method,
+  path: facts.path,
+  headers: facts.headers,
+  idempotent: facts.idempotent,
+  key: facts.key,
+  fingerprint: facts.fingerprint,
+  estimate: facts.estimate,
+  body: start.data,
+  bodyEnded: start.ended,
+  attempt: attempts,
+  alone
+})
--- a/packages/router/src/requests/requestFlow.ts
+++ b/packages/router/src/requests/requestFlow.ts
@@ -1,13 +1,13 @@
 /** Moves requests between their callers, the queue and the agents, as the policies decide. */
 import {
-  assertNever, createLog, type Millis, onEvent, type RequestEvent, type RequestId, type Service, type ServiceKey, serviceKey, type Timer,
+  assertNever, createLog, type Millis, onEvent, type RequestId, type Service, type ServiceKey, serviceKey, type Timer,
   type UpstreamId
 } from '@fuchsiaworks/kernel'
 import {
   type ClosedLink, type ConfigurationService, type FleetLink, type LinkHub, type ProcessContext, weightsOf, zonesOutOf
 } from '@fuchsiaworks/fleet'
 import {
-  type AdmissionCommand, type AdmissionDb, admissionDefinition, type AdmissionEvent, type RetryCommand, type RetryConfig, retryDefinition, type RetryEvent,
+  type AdmissionCommand, type AdmissionDb, admissionDefinition, type AdmissionEvent, type RetryCommand, retryDefinition, type RetryEvent,
   type WaitingRequest
 } from '@fuchsiaworks/policy'
 import type { FleetConfig } from '@fuchsiaworks/settings'
@@ -16,10 +16,12 @@
 import type { AgentStates } from '../links/agentStates.js'
 import type { BacklogTeller } from '../links/backlogTeller.js'
 import type { QuarantineService } from '../quarantine/quarantineService.js'
+import { handoverOf } from './handoverOf.js'
 import type { HomeFinder } from './homeFinder.js'
 import { NotHandedOverError, type OpenRequest } from './openRequest.js'
 import { problemOfAnswer, problemOfRefusal } from './outcomes.js'
-import { Refusals } from './refusals.js'
+import type { RequestJournal } from './requestJournal.js'
+import { retrySettings } from './retrySettings.js'
 import type { RequestTable } from './requestTable.js'
 
 /** Milliseconds between two ticks of the policies. */
@@ -28,23 +30,10 @@
 /** Bytes of a body that may be on the way without having been taken at the other end. */
 export const BODY_WINDOW_BYTES = 64 * 1024
 
-/** Retries a second that each service is allowed whatever its load. */
-const RETRY_FLOOR_PER_SECOND = 0.2
-
-/** Unused retries that a service saves up. */
-const RETRY_BURST = 10
-
-/** Attempts at one request, the first included. */
-const MAX_ATTEMPTS = 3
-
-/** Milliseconds added to the age limit of pulls for the difference in speed of two clocks. */
-const PULL_MARGIN_MS = 200
-
 const log = createLog('requests')
 
 /** The flow of requests through this router. */
 export class RequestFlow implements Service {
-  readonly refusals = new Refusals()
   readonly #admission: AdmissionDb
   readonly #retry
   readonly #states: AgentStates
@@ -56,6 +45,7 @@
     readonly hub: LinkHub,
     readonly table: RequestTable,
     readonly backlog: BacklogTeller,
+    readonly journal: RequestJournal,
     readonly quarantine: QuarantineService,
     configuration: ConfigurationService,
     homes: HomeFinder,
@@ -65,7 +55,7 @@
     this.#homes = homes
     this.#admission = admission
     this.#states = states
-    this.#retry = retryDefinition.createDb(retryConfig(configuration))
+    this.#retry = retryDefinition.createDb(retrySettings(configuration))
     hub.table.on('pull', (link, message) => { this.#onPull(link, message) })
     hub.table.on('accepted', (link, message) => { this.#onAccepted(link, message) })
     hub.table.on('declined', (link, message) => { this.#onDeclined(link, message) })
@@ -94,8 +84,7 @@
     const { id, service, workspace, patience, estimate, idempotent, maxWaiting } = request.facts
     const now = this.#now()
     this.table.add(request)
-    this.record('request-received', request)
-    this.context.metrics.count('requests.received', 1, { service })
+    this.journal.received(request)
     // A body that was not read whole cannot be sent a second time.
     const repeatable = idempotent && request.start.ended
     this.#decide({ kind: 'request-opened', now, request: id, workspace, service, idempotent: repeatable, deadline: now + patience })
@@ -124,17 +113,9 @@
    * @param request - the request
    */
   completed (request: OpenRequest): void {
-    this.record('request-ended', request)
+    this.journal.ended(request, 'answered')
     this.quarantine.completed(request.facts)
     this.#forget(request)
-    this.context.metrics.count('requests.ended', 1, { outcome: 'answered', service: request.facts.service })
-  }
-
-  /** Adds an event of a request to the time line. */
-  record (kind: RequestEvent['kind'], request: OpenRequest, detail?: string, upstream?: UpstreamId): void {
-    const { id, workspace, service } = request.facts
-    const extra = { ...(detail === undefined ? {} : { detail }), ...(upstream === undefined ? {} : { upstream }) }
-    this.context.timeLine.record({ kind, request: id, workspace, service, ...extra })
   }
 
   #now (): Millis {
@@ -180,7 +161,7 @@
     switch (command.kind) {
       case 'requeue': return this.#requeue(request, [])
       case 'retry':
-        this.record('request-retried', request, `attempt ${command.attempt}`)
+        this.journal.record('request-retried', request, `attempt ${command.attempt}`)
         return this.#requeue(request, command.avoid)
       case 'answer': return this.#answer(request, problemOfAnswer(command))
       case 'cut': return this.#cut(request)
@@ -202,32 +183,15 @@
     const link = this.hub.find(agent)
     const state = link === undefined ? undefined : this.#states.of(link)
     if (link === undefined || state === undefined) return this.#admit({ kind: 'requeue', waiting, now: this.#now() })
-    const { facts, start } = request
+    const { facts } = request
     request.holder = link
     request.upstream = state.upstream
     request.waiting = waiting
     request.accepted = false
     request.attempts += 1
-    this.record('request-handed-over', request, undefined, state.upstream)
+    this.journal.record('request-handed-over', request, undefined, state.upstream)
     this.#decide({ kind: 'attempt-started', now: this.#now(), request: facts.id, upstream: state.upstream })
-    link.send({
-      kind: 'handover',
-      pull,
-      request: facts.id,
-      service: facts.service,
-      workspace: facts.workspace,
-      method: facts.method,
-      path: facts.path,
-      headers: facts.headers,
-      idempotent: facts.idempotent,
-      key: facts.key,
-      fingerprint: facts.fingerprint,
-      estimate: facts.estimate,
-      body: start.data,
-      bodyEnded: start.ended,
-      attempt: request.attempts,
-      alone: request.alone
-    })
+    link.send(handoverOf(request, pull))
   }
 
   #onAccepted (link: FleetLink, message: AcceptedMessage): void {
@@ -243,7 +207,7 @@
     const request = this.table.heldBy(message.request, link)
     if (request === undefined) return
     const upstream = this.#upstreamOf(request)
-    this.record('request-declined', request, message.reason, upstream)
+    this.journal.record('request-declined', request, message.reason, upstream)
     request.holder = undefined
     this.#decide({ kind: 'declined', now: this.#now(), request: message.request, upstream, reason: message.reason })
   }
@@ -286,26 +250,20 @@
   #refuse (id: RequestId, reason: string, retryAfter: Millis): void {
     const request = this.table.find(id)
     if (request === undefined) return
-    this.record('request-refused', request, reason)
-    const { workspace, service } = request.facts
     const problem = truthful(request, problemOfRefusal(reason, retryAfter))
-    const { status, outcome } = problem
-    this.refusals.add({ at: this.context.clock.wall(), request: id, workspace, service, status, outcome, reason, retryAfterMs: retryAfter })
-    this.context.metrics.count('requests.refused', 1, { reason, service })
+    this.journal.refused(request, reason, problem, retryAfter)
     this.#answer(request, problem)
   }
 
   #answer (request: OpenRequest, decided: Problem): void {
     const problem = truthful(request, decided)
-    this.record('request-ended', request, `${problem.outcome} ${problem.type}`)
-    this.context.metrics.count('requests.ended', 1, { outcome: problem.outcome, service: request.facts.service })
+    this.journal.ended(request, problem.outcome, `${problem.outcome} ${problem.type}`)
     this.#forget(request)
     request.writer.problem(problem)
   }
 
   #cut (request: OpenRequest): void {
-    this.record('request-ended', request, 'cut')
-    this.context.metrics.count('requests.ended', 1, { outcome: 'cut', service: request.facts.service })
+    this.journal.ended(request, 'cut', 'cut')
     this.#forget(request)
     request.writer.cut()
   }
@@ -313,7 +271,7 @@
   #onCallerClosed (request: OpenRequest): void {
     const { id } = request.facts
     if (this.table.find(id) !== request) return
-    this.record('request-abandoned', request)
+    this.journal.record('request-abandoned', request)
     this.#admit({ kind: 'caller-gone', request: id, now: this.#now() })
     this.#decide({ kind: 'caller-gone', now: this.#now(), request: id })
     this.#abandon(request)
@@ -332,16 +290,6 @@
   }
 }
 
-/** Settings of retries, read anew from the configuration in force at each use. */
-const retryConfig = (configuration: ConfigurationService): RetryConfig => ({
-  get budgetPercent () { return configuration.effective.retries.percent },
-  get pullTtl () { return configuration.effective.links.pullTtlMs },
-  floorPerSecond: RETRY_FLOOR_PER_SECOND,
-  burst: RETRY_BURST,
-  maxAttempts: MAX_ATTEMPTS,
-  pullMargin: PULL_MARGIN_MS
-})
-
 /** A request is called not run only when no attempt at it can have run. */
 const truthful = (request: OpenRequest, problem: Problem): Problem =>
   problem.outcome === 'not-run' && request.mayHaveRun ? { ...problem, outcome: 'unknown' } : problem
