Share the ends and runs of the upstream stand-ins

Cause: crash, refusal, reopening and close stood twice, in the engine and in the plain service. Change: one base class.

--- a/packages/standins/src/engine/engine.ts
+++ b/packages/standins/src/engine/engine.ts
@@ -1,8 +1,8 @@
 /** Stand-in for a model engine: OpenAI-compatible chat completions with continuous batching. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { LaggedLoad } from '../control/laggedLoad.js'
-import { RunLog } from '../control/runLog.js'
 import type { Run, Standin } from '../control/standinTypes.js'
+import { CrashingUpstream } from '../server/crashingUpstream.js'
 import { readBody, requestUrl, sendJson, sleep } from '../server/httpHelpers.js'
 import { SwitchedServer } from '../server/switchedServer.js'
 import { Batch, type BatchEntry } from './batch.js'
@@ -16,8 +16,7 @@
   readonly knobs?: Partial<EngineKnobs>
 }
 
-class Engine {
-  readonly log = new RunLog()
+class Engine extends CrashingUpstream<EngineKnobs> {
   readonly batch = new Batch(() => this.knobs)
   readonly load = new LaggedLoad(() => ({
     running: this.batch.size,
@@ -25,14 +24,8 @@
     kvUse: Math.min(1, this.batch.heldTokens / this.knobs.kvTokens)
   }))
 
-  readonly active = new Set<Run>()
-  knobs: EngineKnobs
-  crashes = 0
-  server: SwitchedServer | undefined
-  #restart: NodeJS.Timeout | undefined
-
   constructor (knobs: Partial<EngineKnobs>) {
-    this.knobs = { ...DEFAULT_ENGINE_KNOBS, ...knobs }
+    super({ ...DEFAULT_ENGINE_KNOBS, ...knobs })
   }
 
   async answer (req: IncomingMessage, res: ServerResponse): Promise<void> {
@@ -79,42 +72,14 @@
     })
   }
 
-  finish (run: Run, end: 'whole' | 'cancelled' | 'crashed'): void {
-    this.log.end(run, end)
-    this.active.delete(run)
-    this.load.sample()
-  }
-
   mustCrash (chat: ChatRequest): boolean {
     const { crashOn, coldCrashAbove } = this.knobs
     if (crashOn !== '' && chat.prompt.includes(crashOn)) return true
     return coldCrashAbove > 0 && this.batch.coldness > 0.5 && this.active.size > coldCrashAbove
   }
 
-  crash (): void {
-    this.crashes += 1
-    for (const run of [...this.active]) this.finish(run, 'crashed')
-    this.batch.reset()
-    this.server?.shut()
-    clearTimeout(this.#restart)
-    this.#restart = setTimeout(() => { this.reopen() }, this.knobs.crashDown)
-  }
-
-  reopen (): void {
-    if (!this.knobs.refuse) this.server?.listen().catch(() => {})
-  }
-
-  set (knobs: Partial<EngineKnobs>): void {
-    const refused = this.knobs.refuse
-    this.knobs = { ...this.knobs, ...knobs }
-    if (this.knobs.refuse && !refused) this.server?.shut()
-    if (!this.knobs.refuse && refused) this.reopen()
-  }
-
-  async close (): Promise<void> {
-    clearTimeout(this.#restart)
+  protected reset (): void {
     this.batch.reset()
-    await this.server?.close()
   }
 }
 
--- a/packages/standins/src/plain/plain.ts
+++ b/packages/standins/src/plain/plain.ts
@@ -2,8 +2,8 @@
 import { createHash } from 'node:crypto'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { LaggedLoad } from '../control/laggedLoad.js'
-import { RunLog } from '../control/runLog.js'
 import type { Run, Standin } from '../control/standinTypes.js'
+import { CrashingUpstream } from '../server/crashingUpstream.js'
 import { readBody, requestUrl, sendJson, sleep } from '../server/httpHelpers.js'
 import { SwitchedServer } from '../server/switchedServer.js'
 import { plainBytes } from './plainText.js'
@@ -44,17 +44,11 @@
   }
 }
 
-class Plain {
-  readonly log = new RunLog()
-  readonly active = new Set<Run>()
+class Plain extends CrashingUpstream<PlainKnobs> {
   readonly load = new LaggedLoad(() => ({ running: this.active.size, waiting: 0, kvUse: 0 }))
-  knobs: PlainKnobs
-  crashes = 0
-  server: SwitchedServer | undefined
-  #restart: NodeJS.Timeout | undefined
 
   constructor (knobs: Partial<PlainKnobs>) {
-    this.knobs = { ...DEFAULT_PLAIN_KNOBS, ...knobs }
+    super({ ...DEFAULT_PLAIN_KNOBS, ...knobs })
   }
 
   async answer (req: IncomingMessage, res: ServerResponse): Promise<void> {
@@ -101,35 +95,7 @@
     return { method: req.method ?? '', path: req.url ?? '', headers, nonce, bodyBytes: body.length, bodySha256: sha256(body) }
   }
 
-  finish (run: Run, end: 'whole' | 'cancelled' | 'crashed'): void {
-    this.log.end(run, end)
-    this.active.delete(run)
-    this.load.sample()
-  }
-
-  crash (): void {
-    this.crashes += 1
-    for (const run of [...this.active]) this.finish(run, 'crashed')
-    this.server?.shut()
-    clearTimeout(this.#restart)
-    this.#restart = setTimeout(() => { this.reopen() }, this.knobs.crashDown)
-  }
-
-  reopen (): void {
-    if (!this.knobs.refuse) this.server?.listen().catch(() => {})
-  }
-
-  set (knobs: Partial<PlainKnobs>): void {
-    const refused = this.knobs.refuse
-    this.knobs = { ...this.knobs, ...knobs }
-    if (this.knobs.refuse && !refused) this.server?.shut()
-    if (!this.knobs.refuse && refused) this.reopen()
-  }
-
-  async close (): Promise<void> {
-    clearTimeout(this.#restart)
-    await this.server?.close()
-  }
+  protected reset (): void {}
 }
 
 /**
