Take the spare pull back

Cause: it was tried against ledger's idle slots. Ruled out: too few requests pulled ahead. Conclusion: a failed try; the cause of ledger's idle slots is open.

--- a/packages/agent/src/work/pullAhead.ts
+++ b/packages/agent/src/work/pullAhead.ts
@@ -7,9 +7,6 @@
 /** Share of a run's length under which the time of a pull does not matter. */
 const NEGLIGIBLE = 0.005
 
-/** Requests pulled ahead besides the expected need, for runs that end together. */
-const SPARE = 1
-
 /** Averages of the time of a pull and of the length of a run. */
 export class PullAhead {
   #trip: Millis | undefined
@@ -34,7 +31,7 @@
   count (limit: number): number {
     if (this.#trip === undefined || this.#run === undefined || this.#run <= 0) return 0
     const share = this.#trip / this.#run
-    return share < NEGLIGIBLE ? 0 : Math.min(limit, Math.ceil(limit * share) + SPARE)
+    return share < NEGLIGIBLE ? 0 : Math.min(limit, Math.ceil(limit * share))
   }
 }
 
