--- a/packages/agent/src/admin/agentAdmin.ts
+++ b/packages/agent/src/admin/agentAdmin.ts
@@ -5,8 +5,8 @@
 import type { KeyService } from '../keys/keyService.js'
 import type { LimitService } from '../limits/limitService.js'
 import type { StateTeller } from '../links/stateTeller.js'
-import type { RunTable } from '../work/runTable.js'
-import type { Slots } from '../work/slots.js'
+import type { RunTable } from '../runs/runTable.js'
+import type { Slots } from '../runs/slots.js'
 
 /** Services of an agent that its handlers read. */
 export interface AgentAdminSources extends AdminSources {
--- a/packages/agent/src/links/stateTeller.ts
+++ b/packages/agent/src/links/stateTeller.ts
@@ -4,7 +4,7 @@
 import type { AgentSettings } from '@fuchsiaworks/settings'
 import type { AgentState, AgentStateMessage } from '@fuchsiaworks/wire'
 import type { LimitService } from '../limits/limitService.js'
-import type { RunTable } from '../work/runTable.js'
+import type { RunTable } from '../runs/runTable.js'
 
 /** Milliseconds between two looks for a change of the running count. */
 const REPEAT_PERIOD_MS = 1_000
--- a/packages/agent/src/process/agentServices.ts
+++ b/packages/agent/src/process/agentServices.ts
@@ -11,12 +11,12 @@
 import { LimitService, limitKey } from '../limits/limitService.js'
 import { LoadWatch, loadWatchKey } from '../limits/loadWatch.js'
 import { StateTeller, stateTellerKey } from '../links/stateTeller.js'
-import { Handovers, handoversKey } from '../work/handovers.js'
-import { KeyedAnswers, keyedAnswersKey } from '../work/keyedAnswers.js'
-import { Runner, runnerKey } from '../work/runner.js'
-import { RunTable, runTableKey } from '../work/runTable.js'
-import { Slots, slotsKey } from '../work/slots.js'
-import { StartGate, startGateKey } from '../work/startGate.js'
+import { Handovers, handoversKey } from '../runs/handovers.js'
+import { KeyedAnswers, keyedAnswersKey } from '../runs/keyedAnswers.js'
+import { Runner, runnerKey } from '../runs/runner.js'
+import { RunTable, runTableKey } from '../runs/runTable.js'
+import { Slots, slotsKey } from '../runs/slots.js'
+import { StartGate, startGateKey } from '../runs/startGate.js'
 
 /**
  * Lists the services of an agent.
--- a/packages/agent/src/process/startAgent.ts
+++ b/packages/agent/src/process/startAgent.ts
@@ -2,7 +2,7 @@
 import { createLog, Kernel } from '@fuchsiaworks/kernel'
 import { createContext, linkHubKey, membershipKey } from '@fuchsiaworks/fleet'
 import type { AgentSettings } from '@fuchsiaworks/settings'
-import { runTableKey } from '../work/runTable.js'
+import { runTableKey } from '../runs/runTable.js'
 import { agentServices } from './agentServices.js'
 
 /** Milliseconds between two looks whether routers have confirmed all answers. */
