Keep avoiding an upstream over a declined attempt; one piece of code for credit

Cause: read-through of the whole change. A request that had failed at one upstream and was then declined by another was queued again without the upstreams to avoid, so that it could go back to the one it had failed at. The body window and the gathering of credit stood in the router and in the agent, though both ends of a link must agree on them. AnswerWriter.bytes and begun, and receivedAt and req of a request, were read by nobody. Change: the retry policy names the upstreams to avoid with every requeue; CreditGrant and the window are in wire; the dead parts are gone.

--- a/packages/agent/src/runs/run.ts
+++ b/packages/agent/src/runs/run.ts
@@ -3,16 +3,10 @@
 import type { Millis } from '@fuchsiaworks/kernel'
 import type { FleetLink } from '@fuchsiaworks/fleet'
 import type { ServiceConfig } from '@fuchsiaworks/settings'
-import type { HandoverMessage, HeaderList } from '@fuchsiaworks/wire'
+import { BODY_WINDOW_BYTES, CreditGrant, type HandoverMessage, type HeaderList } from '@fuchsiaworks/wire'
 import { type Meter, startMeter } from '../meter/meter.js'
 import type { UpstreamClient, UpstreamExchange } from '../upstream/upstreamClient.js'
 
-/** Bytes of a body that may be on the way without having been taken at the other end. */
-const BODY_WINDOW_BYTES = 64 * 1024
-
-/** Bytes taken by the upstream after which credit is granted. */
-const CREDIT_STEP_BYTES = 16 * 1024
-
 /** Milliseconds to wait for the head of a model engine's answer, which may come at the end of the generation. */
 const ENGINE_HEAD_TIMEOUT_MS = 600_000
 
@@ -34,7 +28,7 @@
   #exchange: UpstreamExchange | undefined
   #body: PassThrough | undefined
   #credit = BODY_WINDOW_BYTES
-  #taken = 0
+  readonly #taken: CreditGrant
   /** True once the router gave it up; nothing is sent to the router any more. */
   abandoned = false
   /** HTTP status, once known. */
@@ -54,6 +48,7 @@
    */
   constructor (readonly link: FleetLink, readonly handover: HandoverMessage, service: ServiceConfig, readonly startedAt: Millis) {
     this.#service = service
+    this.#taken = new CreditGrant(bytes => { link.send({ kind: 'credit', request: handover.request, direction: 'request', bytes }) })
     this.meter = startMeter(service, handover.body.length, startedAt)
   }
 
@@ -77,7 +72,7 @@
   /** Takes a further part of the request's body. */
   addBody (data: Uint8Array, ended: boolean): void {
     if (this.#body === undefined || this.#body.destroyed) return
-    if (data.length > 0) this.#body.write(data, () => { this.#grant(data.length) })
+    if (data.length > 0) this.#body.write(data, () => { this.#taken.take(data.length) })
     if (ended) this.#body.end()
   }
 
@@ -115,11 +110,4 @@
     this.#body.write(body)
     return this.#body
   }
-
-  #grant (bytes: number): void {
-    this.#taken += bytes
-    if (this.#taken < CREDIT_STEP_BYTES) return
-    this.link.send({ kind: 'credit', request: this.handover.request, direction: 'request', bytes: this.#taken })
-    this.#taken = 0
-  }
 }
--- a/packages/fleet/src/membership/membershipService.ts
+++ b/packages/fleet/src/membership/membershipService.ts
@@ -225,6 +225,7 @@
     switch (command.kind) {
       case 'dial': return this.#dial(command.peer)
       case 'hang-up': return this.#dials.hangUp(command.peer)
+      // Sessions replace silent connections by themselves.
       case 'replace-connection': return
       case 'work-state':
         log.info('the work state changed', { state: command.state })
--- a/packages/policy/src/retry/retry.spec.ts
+++ b/packages/policy/src/retry/retry.spec.ts
@@ -35,7 +35,7 @@
   it('queues a declined request again without spending the budget', () => {
     const db = opened(false)
     for (let n = 0; n < 20; n += 1) {
-      expect(decideRetry(db, { kind: 'declined', now: n, request: request(1), upstream, reason: 'expired' })).toEqual([{ kind: 'requeue', request: request(1) }])
+      expect(decideRetry(db, { kind: 'declined', now: n, request: request(1), upstream, reason: 'expired' })).toEqual([{ kind: 'requeue', request: request(1), avoid: [] }])
       decideRetry(db, { kind: 'attempt-started', now: n, request: request(1), upstream })
     }
   })
@@ -49,6 +49,15 @@
     expect(decideRetry(opened(true), fail('unknown'))).toEqual([{ kind: 'retry', request: request(1), attempt: 1, avoid: [upstream] }])
   })
 
+  it('goes on avoiding an upstream when another one declines the next attempt', () => {
+    const db = opened(true)
+    decideRetry(db, fail('unknown'))
+    const other = asId<UpstreamId>('u2')
+    decideRetry(db, { kind: 'attempt-started', now: 20, request: request(1), upstream: other })
+    const commands = decideRetry(db, { kind: 'declined', now: 30, request: request(1), upstream: other, reason: 'expired' })
+    expect(commands).toEqual([{ kind: 'requeue', request: request(1), avoid: [upstream] }])
+  })
+
   it('answers non-idempotent work that may have run as what is known, without Retry-After', () => {
     const answer = decideRetry(opened(false), fail('unknown'))
     expect(answer).toEqual([{ kind: 'answer', request: request(1), outcome: 'unknown', status: 502, retryAfter: undefined, reason: 'upstream failed' }])
--- a/packages/policy/src/retry/retry.ts
+++ b/packages/policy/src/retry/retry.ts
@@ -34,7 +34,7 @@
   request.state = { kind: 'queued' }
   request.upstream = undefined
   if (now >= request.deadline) return answer(db, request, wholeOutcome(request, 'not-run'), DEADLINE_STATUS, 'deadline', RETRY_AFTER_MS)
-  return [{ kind: 'requeue', request: request.id }]
+  return [{ kind: 'requeue', request: request.id, avoid: [...request.tried] }]
 }
 
 const onDeclined = (db: RetryDb, request: OpenRequest, now: Millis, reason: DeclineReason): RetryCommand[] => {
--- a/packages/policy/src/retry/retryTypes.ts
+++ b/packages/policy/src/retry/retryTypes.ts
@@ -84,6 +84,8 @@
     /** Put the request back at the head of its queue; it was never started. */
     readonly kind: 'requeue'
     readonly request: RequestId
+    /** Upstreams at which earlier attempts failed. */
+    readonly avoid: readonly UpstreamId[]
   } |
   {
     /** Put the request back at the head of its queue for another attempt, not on these upstreams. */
--- a/packages/router/src/callers/callerServer.ts
+++ b/packages/router/src/callers/callerServer.ts
@@ -161,7 +161,6 @@
     const facts = this.#factsOf(admitted, req, start)
     const request: OpenRequest = {
       facts,
-      req,
       res,
       start,
       reader,
@@ -198,8 +197,7 @@
       fingerprint: fingerprintOf(workspace, method, `${service}${path}`, start.data, length),
       estimate: estimateCost(config, start.data, length),
       patience: patienceAt(workspaceConfig, service, this.context.clock.wall(), site?.utcOffsetMinutes ?? 0),
-      maxWaiting: workspaceConfig.maxWaiting,
-      receivedAt: this.context.clock.now()
+      maxWaiting: workspaceConfig.maxWaiting
     }
   }
 }
--- a/packages/router/src/requests/answerWriter.ts
+++ b/packages/router/src/requests/answerWriter.ts
@@ -1,20 +1,14 @@
 /** Writes one answer to its caller and grants credit as the caller takes it. */
 import type { ServerResponse } from 'node:http'
-import type { HeaderList } from '@fuchsiaworks/wire'
+import { CreditGrant, type HeaderList } from '@fuchsiaworks/wire'
 import { endToEndHeaders } from '../callers/headers.js'
 import { type Problem, sendProblem } from '../callers/problem.js'
 import type { SilenceLimit } from './silenceLimit.js'
 
-/** Bytes taken by the caller after which credit is granted. */
-const CREDIT_STEP_BYTES = 16 * 1024
-
 /** The writing side of one caller's exchange. */
 export class AnswerWriter {
   readonly #res: ServerResponse
-  readonly #grant: (bytes: number) => void
-  #taken = 0
-  /** Bytes of body written to the caller. */
-  bytes = 0
+  readonly #credit: CreditGrant
 
   /**
    * @param res - the caller's response
@@ -23,15 +17,10 @@
    */
   constructor (res: ServerResponse, grant: (bytes: number) => void, readonly silence: SilenceLimit) {
     this.#res = res
-    this.#grant = grant
+    this.#credit = new CreditGrant(grant)
     res.once('close', () => { silence.close() })
   }
 
-  /** True once status and headers were sent. */
-  get begun (): boolean {
-    return this.#res.headersSent
-  }
-
   /** Sends status and headers. */
   head (status: number, headers: HeaderList): void {
     if (this.#closed()) return
@@ -42,15 +31,14 @@
   /** Sends a part of the body. */
   data (data: Uint8Array): void {
     if (this.#closed()) return
-    this.bytes += data.length
     if (this.#res.write(data)) {
-      this.#take(data.length)
+      this.#credit.take(data.length)
       return
     }
     this.silence.expect()
     this.#res.once('drain', () => {
       this.silence.close()
-      this.#take(data.length)
+      this.#credit.take(data.length)
     })
   }
 
@@ -74,11 +62,4 @@
   #closed (): boolean {
     return this.#res.destroyed || this.#res.writableEnded
   }
-
-  #take (bytes: number): void {
-    this.#taken += bytes
-    if (this.#taken < CREDIT_STEP_BYTES) return
-    this.#grant(this.#taken)
-    this.#taken = 0
-  }
 }
--- a/packages/router/src/requests/openRequest.ts
+++ b/packages/router/src/requests/openRequest.ts
@@ -1,5 +1,5 @@
 /** One caller's request while the router is responsible for it. */
-import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { ServerResponse } from 'node:http'
 import { FuchsiaError, type Fingerprint, type Millis, type RequestId, type ServiceId, type UpstreamId, type WorkspaceId } from '@fuchsiaworks/kernel'
 import type { FleetLink } from '@fuchsiaworks/fleet'
 import type { WaitingRequest } from '@fuchsiaworks/policy'
@@ -25,13 +25,11 @@
   readonly patience: Millis
   /** Requests that its workspace may have waiting for the service. */
   readonly maxWaiting: number
-  readonly receivedAt: Millis
 }
 
 /** The request with its connection and its holder. */
 export interface OpenRequest {
   readonly facts: RequestFacts
-  readonly req: IncomingMessage
   readonly res: ServerResponse
   readonly start: BodyStart
   readonly reader: BodyReader
--- a/packages/router/src/requests/requestFlow.ts
+++ b/packages/router/src/requests/requestFlow.ts
@@ -11,7 +11,7 @@
   type WaitingRequest
 } from '@fuchsiaworks/policy'
 import type { FleetConfig } from '@fuchsiaworks/settings'
-import type { AcceptedMessage, DeclinedMessage, PullMessage, ResponseFailedMessage } from '@fuchsiaworks/wire'
+import { type AcceptedMessage, BODY_WINDOW_BYTES, type DeclinedMessage, type PullMessage, type ResponseFailedMessage } from '@fuchsiaworks/wire'
 import { notRun, type Problem } from '../callers/problem.js'
 import type { AgentStates } from '../links/agentStates.js'
 import type { BacklogTeller } from '../links/backlogTeller.js'
@@ -27,9 +27,6 @@
 /** Milliseconds between two ticks of the policies. */
 const TICK_MS = 100
 
-/** Bytes of a body that may be on the way without having been taken at the other end. */
-export const BODY_WINDOW_BYTES = 64 * 1024
-
 const log = createLog('requests')
 
 /** The flow of requests through this router. */
@@ -159,7 +156,7 @@
     const request = this.table.find(command.request)
     if (request === undefined) return
     switch (command.kind) {
-      case 'requeue': return this.#requeue(request, [])
+      case 'requeue': return this.#requeue(request, command.avoid)
       case 'retry':
         this.journal.record('request-retried', request, `attempt ${command.attempt}`)
         return this.#requeue(request, command.avoid)
