--- a/packages/agent/src/runs/run.ts
+++ b/packages/agent/src/runs/run.ts
@@ -4,8 +4,8 @@
 import type { FleetLink } from '@fuchsiaworks/fleet'
 import type { ServiceConfig } from '@fuchsiaworks/settings'
 import { BODY_WINDOW_BYTES, CreditGrant, type HandoverMessage, type HeaderList } from '@fuchsiaworks/wire'
+import type { UpstreamClient, UpstreamExchange } from '@fuchsiaworks/upstreams'
 import { type Meter, startMeter } from '../meter/meter.js'
-import type { UpstreamClient, UpstreamExchange } from '../upstream/upstreamClient.js'
 
 /** Milliseconds to wait for the head of a model engine's answer, which may come at the end of the generation. */
 const ENGINE_HEAD_TIMEOUT_MS = 600_000
--- a/packages/agent/src/runs/runner.ts
+++ b/packages/agent/src/runs/runner.ts
@@ -3,9 +3,9 @@
 import type { ConfigurationService, FairnessService, FleetLink, LinkHub, ProcessContext } from '@fuchsiaworks/fleet'
 import type { AgentSettings, ServiceConfig } from '@fuchsiaworks/settings'
 import type { HandoverMessage, HeaderList, Outcome } from '@fuchsiaworks/wire'
+import { UpstreamClient } from '@fuchsiaworks/upstreams'
 import type { LimitService } from '../limits/limitService.js'
 import { probeUpstream } from '../upstream/probe.js'
-import { UpstreamClient } from '../upstream/upstreamClient.js'
 import { CrashRecord } from './crashRecord.js'
 import type { KeyedAnswers } from './keyedAnswers.js'
 import { Run, type RunEvents } from './run.js'
@@ -18,6 +18,9 @@
 /** Statuses by which an upstream says that it has too much to do. */
 const OVERLOADED = new Set([429, 503])
 
+/** Connections to the upstream, which is on the same host; one that may just be closing carries no request that may not repeat. */
+const CONNECTIONS = { connectTimeoutMs: 2_000, keepAliveMs: 3_000, keepAliveMarginMs: 2_000, freshForUnsafe: true } as const
+
 const log = createLog('runs')
 
 /** Starts runs and follows them to their end. */
@@ -40,7 +43,7 @@
   ) {
     this.#settings = settings
     this.#crashes = new CrashRecord(context.identity.incarnation)
-    this.#client = new UpstreamClient(settings.upstreamUrl)
+    this.#client = new UpstreamClient(settings.upstreamUrl, CONNECTIONS)
     hub.table.on('request-body', (link, message) => { table.heldFor(message.request, link)?.addBody(message.data, message.ended) })
     hub.table.on('credit', (link, message) => {
       if (message.direction === 'response') table.heldFor(message.request, link)?.addCredit(message.bytes)
--- a/packages/cli/src/fuchsiaworks.ts
+++ b/packages/cli/src/fuchsiaworks.ts
@@ -1,9 +1,8 @@
 /** The fuchsiaworks program: runs one router or one agent. */
-import './process/enableLogs.js'
+import '@fuchsiaworks/kernel/logs'
+import { keepAlive, runUntilSignal } from '@fuchsiaworks/kernel'
 import meow from 'meow'
 import { EXIT, type ExitCode, processIo, readText, runCommand, UsageError } from './io/commandIo.js'
-import { keepAlive } from './process/keepAlive.js'
-import { runUntilSignal } from './process/runUntilSignal.js'
 import { packageStarters, startProcess } from './process/startProcess.js'
 
 const HELP = `
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,6 +1,5 @@
 /** Public entry of the cli package. */
 export * from './io/commandIo.js'
-export * from './process/runUntilSignal.js'
 export * from './process/startProcess.js'
 export * from './check/checkCommand.js'
 export * from './timeline/mergeTimelines.js'
--- a/packages/cli/src/process/process.spec.ts
+++ b/packages/cli/src/process/process.spec.ts
@@ -1,9 +1,8 @@
 import { EventEmitter } from 'node:events'
 import { describe, it } from 'node:test'
-import { FindingsError, setLogLevel } from '@fuchsiaworks/kernel'
+import { FindingsError, type RunningProcess, runUntilSignal, setLogLevel } from '@fuchsiaworks/kernel'
 import { expect } from 'earl'
-import { runUntilSignal } from './runUntilSignal.js'
-import { type RunningProcess, startProcess, type Starters, WrongRoleError } from './startProcess.js'
+import { startProcess, type Starters, WrongRoleError } from './startProcess.js'
 
 /** A process whose drain ends when told to. */
 const createFake = () => {
--- a/packages/cli/src/process/startProcess.ts
+++ b/packages/cli/src/process/startProcess.ts
@@ -1,15 +1,7 @@
 /** Starts the process that the settings describe. */
-import { assertNever, FuchsiaError, setLogLevel } from '@fuchsiaworks/kernel'
+import { assertNever, FuchsiaError, type RunningProcess, setLogLevel } from '@fuchsiaworks/kernel'
 import { type AgentSettings, type NamedText, parseSettings, type ProcessSettings, type RouterSettings } from '@fuchsiaworks/settings'
 
-/** A running router or agent. */
-export interface RunningProcess {
-  /** Ends at once. */
-  close: () => Promise<void>
-  /** Takes no new work; settles when the running work has ended. */
-  drain: () => Promise<void>
-}
-
 /** What starts each role. */
 export interface Starters {
   readonly router: (settings: RouterSettings) => Promise<RunningProcess>
--- /dev/null
+++ b/packages/gateway/src/log/gatewayMetrics.ts
@@ -0,0 +1,17 @@
+/** Counters and histograms of a gateway, served as text. */
+import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+
+/** Upper bounds of the latency buckets, in seconds. */
+const LATENCY_BUCKETS_S = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8]
+
+/** Metrics of one process. */
+export class GatewayMetrics {
+  readonly registry = new Registry()
+  readonly requests = new Counter({ name: 'fuchsiaworks_requests_total', help: 'Requests by how they ended', labelNames: ['service', 'outcome'], registers: [this.registry] })
+  readonly attempts = new Counter({ name: 'fuchsiaworks_attempts_total', help: 'Requests sent to upstreams by how the attempt ended', labelNames: ['service', 'outcome'], registers: [this.registry] })
+  readonly firstByte = new Histogram({ name: 'fuchsiaworks_first_byte_seconds', help: 'Time to the first byte of an answer', labelNames: ['service'], buckets: LATENCY_BUCKETS_S, registers: [this.registry] })
+  readonly open = new Gauge({ name: 'fuchsiaworks_open_requests', help: 'Requests that have not ended', registers: [this.registry] })
+  readonly peers = new Gauge({ name: 'fuchsiaworks_peers', help: 'Other routers in sight', registers: [this.registry] })
+  readonly revision = new Gauge({ name: 'fuchsiaworks_configuration_revision', help: 'Revision of the configuration in force', registers: [this.registry] })
+  readonly upstreams = new Gauge({ name: 'fuchsiaworks_upstreams', help: 'Registered upstreams that are not leaving', registers: [this.registry] })
+}
--- /dev/null
+++ b/packages/gateway/src/peers/peerCodec.ts
@@ -0,0 +1,84 @@
+/** Bytes of the messages between routers. What cannot be read is refused whole. */
+import { asId, FuchsiaError, type Id, type UpstreamId, type WorkspaceId } from '@fuchsiaworks/kernel'
+import type { PeerId, TokenTotals, UpstreamLoad } from '@fuchsiaworks/policy'
+import { Packr } from 'msgpackr'
+import type { PeerState } from './peerTypes.js'
+
+/** Version of the messages; others are refused. */
+const VERSION = 1
+
+const packer = new Packr({ useRecords: false })
+
+/** A message of another router cannot be read. */
+export class PeerMessageError extends FuchsiaError {
+  /** @param what - the part that is wrong */
+  constructor (what: string) {
+    super('peer-message', `a message of another router cannot be read: ${what}`)
+  }
+}
+
+/** @returns the bytes of a state */
+export const encodePeerState = (state: PeerState): Buffer => packer.pack([
+  VERSION,
+  state.peer,
+  state.address,
+  state.isLeaving,
+  [...state.loads].map(([id, load]) => [id, load.open, load.waitingTokens, load.heldTokens, load.recentStarts]),
+  [...state.totals].map(([id, totals]) => [id, totals.asked, totals.served]),
+  state.avoided.map(({ upstream, remainingMs }) => [upstream, remainingMs]),
+  state.addresses
+])
+
+const list = (value: unknown, what: string): unknown[] => {
+  if (!Array.isArray(value)) throw new PeerMessageError(`${what} is not a list`)
+  return value
+}
+
+const text = <T extends Id<string>>(value: unknown, what: string): T => {
+  if (typeof value !== 'string') throw new PeerMessageError(`${what} is not a text`)
+  return asId<T>(value)
+}
+
+const number = (value: unknown, what: string): number => {
+  if (typeof value !== 'number' || !Number.isFinite(value)) throw new PeerMessageError(`${what} is not a number`)
+  return value
+}
+
+const decodeLoad = (entry: unknown): readonly [UpstreamId, UpstreamLoad] => {
+  const [id, open, waitingTokens, heldTokens, recentStarts] = list(entry, 'a load')
+  return [text<UpstreamId>(id, 'an upstream'), {
+    open: number(open, 'open'),
+    waitingTokens: number(waitingTokens, 'waiting tokens'),
+    heldTokens: number(heldTokens, 'held tokens'),
+    recentStarts: number(recentStarts, 'recent starts')
+  }]
+}
+
+const decodeTotals = (entry: unknown): readonly [WorkspaceId, TokenTotals] => {
+  const [id, asked, served] = list(entry, 'totals')
+  return [text<WorkspaceId>(id, 'a workspace'), { asked: number(asked, 'asked'), served: number(served, 'served') }]
+}
+
+/**
+ * Reads a state.
+ *
+ * @param bytes - one message
+ * @returns the state
+ * @throws PeerMessageError when it is malformed or of another version
+ */
+export const decodePeerState = (bytes: Uint8Array): PeerState => {
+  const [version, peer, address, isLeaving, loads, totals, avoided, addresses] = list(packer.unpack(bytes), 'the message')
+  if (version !== VERSION) throw new PeerMessageError(`version ${String(version)}`)
+  return {
+    peer: text<PeerId>(peer, 'the peer'),
+    address: text(address, 'the address'),
+    isLeaving: isLeaving === true,
+    loads: new Map(list(loads, 'loads').map(decodeLoad)),
+    totals: new Map(list(totals, 'totals').map(decodeTotals)),
+    avoided: list(avoided, 'avoided').map(entry => {
+      const [upstream, remainingMs] = list(entry, 'an avoided upstream')
+      return { upstream: text<UpstreamId>(upstream, 'an upstream'), remainingMs: number(remainingMs, 'a time') }
+    }),
+    addresses: list(addresses, 'addresses').map(one => text(one, 'an address'))
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/peers/peerMesh.ts
@@ -0,0 +1,197 @@
+/** Finds the other routers and exchanges states with each of them, directly. */
+import { createServer, type Server } from 'node:http'
+import { type Clock, createLog, EventSource, type Millis, newId, type Service, type Timer, toError, type UpstreamId, type WorkspaceId } from '@fuchsiaworks/kernel'
+import type { PeerId, RouterView, TokenTotals, UpstreamLoad } from '@fuchsiaworks/policy'
+import { type WebSocket, WebSocketServer } from 'ws'
+import type { ListenAddress } from '@fuchsiaworks/settings'
+import { decodePeerState, encodePeerState } from './peerCodec.js'
+import { PeerDialer } from './peerDialer.js'
+import type { AvoidedUpstream, PeerState } from './peerTypes.js'
+
+/** Milliseconds between two states for each known router: more routers tell less often, so that the messages a router reads stay bounded. */
+const PERIOD_BY_ROUTER_MS = 8
+
+/** Bounds of the time between two states, in milliseconds. */
+const PERIOD_MS = { min: 40, max: 250 } as const
+
+/** Milliseconds after which a state is told although nothing changed. */
+const HEARTBEAT_MS: Millis = 250
+
+/** Milliseconds without a state after which a router counts as out of sight. */
+const SILENT_AFTER_MS: Millis = 1000
+
+/** Milliseconds for which a router that went out of sight is remembered as lost. */
+const LOST_MS: Millis = 15_000
+
+/** Milliseconds within which routers that start together have found each other. */
+const SETTLE_MS: Millis = 2000
+
+/** Milliseconds after which a router that has found no other works alone. */
+const ALONE_MS: Millis = 6000
+
+/** Messages longer than this are refused. */
+const MAX_MESSAGE_BYTES = 1024 * 1024
+
+const log = createLog('peers')
+
+/** What this router tells of itself. */
+export interface OwnState {
+  readonly loads: ReadonlyMap<UpstreamId, UpstreamLoad>
+  readonly totals: ReadonlyMap<WorkspaceId, TokenTotals>
+  readonly avoided: readonly AvoidedUpstream[]
+}
+
+interface KnownPeer {
+  heardAt: Millis
+  inSight: boolean
+  address: string
+}
+
+/** The links between routers. */
+export class PeerMesh implements Service {
+  readonly self = newId<PeerId>()
+  /** States of other routers as they arrive. */
+  readonly states = new EventSource<PeerState>()
+  /** Routers that went out of sight or left. */
+  readonly lost = new EventSource<PeerId>()
+  readonly #dialers = new Map<string, PeerDialer>()
+  readonly #peers = new Map<PeerId, KnownPeer>()
+  readonly #server: Server
+  readonly #sockets: WebSocketServer
+  readonly #startedAt: Millis
+  #timers: Timer[] = []
+  #toldAt: Millis = 0
+  #dirty = false
+  #leaving = false
+  #totalsTold = new Map<WorkspaceId, TokenTotals>()
+
+  /**
+   * @param clock - source of time
+   * @param listen - own address
+   * @param seeds - addresses of other routers, perhaps stale, perhaps this one's own
+   * @param readOwn - reads what is to be told
+   */
+  constructor (readonly clock: Clock, readonly listen: ListenAddress, readonly seeds: readonly string[], readonly readOwn: () => OwnState) {
+    this.#startedAt = clock.now()
+    this.#server = createServer((_req, res) => { res.writeHead(426).end() })
+    this.#sockets = new WebSocketServer({ server: this.#server, maxPayload: MAX_MESSAGE_BYTES, perMessageDeflate: false })
+    this.#sockets.on('connection', socket => { this.#accept(socket) })
+  }
+
+  get #address (): string {
+    return `${this.listen.host}:${this.listen.port}`
+  }
+
+  async start (): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once('error', reject)
+      this.#server.listen(this.listen.port, this.listen.host, resolve)
+    })
+    for (const seed of this.seeds) this.#dial(seed)
+    this.#timers = [this.clock.every(PERIOD_MS.min, () => { this.#tick() })]
+  }
+
+  /** Says that there is something new to tell. */
+  touch (): void {
+    this.#dirty = true
+  }
+
+  /** Tells the others that this router ends. */
+  leave (): void {
+    this.#leaving = true
+    this.#tell()
+  }
+
+  close (): void {
+    for (const timer of this.#timers) timer.close()
+    for (const dialer of this.#dialers.values()) dialer.close()
+    for (const socket of this.#sockets.clients) socket.terminate()
+    this.#server.close()
+    this.#server.closeAllConnections()
+  }
+
+  /** @returns the routers that this one knows */
+  view (): RouterView {
+    const now = this.clock.now()
+    const reachable = [...this.#peers].filter(([, peer]) => peer.inSight).map(([id]) => id)
+    const age = now - this.#startedAt
+    const settled = age >= ALONE_MS || (age >= SETTLE_MS && reachable.length > 0)
+    return { self: this.self, reachable, lost: this.#peers.size - reachable.length, settled }
+  }
+
+  #dial (address: string): void {
+    if (address === this.#address || this.#dialers.has(address)) return
+    this.#dialers.set(address, new PeerDialer(address, this.clock, dialer => { dialer.send(this.#encode(this.readOwn().totals)) }))
+  }
+
+  #accept (socket: WebSocket): void {
+    let peer: PeerId | undefined
+    socket.on('error', err => { log.debug('connection of another router failed', { reason: err.message }) })
+    socket.on('message', data => {
+      try {
+        const state = decodePeerState(data as Buffer)
+        peer = state.peer
+        this.#receive(state)
+      } catch (err) {
+        log.warn('a message of another router was refused', { reason: toError(err).message, peer: peer ?? 'unknown' })
+        socket.close()
+      }
+    })
+  }
+
+  #receive (state: PeerState): void {
+    if (state.peer === this.self) return
+    const known = this.#peers.get(state.peer)
+    if (known?.inSight !== true) log.info('another router is in sight', { peer: state.peer, address: state.address })
+    for (const [id, peer] of this.#peers) if (id !== state.peer && peer.address === state.address) this.#forget(id)
+    this.#dial(state.address)
+    for (const address of state.addresses) this.#dial(address)
+    this.states.emit(state)
+    if (state.isLeaving) this.#forget(state.peer)
+    else this.#peers.set(state.peer, { heardAt: this.clock.now(), inSight: true, address: state.address })
+  }
+
+  /** Ends the record of a router that left, or whose successor listens on its address. */
+  #forget (id: PeerId): void {
+    if (!this.#peers.delete(id)) return
+    this.lost.emit(id)
+  }
+
+  #tick (): void {
+    const now = this.clock.now()
+    for (const [id, peer] of this.#peers) this.#checkSight(id, peer, now)
+    const period = Math.min(PERIOD_MS.max, Math.max(PERIOD_MS.min, this.#peers.size * PERIOD_BY_ROUTER_MS))
+    const due = this.#dirty ? period : HEARTBEAT_MS
+    // A timer that fires a little early must not make a state wait for the next one.
+    if (now - this.#toldAt >= due - PERIOD_MS.min / 2) this.#tell()
+  }
+
+  #checkSight (id: PeerId, peer: KnownPeer, now: Millis): void {
+    const silence = now - peer.heardAt
+    if (silence > LOST_MS) this.#peers.delete(id)
+    if (!peer.inSight || silence <= SILENT_AFTER_MS) return
+    peer.inSight = false
+    log.warn('another router went out of sight', { peer: id, silenceMs: Math.round(silence) })
+    this.lost.emit(id)
+  }
+
+  #tell (): void {
+    this.#toldAt = this.clock.now()
+    this.#dirty = false
+    if (this.#dialers.size === 0) return
+    const { totals } = this.readOwn()
+    const changed = new Map([...totals].filter(([id, { asked, served }]) => {
+      const told = this.#totalsTold.get(id)
+      return told === undefined || told.asked !== asked || told.served !== served
+    }))
+    for (const [id, { asked, served }] of changed) this.#totalsTold.set(id, { asked, served })
+    const bytes = this.#encode(changed)
+    for (const dialer of this.#dialers.values()) dialer.send(bytes)
+  }
+
+  #encode (totals: ReadonlyMap<WorkspaceId, TokenTotals>): Buffer {
+    const { loads, avoided } = this.readOwn()
+    const addresses = [...this.#peers.values()].filter(peer => peer.inSight).map(peer => peer.address)
+    return encodePeerState({ peer: this.self, address: this.#address, isLeaving: this.#leaving, loads, totals, avoided, addresses })
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/peers/peerTypes.ts
@@ -0,0 +1,25 @@
+/** What routers tell each other. */
+import type { Millis, UpstreamId, WorkspaceId } from '@fuchsiaworks/kernel'
+import type { PeerId, TokenTotals, UpstreamLoad } from '@fuchsiaworks/policy'
+
+/** An upstream that its teller does not send to for a while. */
+export interface AvoidedUpstream {
+  readonly upstream: UpstreamId
+  readonly remainingMs: Millis
+}
+
+/** The state of one router. Every message replaces the one before, so a lost or repeated one does no harm. */
+export interface PeerState {
+  readonly peer: PeerId
+  /** Address as `ip:port` at which the teller listens for other routers. */
+  readonly address: string
+  /** True when the teller is ending and takes no more requests. */
+  readonly isLeaving: boolean
+  /** What the teller has open; upstreams that are not named are idle there. */
+  readonly loads: ReadonlyMap<UpstreamId, UpstreamLoad>
+  /** Tokens by workspace since the start of the teller; a workspace that is not named has not changed. */
+  readonly totals: ReadonlyMap<WorkspaceId, TokenTotals>
+  readonly avoided: readonly AvoidedUpstream[]
+  /** Addresses of other routers that the teller knows. */
+  readonly addresses: readonly string[]
+}
--- /dev/null
+++ b/packages/gateway/src/port/fleetPort.ts
@@ -0,0 +1,24 @@
+/** What the gateway asks of an adapter that reads the platform's lists. */
+import type { Millis, ZoneId } from '@fuchsiaworks/kernel'
+import type { Stream } from 'most'
+import type { GatewayUpstream, RoutingTable } from '../routing/routingTypes.js'
+
+/** What is known of the fleet's surroundings. */
+export interface FleetView {
+  /** Undefined until a configuration was read. */
+  readonly table: RoutingTable | undefined
+  readonly upstreams: readonly GatewayUpstream[]
+  /** Zones whose upstreams get nothing new. */
+  readonly closedZones: ReadonlySet<ZoneId>
+}
+
+/** Reads the platform and tells of changes. */
+export interface FleetPort {
+  readonly view: FleetView
+  /** Each change of the view. */
+  readonly changes: Stream<FleetView>
+  /** Reading of the suspend clock when the view was last confirmed; undefined before the first time. */
+  readonly confirmedAt: Millis | undefined
+  start: () => void
+  close: () => Promise<void>
+}
--- /dev/null
+++ b/packages/gateway/src/port/headerPort.ts
@@ -0,0 +1,63 @@
+/** What the gateway asks of an adapter that knows the names of headers. */
+import type { Id, Millis, UpstreamId, WorkspaceId } from '@fuchsiaworks/kernel'
+import type { PromptPart } from '@fuchsiaworks/policy'
+import type { HeaderList } from '@fuchsiaworks/wire'
+
+/** Names one try of a caller; each try has its own. */
+export type AttemptId = Id<'attempt'>
+
+/** Size and shared parts of a prompt. */
+export interface PromptFacts {
+  readonly promptTokens: number
+  readonly maxOutputTokens: number
+  /** Parts in order; the last belongs to the request or its session alone. */
+  readonly parts: readonly PromptPart[]
+}
+
+/** What the headers of a caller's request say. */
+export interface CallerHead {
+  readonly attempt: AttemptId
+  /** Milliseconds that the caller waits; undefined when it does not say. */
+  readonly deadlineMs: Millis | undefined
+  readonly key: string | undefined
+  /** Last event that the caller has of a stream that it resumes. */
+  readonly resumeAfter: number | undefined
+  readonly prompt: PromptFacts | undefined
+}
+
+/** What a router adds to a request on its way to an upstream. */
+export interface UpstreamCall {
+  readonly upstream: UpstreamId
+  readonly deadlineMs: Millis
+  readonly workspace: WorkspaceId | undefined
+  /** Last event that the caller has, when the stream is continued. */
+  readonly resumeAfter: number | undefined
+}
+
+/** What the head of an upstream's answer says. */
+export interface AnswerHead {
+  /** The try that is answered; undefined when the upstream does not say. */
+  readonly attempt: string | undefined
+  /** True when the upstream vouches for the answer. */
+  readonly isSealed: boolean
+  /** True when the upstream says that it has not run the request. */
+  readonly isNotRun: boolean
+  /** True when the body is encoded, which no caller asked for. */
+  readonly isEncoded: boolean
+}
+
+/** Translates headers. */
+export interface HeaderPort {
+  /**
+   * Reads the headers of a caller.
+   *
+   * @returns undefined when they are malformed or name no single try
+   */
+  decodeCaller: (headers: HeaderList) => CallerHead | undefined
+  /** Chooses and adds the headers that an upstream receives. */
+  encodeCall: (headers: HeaderList, call: UpstreamCall) => HeaderList
+  /** Reads the head of an answer. */
+  decodeAnswer: (status: number, headers: HeaderList) => AnswerHead
+  /** @returns headers of a refusal that tell when to come back */
+  encodeReturn: (returnMs: Millis) => HeaderList
+}
--- /dev/null
+++ b/packages/gateway/src/process/plainPage.ts
@@ -0,0 +1,46 @@
+/** Serves one small page over HTTP: readiness or metrics. */
+import { createServer, type Server } from 'node:http'
+import { createLog, type Service, toError } from '@fuchsiaworks/kernel'
+import type { ListenAddress } from '@fuchsiaworks/settings'
+
+/** What a request for the page gets. */
+export interface PageAnswer {
+  readonly status: number
+  readonly type: string
+  readonly body: string
+}
+
+const log = createLog('pages')
+
+/** Listens for one path; others are not found. */
+export class PlainPage implements Service {
+  readonly #server: Server
+
+  /**
+   * @param listen - address and path
+   * @param render - makes the answer
+   */
+  constructor (readonly listen: ListenAddress & { readonly path: string }, readonly render: () => PageAnswer | Promise<PageAnswer>) {
+    this.#server = createServer((req, res) => {
+      if (req.url !== listen.path) return res.writeHead(404).end()
+      Promise.resolve(render()).then(({ status, type, body }) => {
+        res.writeHead(status, { 'content-type': type, 'content-length': String(Buffer.byteLength(body)) }).end(body)
+      }).catch(err => {
+        log.error('a page could not be made', { path: listen.path, reason: toError(err).message })
+        res.writeHead(500).end()
+      })
+    })
+  }
+
+  async start (): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once('error', reject)
+      this.#server.listen(this.listen.port, this.listen.host, resolve)
+    })
+  }
+
+  close (): void {
+    this.#server.close()
+    this.#server.closeAllConnections()
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/requests/answerRelay.ts
@@ -0,0 +1,110 @@
+/** Passes one answer on to a caller, over one or more runs of the request. */
+import type { ServerResponse } from 'node:http'
+import type { HeaderList } from '@fuchsiaworks/wire'
+import { EventSplitter } from './eventSplitter.js'
+
+/** Bytes of a plain answer that are held until it is whole, so that a broken one can still be replaced. */
+const HELD_BYTES = 64 * 1024
+
+/** The answer of one caller. */
+export class AnswerRelay {
+  readonly #res: ServerResponse
+  readonly #isStream: boolean
+  #status = 0
+  #headers: HeaderList = []
+  #held: Buffer[] = []
+  #heldBytes = 0
+  #splitter = new EventSplitter()
+  #lastEvent: number | undefined
+
+  /**
+   * @param res - the caller's response
+   * @param isStream - whether the body is a stream of events
+   * @param resumedAfter - last event that the caller already has
+   */
+  constructor (res: ServerResponse, isStream: boolean, resumedAfter: number | undefined) {
+    this.#res = res
+    this.#isStream = isStream
+    this.#lastEvent = resumedAfter
+  }
+
+  /** True when a part of the answer has been passed on. */
+  get hasBegun (): boolean {
+    return this.#res.headersSent
+  }
+
+  /** Number of the last event that was passed on. */
+  get lastEvent (): number | undefined {
+    return this.#lastEvent
+  }
+
+  get status (): number {
+    return this.#status
+  }
+
+  /** Takes the head of a run's answer; the head of the first run stays. */
+  head (status: number, headers: HeaderList): void {
+    this.#splitter = new EventSplitter()
+    this.#held = []
+    this.#heldBytes = 0
+    if (this.hasBegun) return
+    this.#status = status
+    this.#headers = headers
+  }
+
+  /**
+   * Takes a part of the body.
+   *
+   * @returns false when the caller reads too slowly; `onDrain` tells when to go on
+   */
+  data (chunk: Buffer): boolean {
+    if (!this.#isStream) return this.#hold(chunk)
+    const events = this.#splitter.take(chunk)
+    if (events === undefined) return true
+    if (events.lastId !== undefined) this.#lastEvent = events.lastId
+    return this.#write(events.bytes)
+  }
+
+  /**
+   * Ends the answer.
+   *
+   * @returns false when the body stops inside an event, so that it cannot be whole
+   */
+  end (): boolean {
+    if (this.#isStream && this.#splitter.pendingBytes > 0) return false
+    if (!this.hasBegun && !this.#isStream) this.#headers = [...this.#headers.filter(([name]) => name !== 'content-length'), ['content-length', String(this.#heldBytes)]]
+    this.#flushHeld()
+    this.#begin()
+    this.#res.end()
+    return true
+  }
+
+  /** Calls back once when the caller has read what was sent. */
+  onDrain (resume: () => void): void {
+    this.#res.once('drain', resume)
+  }
+
+  #hold (chunk: Buffer): boolean {
+    if (this.hasBegun) return this.#write(chunk)
+    this.#held.push(chunk)
+    this.#heldBytes += chunk.length
+    return this.#heldBytes <= HELD_BYTES ? true : this.#flushHeld()
+  }
+
+  #flushHeld (): boolean {
+    let ready = true
+    for (const chunk of this.#held) ready = this.#write(chunk)
+    this.#held = []
+    return ready
+  }
+
+  #write (bytes: Buffer): boolean {
+    this.#begin()
+    return this.#res.write(bytes)
+  }
+
+  #begin (): void {
+    if (this.hasBegun) return
+    this.#res.writeHead(this.#status, this.#headers.flatMap(([name, value]) => [name, value]))
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/requests/callerCall.ts
@@ -0,0 +1,24 @@
+/** A caller's request, read whole and ready to be sent. */
+import type { ServerResponse } from 'node:http'
+import type { Millis, ServiceId, WorkspaceId } from '@fuchsiaworks/kernel'
+import type { HeaderList } from '@fuchsiaworks/wire'
+import type { CallerHead } from '../port/headerPort.js'
+import type { GatewayRoute } from '../routing/routingTypes.js'
+
+/** One request. */
+export interface CallerCall {
+  readonly head: CallerHead
+  readonly headers: HeaderList
+  readonly method: string
+  readonly target: string
+  readonly body: Buffer
+  readonly route: GatewayRoute
+  readonly service: ServiceId
+  /** Undefined on public routes. */
+  readonly workspace: WorkspaceId | undefined
+  /** Revision of the configuration by which it was routed. */
+  readonly revision: number
+  /** Monotonic milliseconds at which its head was read. */
+  readonly arrivedAt: Millis
+  readonly res: ServerResponse
+}
--- /dev/null
+++ b/packages/gateway/src/requests/callerExchange.ts
@@ -0,0 +1,416 @@
+/** The life of one request: placed, sent, passed on, and sent again where that is allowed. */
+import { asId, type Millis, newId, type Timer, type UpstreamId } from '@fuchsiaworks/kernel'
+import {
+  type AttemptFailure, coldRate, decideAttempt, decideShare, maySendCold, type Placement, type PlacementRequest, place,
+  type PromptPart, type RunId
+} from '@fuchsiaworks/policy'
+import type { UpstreamExchange } from '@fuchsiaworks/upstreams'
+import type { HeaderList } from '@fuchsiaworks/wire'
+import type { AnswerHead } from '../port/headerPort.js'
+import type { GatewayUpstream } from '../routing/routingTypes.js'
+import { AnswerRelay } from './answerRelay.js'
+import type { CallerCall } from './callerCall.js'
+import type { FlowContext } from './flowContext.js'
+import { type Refusal, sendRefusal } from './refusals.js'
+
+/** Milliseconds for which an upstream that accepts no connection is not chosen. */
+const UNREACHABLE_AVOID_MS = 1500
+
+/** Milliseconds for which an upstream is not chosen after it was full. */
+const FULL_AVOID_MS = 150
+
+/** Milliseconds for which an upstream is not chosen after a connection to it broke. */
+const BROKEN_AVOID_MS = 300
+
+/** Milliseconds to return for a request that no upstream could take. */
+const NO_UPSTREAM_RETURN_MS = 1000
+
+/** Engines generate tokens one after the other, which costs about twice as much as reading them. */
+const OUTPUT_TOKEN_WEIGHT = 2
+
+/** Status of an upstream that is not the one that was meant. */
+const MISDIRECTED = 421
+
+/** One attempt at one upstream. */
+interface Attempt {
+  readonly run: RunId
+  readonly upstream: GatewayUpstream
+  readonly startedAt: Millis
+  readonly placement: Placement
+  exchange: UpstreamExchange | undefined
+  /** True once nothing that it brings is of interest. */
+  isOver: boolean
+  hasBody: boolean
+}
+
+/** How a request ended, for log and metrics. */
+type Outcome = 'answered' | 'refused' | 'unknown' | 'broken-off' | 'timeout' | 'caller-gone'
+
+/** Follows one request to its end. */
+export class CallerExchange {
+  readonly #ctx: FlowContext
+  readonly #call: CallerCall
+  readonly #relay: AnswerRelay
+  readonly #deadlineAt: Millis
+  readonly #tried = new Set<UpstreamId>()
+  readonly #placing: PlacementRequest
+  readonly #timer: Timer
+  #attempt: Attempt | undefined
+  #attempts = 0
+  #lastReason = ''
+  #firstByteMs: Millis | undefined
+  #pressure = 0
+  #mayHaveRun = false
+  #isDone = false
+
+  /**
+   * @param ctx - services of the process
+   * @param call - the request
+   * @param onDone - called once when it has ended
+   */
+  constructor (ctx: FlowContext, call: CallerCall, readonly onDone: (exchange: CallerExchange) => void) {
+    this.#ctx = ctx
+    this.#call = call
+    this.#relay = new AnswerRelay(call.res, call.route.isStream, call.head.resumeAfter)
+    const { route, head } = call
+    this.#deadlineAt = call.arrivedAt + Math.min(head.deadlineMs ?? route.timeoutMs, route.timeoutMs)
+    this.#placing = this.#placementRequest()
+    this.#timer = ctx.clock.after(Math.max(0, this.#timeLeft), () => { this.#onTimeout() })
+    call.res.on('close', () => { this.#onCallerGone() })
+  }
+
+  /** Places and sends the request for the first time. */
+  start (): void {
+    this.#ctx.retries.countFirst(this.#call.service, this.#budgetOwner, this.#now)
+    if (this.#call.workspace !== undefined && this.#isEngine) this.#ctx.shares.ask(this.#call.workspace, this.#tokens, this.#now)
+    const placement = this.#place()
+    if (placement === undefined) return this.#refuse({ status: 503, reason: 'no-upstream', returnMs: NO_UPSTREAM_RETURN_MS })
+    this.#pressure = placement.pressure
+    const refusal = this.#checkShare(placement)
+    if (refusal !== undefined) return this.#refuse(refusal)
+    this.#send(placement)
+  }
+
+  /** Ends the request because the process ends. */
+  abort (): void {
+    if (this.#isDone) return
+    this.#call.res.destroy()
+    this.#finish('broken-off', 'the router ended')
+  }
+
+  /** Ends an attempt whose upstream has shown no sign of life for too long. */
+  checkSilence (isUpstreamSilent: (upstream: UpstreamId) => boolean): void {
+    const attempt = this.#attempt
+    if (attempt === undefined || attempt.isOver || this.#call.route.repeatability === 'once') return
+    const limit = this.#silenceLimit(attempt)
+    if (this.#now - Math.max(attempt.startedAt, this.#lastByteAt) < limit) return
+    if (this.#isEngine && !isUpstreamSilent(attempt.upstream.id)) return
+    this.#fail(attempt, { kind: 'uncertain', reason: 'silent' })
+  }
+
+  #lastByteAt: Millis = 0
+
+  get #now (): Millis {
+    return this.#ctx.clock.now()
+  }
+
+  get #timeLeft (): Millis {
+    return this.#deadlineAt - this.#now
+  }
+
+  get #isEngine (): boolean {
+    return this.#ctx.fleet.view.table?.services.get(this.#call.service)?.engine !== undefined
+  }
+
+  get #tokens (): number {
+    const { prompt } = this.#call.head
+    return prompt === undefined ? 0 : prompt.promptTokens + OUTPUT_TOKEN_WEIGHT * prompt.maxOutputTokens
+  }
+
+  /** Public routes share one part of the retry budget. */
+  get #budgetOwner (): NonNullable<CallerCall['workspace']> {
+    return this.#call.workspace ?? asId('public')
+  }
+
+  #silenceLimit ({ placement }: Attempt): Millis {
+    if (!this.#isEngine) return this.#call.route.targetMs * PLAIN_SILENCE_SHARE
+    return ENGINE_SILENCE_MS + placement.expectedMs
+  }
+
+  #placementRequest (): PlacementRequest {
+    const { head, route, service } = this.#call
+    const parts = head.prompt?.parts ?? []
+    return {
+      service,
+      zone: this.#ctx.settings.zone,
+      sharedParts: parts.slice(0, -1),
+      ownTokens: ownTokens(parts, head.prompt?.promptTokens ?? 0),
+      maxOutputTokens: head.prompt?.maxOutputTokens ?? 0,
+      targetMs: route.targetMs,
+      tried: this.#tried
+    }
+  }
+
+  #place (): Placement | undefined {
+    return place(this.#ctx.placement, this.#placing, id => this.#isUsable(id), this.#now)
+  }
+
+  #upstream (id: UpstreamId): GatewayUpstream | undefined {
+    return this.#ctx.fleet.view.upstreams.find(upstream => upstream.id === id)
+  }
+
+  #isUsable (id: UpstreamId): boolean {
+    const upstream = this.#upstream(id)
+    if (upstream === undefined || upstream.isDraining || this.#ctx.fleet.view.closedZones.has(upstream.zone)) return false
+    if (upstream.coldUntil <= this.#now) return true
+    const cold = { id, perSecond: this.#coldPerSecond(upstream) }
+    return cold.perSecond <= 0 || maySendCold(this.#ctx.coldPace, this.#ctx.hash, this.#ctx.mesh.view(), cold, this.#now)
+  }
+
+  #coldPerSecond (upstream: GatewayUpstream): number {
+    return this.#ctx.fleet.view.table?.services.get(upstream.service)?.coldPerSecond ?? 0
+  }
+
+  #checkShare (placement: Placement): Refusal | undefined {
+    const { workspace } = this.#call
+    if (workspace === undefined || !this.#isEngine) {
+      return placement.pressure <= PLAIN_PRESSURE ? undefined : { status: 503, reason: 'full', returnMs: NO_UPSTREAM_RETURN_MS }
+    }
+    const verdict = decideShare(this.#ctx.shares, { workspace, tokens: this.#tokens, pressure: placement.pressure }, this.#now)
+    return verdict.kind === 'admit' ? undefined : { status: 503, reason: verdict.reason, returnMs: verdict.returnMs }
+  }
+
+  #send (placement: Placement): void {
+    const call = this.#call
+    const upstream = this.#upstream(placement.upstream)
+    if (upstream === undefined) return this.#refuse({ status: 503, reason: 'no-upstream', returnMs: NO_UPSTREAM_RETURN_MS })
+    const attempt: Attempt = { run: newId<RunId>(), upstream, startedAt: this.#now, placement, exchange: undefined, isOver: false, hasBody: false }
+    this.#attempt = attempt
+    this.#attempts += 1
+    this.#tried.add(upstream.id)
+    if (upstream.coldUntil > this.#now) this.#ctx.coldPace.take(upstream.id, coldRate({ id: upstream.id, perSecond: this.#coldPerSecond(upstream) }), this.#now)
+    this.#ctx.placement.begin(attempt.run, upstream.id, this.#placing, placement.readTokens, this.#now)
+    if (this.#attempts === 1 && call.workspace !== undefined) this.#ctx.shares.serve(call.workspace, this.#tokens, this.#now)
+    this.#ctx.mesh.touch()
+    const headers = this.#ctx.headers.encodeCall(call.headers, {
+      upstream: upstream.id,
+      deadlineMs: Math.max(1, Math.floor(this.#timeLeft)),
+      workspace: call.workspace,
+      resumeAfter: this.#relay.lastEvent
+    })
+    attempt.exchange = this.#ctx.clients.get(upstream).send({
+      method: call.method,
+      path: call.target,
+      headers,
+      body: call.body.length > 0 ? call.body : undefined,
+      idempotent: call.route.repeatability !== 'once',
+      headTimeout: 0
+    }, {
+      head: (status, answer) => { this.#onHead(attempt, status, answer) },
+      data: chunk => { this.#onData(attempt, chunk) },
+      end: () => { this.#onEnd(attempt) },
+      failed: (err, sent) => { this.#onFailed(attempt, err, sent) }
+    })
+  }
+
+  #onHead (attempt: Attempt, status: number, headers: HeaderList): void {
+    this.#signOfLife(attempt)
+    if (attempt.isOver) return
+    const head = this.#ctx.headers.decodeAnswer(status, headers)
+    const failure = this.#headFailure(head, status)
+    if (failure !== undefined) return this.#fail(attempt, failure)
+    if (status >= 500 && !this.#relay.hasBegun) {
+      const error: AttemptFailure = { kind: 'error-answer', status }
+      if (this.#verdict(error).kind === 'retry') return this.#fail(attempt, error)
+    }
+    this.#relay.head(status, headers)
+  }
+
+  #headFailure (head: AnswerHead, status: number): AttemptFailure | undefined {
+    if (head.attempt !== undefined && head.attempt !== this.#call.head.attempt) return { kind: 'uncertain', reason: 'garbled' }
+    if (head.isNotRun || status === MISDIRECTED) return { kind: 'not-run', reason: status === 503 ? 'full' : 'declined' }
+    if (head.isEncoded || (status < 300 && !head.isSealed)) return { kind: 'uncertain', reason: 'garbled' }
+    if (this.#relay.hasBegun && status !== this.#relay.status) return { kind: 'error-answer', status }
+    return undefined
+  }
+
+  #onData (attempt: Attempt, chunk: Buffer): void {
+    this.#signOfLife(attempt)
+    if (attempt.isOver) return
+    if (!attempt.hasBody) this.#onFirstByte(attempt)
+    if (this.#relay.data(chunk)) return
+    attempt.exchange?.pause()
+    this.#relay.onDrain(() => { attempt.exchange?.resume() })
+  }
+
+  #onFirstByte (attempt: Attempt): void {
+    attempt.hasBody = true
+    this.#ctx.placement.firstEvent(attempt.run, this.#now)
+    this.#ctx.mesh.touch()
+    this.#firstByteMs ??= this.#now - this.#call.arrivedAt
+  }
+
+  #onEnd (attempt: Attempt): void {
+    if (attempt.isOver) return
+    if (!this.#relay.end()) return this.#fail(attempt, { kind: 'uncertain', reason: 'garbled' })
+    this.#close(attempt, 'answered')
+    this.#finish('answered', '')
+  }
+
+  #onFailed (attempt: Attempt, err: Error, sent: boolean): void {
+    if (attempt.isOver) return
+    this.#lastReason = err.message
+    this.#fail(attempt, sent ? { kind: 'uncertain', reason: 'reset' } : { kind: 'not-run', reason: 'unreachable' })
+  }
+
+  #signOfLife (attempt: Attempt): void {
+    this.#lastByteAt = this.#now
+    const record = this.#ctx.placement.record(attempt.upstream.id)
+    if (record !== undefined) record.lastSignOfLife = this.#now
+  }
+
+  #verdict (failure: AttemptFailure): ReturnType<typeof decideAttempt> {
+    const { route, service } = this.#call
+    return decideAttempt({
+      repeatability: route.repeatability,
+      failure,
+      answerBegun: this.#relay.hasBegun,
+      attemptsLeft: route.maxAttempts - this.#attempts,
+      timeLeftMs: this.#timeLeft,
+      budgetLeft: this.#ctx.retries.mayTake(service, this.#budgetOwner, this.#now)
+    })
+  }
+
+  #fail (attempt: Attempt, failure: AttemptFailure): void {
+    const verdict = this.#verdict(failure)
+    this.#close(attempt, failure.kind === 'error-answer' ? 'error' : failure.reason)
+    this.#noteUpstream(attempt, failure)
+    if (failure.kind !== 'not-run') this.#mayHaveRun = true
+    if (failure.kind !== 'error-answer') this.#lastReason = failure.reason
+    this.#ctx.requestLog.write('an attempt failed', {
+      request: this.#call.head.attempt,
+      upstream: attempt.upstream.id,
+      failure: failure.kind,
+      reason: this.#lastReason,
+      afterMs: Math.round(this.#now - attempt.startedAt),
+      next: verdict.kind
+    })
+    switch (verdict.kind) {
+      case 'retry':
+      case 'resume':
+        return this.#again()
+      case 'refuse':
+        return this.#refuse({ status: 503, reason: this.#lastReason, returnMs: NO_UPSTREAM_RETURN_MS })
+      case 'relay':
+      case 'answer-unknown':
+        sendRefusal(this.#call.res, this.#ctx.headers, { status: 502, reason: this.#lastReason })
+        return this.#finish('unknown', this.#lastReason)
+      case 'break-off':
+        this.#call.res.destroy()
+        return this.#finish('broken-off', this.#lastReason)
+    }
+  }
+
+  /** Sends the request once more; where no upstream can take it, ends it by what may have happened before. */
+  #again (): void {
+    const placement = this.#place()
+    if (placement !== undefined && this.#ctx.retries.take(this.#call.service, this.#budgetOwner, this.#now)) return this.#send(placement)
+    if (this.#relay.hasBegun) {
+      this.#call.res.destroy()
+      return this.#finish('broken-off', this.#lastReason)
+    }
+    if (!this.#mayHaveRun) return this.#refuse({ status: 503, reason: this.#lastReason, returnMs: NO_UPSTREAM_RETURN_MS })
+    sendRefusal(this.#call.res, this.#ctx.headers, { status: 502, reason: this.#lastReason })
+    this.#finish('unknown', this.#lastReason)
+  }
+
+  #noteUpstream (attempt: Attempt, failure: AttemptFailure): void {
+    const { upstream } = attempt
+    const avoidMs = avoidanceOf(failure)
+    if (avoidMs === 0) return
+    this.#ctx.placement.avoid(upstream.id, this.#now + avoidMs)
+    this.#ctx.mesh.touch()
+  }
+
+  /** Ends an attempt; a run that may still be going on is cancelled. */
+  #close (attempt: Attempt, outcome: string): void {
+    if (attempt.isOver) return
+    attempt.isOver = true
+    this.#ctx.placement.end(attempt.run)
+    this.#ctx.mesh.touch()
+    this.#ctx.metrics.attempts.inc({ service: this.#call.service, outcome })
+    if (outcome !== 'answered') attempt.exchange?.cancel(new Error(`the attempt is over: ${outcome}`))
+    if (this.#attempt === attempt) this.#attempt = undefined
+  }
+
+  #refuse (refusal: Refusal): void {
+    // A refusal by 503 promises that nothing ran; a request that may have run gets an answer that promises nothing.
+    const status = this.#mayHaveRun ? 502 : refusal.status
+    sendRefusal(this.#call.res, this.#ctx.headers, { ...refusal, status })
+    this.#finish('refused', refusal.reason)
+  }
+
+  #onTimeout (): void {
+    if (this.#isDone) return
+    const attempt = this.#attempt
+    if (attempt !== undefined) this.#close(attempt, 'timeout')
+    if (this.#relay.hasBegun) this.#call.res.destroy()
+    else sendRefusal(this.#call.res, this.#ctx.headers, { status: 504, reason: 'timeout' })
+    this.#finish('timeout', 'timeout')
+  }
+
+  #onCallerGone (): void {
+    if (this.#isDone) return
+    const attempt = this.#attempt
+    if (attempt !== undefined) this.#close(attempt, 'caller-gone')
+    this.#finish('caller-gone', 'the caller closed its connection')
+  }
+
+  #finish (outcome: Outcome, reason: string): void {
+    if (this.#isDone) return
+    this.#isDone = true
+    this.#timer.close()
+    const call = this.#call
+    const { metrics } = this.#ctx
+    metrics.requests.inc({ service: call.service, outcome })
+    if (this.#firstByteMs !== undefined) metrics.firstByte.observe({ service: call.service }, this.#firstByteMs / 1000)
+    this.#ctx.requestLog.write('a request ended', {
+      request: call.head.attempt,
+      route: call.route.id,
+      workspace: call.workspace ?? 'public',
+      outcome,
+      reason,
+      status: call.res.statusCode,
+      upstreams: [...this.#tried].join(','),
+      revision: call.revision,
+      pressure: Number(this.#pressure.toFixed(2)),
+      firstMs: Math.round(this.#firstByteMs ?? -1),
+      ms: Math.round(this.#now - call.arrivedAt)
+    })
+    this.onDone(this)
+  }
+}
+
+/** Share of its target that a plain request may stay without an answer before another upstream is tried. */
+const PLAIN_SILENCE_SHARE = 0.9
+
+/** Milliseconds without a byte from an engine with open runs after which it counts as dead, beyond the expected start. */
+const ENGINE_SILENCE_MS = 800
+
+/** How full a plain upstream may be: every slot taken and as many requests waiting. */
+const PLAIN_PRESSURE = 2
+
+const avoidanceOf = (failure: AttemptFailure): Millis => {
+  switch (failure.kind) {
+    case 'not-run':
+      if (failure.reason === 'unreachable') return UNREACHABLE_AVOID_MS
+      return failure.reason === 'full' ? FULL_AVOID_MS : 0
+    case 'uncertain':
+      return BROKEN_AVOID_MS
+    case 'error-answer':
+      return 0
+  }
+}
+
+/** Tokens of the part that only this request has; the whole prompt when it names no parts. */
+const ownTokens = (parts: readonly PromptPart[], promptTokens: number): number => parts.at(-1)?.tokens ?? promptTokens
--- /dev/null
+++ b/packages/gateway/src/requests/flowContext.ts
@@ -0,0 +1,39 @@
+/** What every request of a gateway works with. */
+import type { Clock, Log, Millis, ServiceId, UpstreamId } from '@fuchsiaworks/kernel'
+import type { ColdPaceDb, PlacementDb, RetryBudget, StringHash, TokenShareDb } from '@fuchsiaworks/policy'
+import type { GatewayMetrics } from '../log/gatewayMetrics.js'
+import type { RequestLog } from '../log/requestLog.js'
+import type { PeerMesh } from '../peers/peerMesh.js'
+import type { FleetPort } from '../port/fleetPort.js'
+import type { GatewaySettings } from '@fuchsiaworks/settings'
+import type { HeaderPort } from '../port/headerPort.js'
+import type { UpstreamClients } from '../upstreams/upstreamClients.js'
+
+/** Services and state shared by the requests of one process. */
+export interface FlowContext {
+  readonly settings: GatewaySettings
+  readonly clock: Clock
+  /** Clock that also counts suspended time. */
+  readonly bootTime: () => Millis
+  readonly random: () => number
+  readonly hash: StringHash
+  readonly fleet: FleetPort
+  readonly headers: HeaderPort
+  readonly clients: UpstreamClients
+  readonly placement: PlacementDb
+  readonly shares: TokenShareDb
+  readonly coldPace: ColdPaceDb
+  readonly retries: RetryBudget
+  readonly mesh: PeerMesh
+  readonly metrics: GatewayMetrics
+  readonly requestLog: RequestLog
+  readonly log: Log
+}
+
+/** Says why an upstream is not sent to for a while. */
+export interface Avoidance {
+  readonly upstream: UpstreamId
+  readonly service: ServiceId
+  readonly reason: string
+  readonly forMs: Millis
+}
--- /dev/null
+++ b/packages/gateway/src/requests/requestFlow.ts
@@ -0,0 +1,52 @@
+/** All open requests of a process. */
+import type { Millis, Service, Timer } from '@fuchsiaworks/kernel'
+import type { CallerCall } from './callerCall.js'
+import { CallerExchange } from './callerExchange.js'
+import type { FlowContext } from './flowContext.js'
+
+/** Milliseconds between two looks for attempts that have fallen silent. */
+const SILENCE_CHECK_MS = 100
+
+/** Milliseconds without a byte after which an upstream with open runs counts as silent. */
+const UPSTREAM_SILENCE_MS: Millis = 600
+
+/** Opens requests and follows them. */
+export class RequestFlow implements Service {
+  readonly #open = new Set<CallerExchange>()
+  #timer: Timer | undefined
+
+  /** @param ctx - services of the process */
+  constructor (readonly ctx: FlowContext) {}
+
+  /** Requests that have not ended. */
+  get size (): number {
+    return this.#open.size
+  }
+
+  start (): void {
+    this.#timer = this.ctx.clock.every(SILENCE_CHECK_MS, () => { this.#checkSilence() })
+  }
+
+  /** Begins a request. */
+  open (call: CallerCall): void {
+    const exchange = new CallerExchange(this.ctx, call, done => {
+      this.#open.delete(done)
+      this.ctx.metrics.open.set(this.#open.size)
+    })
+    this.#open.add(exchange)
+    this.ctx.metrics.open.set(this.#open.size)
+    exchange.start()
+  }
+
+  close (): void {
+    this.#timer?.close()
+    for (const exchange of [...this.#open]) exchange.abort()
+  }
+
+  #checkSilence (): void {
+    const now = this.ctx.clock.now()
+    for (const exchange of [...this.#open]) {
+      exchange.checkSilence(id => now - (this.ctx.placement.record(id)?.lastSignOfLife ?? 0) > UPSTREAM_SILENCE_MS)
+    }
+  }
+}
--- a/packages/cli/src/process/runUntilSignal.ts
+++ b/packages/kernel/src/process/runUntilSignal.ts
@@ -1,7 +1,8 @@
 /** Ends a process on signals: the first drains, the second closes at once. */
 import type { EventEmitter } from 'node:events'
-import { createLog, toError } from '@fuchsiaworks/kernel'
-import type { RunningProcess } from './startProcess.js'
+import { toError } from '../errors/errors.js'
+import { createLog } from '../log/log.js'
+import type { RunningProcess } from './runningProcess.js'
 
 /** Signals that end the process. */
 const SIGNALS = ['SIGTERM', 'SIGINT'] as const
--- /dev/null
+++ b/packages/policy/src/attempt/attempt.ts
@@ -0,0 +1,38 @@
+/** Decides what follows a failed attempt at an upstream. Answers upstreams that crash, fall silent, spoil answers or shed. */
+import { assertNever, type Millis } from '@fuchsiaworks/kernel'
+import type { AttemptFacts, AttemptVerdict } from './attemptTypes.js'
+
+/** Least time left in which another attempt can still end, in milliseconds. */
+const MIN_TIME_LEFT_MS: Millis = 60
+
+const mayTryAgain = (facts: AttemptFacts): boolean =>
+  facts.attemptsLeft > 0 && facts.budgetLeft && facts.timeLeftMs >= MIN_TIME_LEFT_MS
+
+const afterUncertain = (facts: AttemptFacts): AttemptVerdict => {
+  const repeat = mayTryAgain(facts) && facts.repeatability !== 'once'
+  if (facts.answerBegun) return repeat && facts.repeatability === 'resumable' ? { kind: 'resume' } : { kind: 'break-off' }
+  return repeat ? { kind: 'retry' } : { kind: 'answer-unknown' }
+}
+
+/**
+ * Decides on one failed attempt.
+ *
+ * @param facts - what is known
+ * @returns what is to be done
+ */
+export const decideAttempt = (facts: AttemptFacts): AttemptVerdict => {
+  const { failure } = facts
+  switch (failure.kind) {
+    case 'not-run':
+      // A continued stream whose next upstream declines is still only a part of an answer.
+      if (facts.answerBegun) return mayTryAgain(facts) ? { kind: 'resume' } : { kind: 'break-off' }
+      return mayTryAgain(facts) ? { kind: 'retry' } : { kind: 'refuse' }
+    case 'uncertain':
+      return afterUncertain(facts)
+    case 'error-answer':
+      if (facts.answerBegun) return afterUncertain(facts)
+      return mayTryAgain(facts) && facts.repeatability !== 'once' ? { kind: 'retry' } : { kind: 'relay' }
+    default:
+      return assertNever(failure)
+  }
+}
--- /dev/null
+++ b/packages/policy/src/placement/placementDb.ts
@@ -0,0 +1,100 @@
+/** Loads, reading speeds and kept prompt parts of all upstreams, as one router knows them. */
+import type { Millis, ServiceId, UpstreamId } from '@fuchsiaworks/kernel'
+import { hashMembers, type HashedMember, type StringHash } from '../keys/rendezvous.js'
+import type { PeerId, PlacementRequest, PlacementUpstream, RunId, UpstreamLoad } from './placementTypes.js'
+import { UpstreamRecord } from './upstreamRecord.js'
+
+/** State of placing, and the only functions that change it. */
+export class PlacementDb {
+  readonly #records = new Map<UpstreamId, UpstreamRecord>()
+  readonly #services = new Map<ServiceId, Array<HashedMember<UpstreamId>>>()
+  readonly #runs = new Map<RunId, UpstreamRecord>()
+
+  /** @param hash - the fleet's hash, so that all routers prefer the same upstream for a part */
+  constructor (readonly hash: StringHash) {}
+
+  /** Takes the list of upstreams; records of upstreams that stay are kept. */
+  setUpstreams (upstreams: readonly PlacementUpstream[]): void {
+    const listed = new Set(upstreams.map(({ id }) => id))
+    for (const id of this.#records.keys()) if (!listed.has(id)) this.#records.delete(id)
+    for (const facts of upstreams) {
+      const known = this.#records.get(facts.id)
+      if (known === undefined) this.#records.set(facts.id, new UpstreamRecord(facts))
+      else known.facts = facts
+    }
+    this.#services.clear()
+    for (const service of new Set(upstreams.map(({ service }) => service))) {
+      this.#services.set(service, hashMembers(this.hash, upstreams.filter(it => it.service === service).map(({ id }) => id)))
+    }
+  }
+
+  record (id: UpstreamId): UpstreamRecord | undefined {
+    return this.#records.get(id)
+  }
+
+  /** @returns every upstream */
+  records (): Iterable<UpstreamRecord> {
+    return this.#records.values()
+  }
+
+  /** @returns the upstreams of a service with their hashes */
+  members (service: ServiceId): ReadonlyArray<HashedMember<UpstreamId>> {
+    return this.#services.get(service) ?? []
+  }
+
+  /** Notes that a request was sent. */
+  begin (run: RunId, upstream: UpstreamId, req: PlacementRequest, readTokens: number, now: Millis): void {
+    const record = this.#records.get(upstream)
+    if (record === undefined) return
+    const ahead = record.totalLoad(now).waitingTokens
+    record.noteStart(now)
+    const promptTokens = req.ownTokens + req.sharedParts.reduce((sum, part) => sum + part.tokens, 0)
+    record.runs.set(run, {
+      startedAt: now,
+      waitingTokens: readTokens,
+      heldTokens: promptTokens + req.maxOutputTokens,
+      tokensAtStart: ahead + readTokens
+    })
+    for (const part of req.sharedParts) record.notePart(part.id, now)
+    this.#runs.set(run, record)
+  }
+
+  /** Notes the first event of a run. */
+  firstEvent (run: RunId, now: Millis): void {
+    const record = this.#runs.get(run)
+    const open = record?.runs.get(run)
+    if (record !== undefined && open !== undefined) record.noteFirstEvent(open, now)
+  }
+
+  /** Notes that a run has ended, in whatever way. */
+  end (run: RunId): void {
+    this.#runs.get(run)?.runs.delete(run)
+    this.#runs.delete(run)
+  }
+
+  /** Keeps an upstream from being chosen for a while; the later end holds. */
+  avoid (upstream: UpstreamId, until: Millis): void {
+    const record = this.#records.get(upstream)
+    if (record !== undefined) record.avoidUntil = Math.max(record.avoidUntil, until)
+  }
+
+  /** Takes what another router has open; upstreams that it does not name are idle there. */
+  setRemote (peer: PeerId, loads: ReadonlyMap<UpstreamId, UpstreamLoad>): void {
+    for (const record of this.#records.values()) {
+      const load = loads.get(record.id)
+      if (load === undefined) record.remote.delete(peer)
+      else record.remote.set(peer, load)
+    }
+  }
+
+  /** Forgets what another router had open. */
+  dropPeer (peer: PeerId): void {
+    for (const record of this.#records.values()) record.remote.delete(peer)
+  }
+
+  /** @returns what this router has open, for other routers; idle upstreams are left out */
+  ownLoads (now: Millis): Map<UpstreamId, UpstreamLoad> {
+    const loads = [...this.#records.values()].map(record => [record.id, record.ownLoad(now)] as const)
+    return new Map(loads.filter(([, load]) => load.open > 0 || load.recentStarts > 0))
+  }
+}
--- /dev/null
+++ b/packages/policy/src/placement/placementDefinition.ts
@@ -0,0 +1,11 @@
+/** Registers placing by name. */
+import type { StringHash } from '../keys/rendezvous.js'
+import { place } from './placement.js'
+import { PlacementDb } from './placementDb.js'
+
+/** Choice of the upstream for a request. */
+export const placementDefinition = {
+  id: 'placement',
+  createDb: (hash: StringHash) => new PlacementDb(hash),
+  decide: place
+} as const
--- /dev/null
+++ b/packages/policy/src/placement/placementTypes.ts
@@ -0,0 +1,65 @@
+/** Facts, requests and results of placing requests on upstreams. */
+import type { Id, Millis, ServiceId, UpstreamId, ZoneId } from '@fuchsiaworks/kernel'
+
+/** One shared or own part of a prompt. */
+export interface PromptPart {
+  /** Name of the part; equal names mean equal text. */
+  readonly id: string
+  readonly tokens: number
+}
+
+/** Names one run of a request at an upstream, inside one process. */
+export type RunId = Id<'run'>
+
+/** Names another router of the fleet: one life of one process. */
+export type PeerId = Id<'peer'>
+
+/** An upstream that may be chosen. */
+export interface PlacementUpstream {
+  readonly id: UpstreamId
+  readonly service: ServiceId
+  readonly zone: ZoneId
+  /** Requests that it runs at once. */
+  readonly slots: number
+  /** Tokens that fit in its memory; undefined for plain services. */
+  readonly memoryTokens: number | undefined
+}
+
+/** What one router has open at one upstream. */
+export interface UpstreamLoad {
+  /** Requests sent and not ended. */
+  readonly open: number
+  /** Prompt tokens of requests that have not produced their first event. */
+  readonly waitingTokens: number
+  /** Prompt and output tokens that the open requests occupy or will occupy. */
+  readonly heldTokens: number
+  /** Requests sent in the last second. */
+  readonly recentStarts: number
+}
+
+/** What placing needs to know of a request. */
+export interface PlacementRequest {
+  readonly service: ServiceId
+  /** Zone of the router that asks. */
+  readonly zone: ZoneId
+  /** Parts of the prompt that other requests may share, in order. */
+  readonly sharedParts: readonly PromptPart[]
+  /** Tokens of the part that belongs to this request alone. */
+  readonly ownTokens: number
+  readonly maxOutputTokens: number
+  /** Milliseconds within which the first event earns full credit. */
+  readonly targetMs: Millis
+  /** Upstreams that have been tried. */
+  readonly tried: ReadonlySet<UpstreamId>
+}
+
+/** The best upstream for a request. */
+export interface Placement {
+  readonly upstream: UpstreamId
+  /** Predicted milliseconds to the first event. */
+  readonly expectedMs: Millis
+  /** Prompt tokens that the upstream is expected to read. */
+  readonly readTokens: number
+  /** How full the upstream would be: 1 means that the target would just be met, or that no slot would be left. */
+  readonly pressure: number
+}
--- a/packages/policy/src/retry/retryBudget.ts
+++ b/packages/policy/src/retry/retryBudget.ts
@@ -10,6 +10,9 @@
   filledAt: Millis
 }
 
+/** Settings of the budget. */
+export type RetryBudgetConfig = Pick<RetryConfig, 'budgetPercent' | 'floorPerSecond' | 'burst'>
+
 /** Unused retries by service, by workspace within each service, and the floor of the router. */
 export class RetryBudget {
   readonly #services = new Map<ServiceId, Bucket>()
@@ -17,7 +20,7 @@
   readonly #floor: Bucket = { tokens: 1, filledAt: -Infinity }
 
   /** @param config - share, floor and burst */
-  constructor (readonly config: RetryConfig) {}
+  constructor (readonly config: RetryBudgetConfig) {}
 
   /** Adds the share of one first attempt. */
   countFirst (service: ServiceId, workspace: WorkspaceId, now: Millis): void {
@@ -28,6 +31,13 @@
     own.tokens = Math.min(this.#workspaceBurst, own.tokens + share)
   }
 
+  /** @returns true when `take` would succeed */
+  mayTake (service: ServiceId, workspace: WorkspaceId, now: Millis): boolean {
+    const floor = this.#refill(this.#floor, now, 1)
+    const hasSource = this.#service(service, now).tokens >= 1 || floor.tokens >= 1
+    return hasSource && this.#workspace(service, workspace, now).tokens >= 1
+  }
+
   /**
    * Takes one retry, when the workspace has one left and the service or the router's floor has.
    *
--- /dev/null
+++ b/packages/policy/src/tokenShare/tokenShareDefinition.ts
@@ -0,0 +1,11 @@
+/** Registers the sharing of tokens by name. */
+import { decideShare } from './tokenShare.js'
+import { TokenShareDb } from './tokenShareDb.js'
+import type { TokenShareConfig } from './tokenShareTypes.js'
+
+/** Fair shares of engine tokens between workspaces. */
+export const tokenShareDefinition = {
+  id: 'token-share',
+  createDb: (config: TokenShareConfig) => new TokenShareDb(config),
+  decide: decideShare
+} as const
--- a/packages/router/src/callers/callerServer.ts
+++ b/packages/router/src/callers/callerServer.ts
@@ -12,7 +12,7 @@
 import { notReady, type RequestFlow } from '../requests/requestFlow.js'
 import type { RequestTable } from '../requests/requestTable.js'
 import { SilenceLimit } from '../requests/silenceLimit.js'
-import { upstreamHeaders } from './headers.js'
+import { upstreamHeaders } from '@fuchsiaworks/wire'
 import { IdentityIndex } from './identity.js'
 import { notRun, type Problem, sendProblem } from './problem.js'
 
--- a/packages/router/src/requests/answerWriter.ts
+++ b/packages/router/src/requests/answerWriter.ts
@@ -1,7 +1,7 @@
 /** Writes one answer to its caller and grants credit as the caller takes it. */
 import type { ServerResponse } from 'node:http'
 import { CreditGrant, type HeaderList } from '@fuchsiaworks/wire'
-import { endToEndHeaders } from '../callers/headers.js'
+import { endToEndHeaders } from '@fuchsiaworks/wire'
 import { type Problem, sendProblem } from '../callers/problem.js'
 import type { SilenceLimit } from './silenceLimit.js'
 
--- a/packages/settings/src/processSettings/parseSettings.ts
+++ b/packages/settings/src/processSettings/parseSettings.ts
@@ -1,11 +1,21 @@
 /** Reads the local settings of a process. */
 import { FindingsError } from '@fuchsiaworks/kernel'
+import type * as z from 'zod'
 import { checkSchema } from '../document/checkSchema.js'
 import type { NamedText } from '../document/documentTypes.js'
 import { tidyFindings, valueOrThrow } from '../document/findingLists.js'
 import { readDocument } from '../document/readDocument.js'
+import { type GatewaySettings, gatewaySettingsSchema } from './gatewaySchema.js'
 import { type ProcessSettings, settingsSchema } from './settingsSchema.js'
 
+const parseAs = <T>(schema: z.ZodType<T>, source: NamedText): T => {
+  const { root, findings } = readDocument(source)
+  if (root === undefined) throw new FindingsError(findings)
+  const checked = checkSchema(schema, root)
+  const all = tidyFindings([...findings, ...checked.findings])
+  return valueOrThrow(all.length > 0 ? undefined : checked.value, all)
+}
+
 /**
  * Reads settings in JSON with comments.
  *
@@ -13,10 +23,13 @@
  * @returns the settings with defaults filled in
  * @throws FindingsError with every finding
  */
-export const parseSettings = (source: NamedText): ProcessSettings => {
-  const { root, findings } = readDocument(source)
-  if (root === undefined) throw new FindingsError(findings)
-  const checked = checkSchema(settingsSchema, root)
-  const all = tidyFindings([...findings, ...checked.findings])
-  return valueOrThrow(all.length > 0 ? undefined : checked.value, all)
-}
+export const parseSettings = (source: NamedText): ProcessSettings => parseAs(settingsSchema, source)
+
+/**
+ * Reads the settings of a gateway in JSON with comments.
+ *
+ * @param source - the text and the name to report
+ * @returns the settings with defaults filled in
+ * @throws FindingsError with every finding
+ */
+export const parseGatewaySettings = (source: NamedText): GatewaySettings => parseAs(gatewaySettingsSchema, source)
--- /dev/null
+++ b/packages/upstreams/src/client/exchange.ts
@@ -0,0 +1,63 @@
+/** Tracks one exchange for undici. */
+import type { IncomingHttpHeaders } from 'node:http'
+import type { HeaderList } from '@fuchsiaworks/wire'
+import type { Dispatcher } from 'undici'
+import type { UpstreamEvents, UpstreamExchange } from './upstreamTypes.js'
+
+const toHeaderList = (headers: IncomingHttpHeaders): HeaderList =>
+  Object.entries(headers).flatMap(([name, value]) => {
+    if (value === undefined) return []
+    return Array.isArray(value) ? value.map(one => [name, one] as const) : [[name, value] as const]
+  })
+
+/** One request on its way. */
+export class Exchange implements Dispatcher.DispatchHandler, UpstreamExchange {
+  readonly #events: UpstreamEvents
+  #controller: Dispatcher.DispatchController | undefined
+  #cancelled: Error | undefined
+  #paused = false
+
+  /** @param events - called as the exchange goes on */
+  constructor (events: UpstreamEvents) {
+    this.#events = events
+  }
+
+  onRequestStart (controller: Dispatcher.DispatchController): void {
+    this.#controller = controller
+    if (this.#cancelled !== undefined) controller.abort(this.#cancelled)
+  }
+
+  onResponseStart (controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
+    if (status < 200) return
+    this.#events.head(status, toHeaderList(headers))
+    if (this.#paused) controller.pause()
+  }
+
+  onResponseData (controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.#events.data(chunk)
+    if (this.#paused) controller.pause()
+  }
+
+  onResponseEnd (_controller: Dispatcher.DispatchController, trailers: IncomingHttpHeaders): void {
+    this.#events.end(toHeaderList(trailers ?? {}))
+  }
+
+  onResponseError (_controller: Dispatcher.DispatchController, err: Error): void {
+    this.#events.failed(err, this.#controller !== undefined)
+  }
+
+  pause (): void {
+    this.#paused = true
+    this.#controller?.pause()
+  }
+
+  resume (): void {
+    this.#paused = false
+    this.#controller?.resume()
+  }
+
+  cancel (reason: Error): void {
+    this.#cancelled = reason
+    this.#controller?.abort(reason)
+  }
+}
--- /dev/null
+++ b/packages/upstreams/src/index.ts
@@ -0,0 +1,3 @@
+/** Public entry of the upstreams package. */
+export * from './client/upstreamClient.js'
+export * from './client/upstreamTypes.js'
--- a/packages/router/src/callers/headers.ts
+++ b/packages/wire/src/http/headers.ts
@@ -1,5 +1,5 @@
 /** Which headers pass between caller and upstream. */
-import type { HeaderList } from '@fuchsiaworks/wire'
+import type { HeaderList } from '../protocol/protocolTypes.js'
 
 /** Headers that belong to one connection only (RFC 9110, section 7.6.1). */
 const HOP_BY_HOP = new Set([
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -1,4 +1,5 @@
 /** Public entry of the wire package. */
+export * from './http/headers.js'
 export * from './protocol/creditGrant.js'
 export * from './protocol/protocolTypes.js'
 export * from './session/sessionTypes.js'
--- /dev/null
+++ b/scripts/bundle.mjs
@@ -0,0 +1,27 @@
+/** Bundles the program for the platform into one file, which starts faster and smaller than many. */
+import { readdirSync } from 'node:fs'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import { build } from 'esbuild'
+
+const root = fileURLToPath(new URL('..', import.meta.url))
+
+/** Sources in place of compiled files, so that a clean checkout needs no compiler run. */
+const alias = Object.fromEntries(readdirSync(join(root, 'packages'))
+  .map(name => [`@fuchsiaworks/${name}`, join(root, 'packages', name, 'src/index.ts')]))
+
+await build({
+  absWorkingDir: root,
+  entryPoints: ['platform/src/main.ts'],
+  outfile: 'target/fuchsiaworks.js',
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'esm',
+  mainFields: ['module', 'main'],
+  minifySyntax: true,
+  alias: { '@fuchsiaworks/kernel/logs': join(root, 'packages/kernel/src/process/enableLogs.ts'), ...alias },
+  external: ['bufferutil', 'utf-8-validate', 'msgpackr-extract', 'unix-dgram'],
+  banner: { js: "import { createRequire as createBundleRequire } from 'node:module'; const require = createBundleRequire(import.meta.url);" },
+  logLevel: 'warning'
+})
