--- a/packages/policy/src/placement/placement.ts
+++ b/packages/policy/src/placement/placement.ts
@@ -23,6 +23,12 @@
 /** Milliseconds that a plain request in another zone costs beyond one in this zone. */
 const OTHER_ZONE_MS = 8
 
+/**
+ * Share of the target that the prompt of the request itself counts for at most. A prompt that takes longer than the target
+ * by itself is as urgent to its workspace as a short one; what it finds ahead of it decides.
+ */
+const OWN_PRESSURE = 0.5
+
 /** Share of an engine's memory that may be promised to open requests. */
 const MEMORY_SHARE = 0.95
 
@@ -57,13 +63,15 @@
   const load = record.totalLoad(now)
   const missing = missingTokens(record, req, preferred, now)
   const perToken = record.msPerKToken / 1000
-  const expectedMs = BASE_LATENCY_MS + (load.waitingTokens + missing + req.ownTokens) * perToken
+  const aheadMs = BASE_LATENCY_MS + load.waitingTokens * perToken
+  const readMs = (missing + req.ownTokens) * perToken
   const promised = load.heldTokens + req.ownTokens + req.maxOutputTokens
   const pressure = Math.max(
-    expectedMs / req.targetMs,
+    aheadMs / req.targetMs + Math.min(readMs / req.targetMs, OWN_PRESSURE),
     (load.open + 1) / record.facts.slots,
     promised / ((record.facts.memoryTokens ?? Infinity) * MEMORY_SHARE)
   )
+  const expectedMs = aheadMs + readMs
   const cost = expectedMs + missing * perToken * (REREAD_WEIGHT - 1)
   return { upstream: record.id, expectedMs, readTokens: missing + req.ownTokens, pressure, cost }
 }
--- a/packages/policy/src/tokenShare/tokenShare.ts
+++ b/packages/policy/src/tokenShare/tokenShare.ts
@@ -18,6 +18,9 @@
 /** Multiple of the share from which a workspace counts as far beyond it. */
 const FAR_BEYOND = 2
 
+/** Part of the share that the request itself counts for at most. */
+const OWN_SHARE = 0.5
+
 /** Shortest and longest time to return, in milliseconds. */
 const RETURN_RANGE = { min: 300, max: 4000 } as const
 
@@ -44,9 +47,9 @@
 export const decideShare = (db: TokenShareDb, req: ShareRequest, now: Millis): ShareVerdict => {
   const share = Math.max(1, db.share(req.workspace, now))
   const served = db.totals(req.workspace, now).served
-  const use = (served + req.tokens) / share
-  // One request may exceed a small share by itself; it is within the share as long as nothing else was served.
-  const limit = served <= 0 ? WITHIN_SHARE_PRESSURE : pressureLimit(use)
+  // One long request may take up most of a share by itself; what was served before it decides.
+  const use = (served + Math.min(req.tokens, share * OWN_SHARE)) / share
+  const limit = pressureLimit(use)
   if (req.pressure <= limit) return { kind: 'admit' }
   if (req.pressure > WITHIN_SHARE_PRESSURE) return { kind: 'refuse', reason: 'full', returnMs: RETURN_RANGE.min }
   const returnMs = clamp((1 - 1 / use) * db.config.windowMs, RETURN_RANGE.min, RETURN_RANGE.max)
