Count a prompt's own tokens and the hinted output for shares; its own reading for a fifth of the target

Cause: shared parts counted for each request and output by its upper bound, so every workspace stood at four to six times its share and long prompts (own reading 0.5, ahead 0.1) were always above the limit of those beyond their share.

--- a/packages/gateway/src/port/headerPort.ts
+++ b/packages/gateway/src/port/headerPort.ts
@@ -10,6 +10,8 @@
 export interface PromptFacts {
   readonly promptTokens: number
   readonly maxOutputTokens: number
+  /** The caller's estimate of the output tokens, right at the median and often far off; undefined when it gives none. */
+  readonly expectedOutputTokens: number | undefined
   /** Parts in order; the last belongs to the request or its session alone. */
   readonly parts: readonly PromptPart[]
 }
--- a/packages/gateway/src/requests/callerExchange.ts
+++ b/packages/gateway/src/requests/callerExchange.ts
@@ -60,6 +60,9 @@
   #lastReason = ''
   #firstByteMs: Millis | undefined
   #pressure = 0
+  #expectedMs = 0
+  #readTokens = 0
+  #shareUse = 0
   #mayHaveRun = false
   #isDone = false
 
@@ -86,6 +89,8 @@
     const placement = this.#place()
     if (placement === undefined) return this.#refuse({ status: 503, reason: 'no-upstream', returnMs: NO_UPSTREAM_RETURN_MS })
     this.#pressure = placement.pressure
+    this.#expectedMs = placement.expectedMs
+    this.#readTokens = placement.readTokens
     const refusal = this.#checkShare(placement)
     if (refusal !== undefined) return this.#refuse(refusal)
     this.#send(placement)
@@ -122,9 +127,11 @@
     return this.#ctx.fleet.view.table?.services.get(this.#call.service)?.engine !== undefined
   }
 
+  /** What the request takes of the engines: shared parts are read once for many requests and count for none. */
   get #tokens (): number {
     const { prompt } = this.#call.head
-    return prompt === undefined ? 0 : prompt.promptTokens + OUTPUT_TOKEN_WEIGHT * prompt.maxOutputTokens
+    if (prompt === undefined) return 0
+    return this.#placing.ownTokens + OUTPUT_TOKEN_WEIGHT * (prompt.expectedOutputTokens ?? prompt.maxOutputTokens)
   }
 
   /** Public routes share one part of the retry budget. */
@@ -177,6 +184,7 @@
       return placement.pressure <= PLAIN_PRESSURE ? undefined : { status: 503, reason: 'full', returnMs: NO_UPSTREAM_RETURN_MS }
     }
     const verdict = decideShare(this.#ctx.shares, { workspace, tokens: this.#tokens, pressure: placement.pressure }, this.#now)
+    this.#shareUse = verdict.use
     return verdict.kind === 'admit' ? undefined : { status: 503, reason: verdict.reason, returnMs: verdict.returnMs }
   }
 
@@ -384,6 +392,10 @@
       upstreams: [...this.#tried].join(','),
       revision: call.revision,
       pressure: Number(this.#pressure.toFixed(2)),
+      expectedMs: Math.round(this.#expectedMs),
+      tokens: this.#tokens,
+      readTokens: Math.round(this.#readTokens),
+      shareUse: Number(this.#shareUse.toFixed(2)),
       firstMs: Math.round(this.#firstByteMs ?? -1),
       ms: Math.round(this.#now - call.arrivedAt)
     })
--- a/packages/policy/src/placement/placement.ts
+++ b/packages/policy/src/placement/placement.ts
@@ -27,7 +27,7 @@
  * Share of the target that the prompt of the request itself counts for at most. A prompt that takes longer than the target
  * by itself is as urgent to its workspace as a short one; what it finds ahead of it decides.
  */
-const OWN_PRESSURE = 0.5
+const OWN_PRESSURE = 0.2
 
 /** Share of an engine's memory that may be promised to open requests. */
 const MEMORY_SHARE = 0.95
--- a/packages/policy/src/tokenShare/tokenShareTypes.ts
+++ b/packages/policy/src/tokenShare/tokenShareTypes.ts
@@ -26,9 +26,14 @@
 
 /** Whether a request may run now. */
 export type ShareVerdict =
-  { readonly kind: 'admit' } |
+  {
+    readonly kind: 'admit'
+    /** Tokens served in the window, with the request, as a multiple of the workspace's share. */
+    readonly use: number
+  } |
   {
     readonly kind: 'refuse'
+    readonly use: number
     /** `share`: the workspace has had its share; `full`: no upstream could begin in time. */
     readonly reason: 'share' | 'full'
     /** Milliseconds after which the request is expected to be admitted. */
