Place prompts where their shared parts are kept, known over all routers

A router knew only its own uses, took the longest part for the preferred upstream, so prompts with one first part met different upstreams, and a copy cost twice its reading time only.

--- a/packages/gateway/src/peers/peerCodec.ts
+++ b/packages/gateway/src/peers/peerCodec.ts
@@ -26,7 +26,8 @@
   [...state.loads].map(([id, load]) => [id, load.open, load.waitingTokens, load.heldTokens, load.recentStarts]),
   [...state.totals].map(([id, totals]) => [id, totals.asked, totals.served]),
   state.avoided.map(({ upstream, remainingMs }) => [upstream, remainingMs]),
-  state.addresses
+  state.addresses,
+  state.parts.map(({ part, upstream }) => [part, upstream])
 ])
 
 const list = (value: unknown, what: string): unknown[] => {
@@ -67,7 +68,7 @@
  * @throws PeerMessageError when it is malformed or of another version
  */
 export const decodePeerState = (bytes: Uint8Array): PeerState => {
-  const [version, peer, address, isLeaving, loads, totals, avoided, addresses] = list(packer.unpack(bytes), 'the message')
+  const [version, peer, address, isLeaving, loads, totals, avoided, addresses, parts] = list(packer.unpack(bytes), 'the message')
   if (version !== VERSION) throw new PeerMessageError(`version ${String(version)}`)
   return {
     peer: text<PeerId>(peer, 'the peer'),
@@ -79,6 +80,10 @@
       const [upstream, remainingMs] = list(entry, 'an avoided upstream')
       return { upstream: text<UpstreamId>(upstream, 'an upstream'), remainingMs: number(remainingMs, 'a time') }
     }),
-    addresses: list(addresses, 'addresses').map(one => text(one, 'an address'))
+    addresses: list(addresses, 'addresses').map(one => text(one, 'an address')),
+    parts: list(parts, 'parts').map(entry => {
+      const [part, upstream] = list(entry, 'a part')
+      return { part: number(part, 'a part'), upstream: text<UpstreamId>(upstream, 'an upstream') }
+    })
   }
 }
--- a/packages/gateway/src/peers/peerMesh.ts
+++ b/packages/gateway/src/peers/peerMesh.ts
@@ -1,7 +1,7 @@
 /** Finds the other routers and exchanges states with each of them, directly. */
 import { createServer, type Server } from 'node:http'
 import { type Clock, createLog, EventSource, type Millis, newId, type Service, type Timer, toError, type UpstreamId, type WorkspaceId } from '@fuchsiaworks/kernel'
-import type { PeerId, RouterView, TokenTotals, UpstreamLoad } from '@fuchsiaworks/policy'
+import type { PartUse, PeerId, RouterView, TokenTotals, UpstreamLoad } from '@fuchsiaworks/policy'
 import { type WebSocket, WebSocketServer } from 'ws'
 import type { ListenAddress } from '@fuchsiaworks/settings'
 import { decodePeerState, encodePeerState } from './peerCodec.js'
@@ -41,6 +41,13 @@
   readonly avoided: readonly AvoidedUpstream[]
 }
 
+/** Reads what this router has to tell. */
+export interface OwnStateSource {
+  read: () => OwnState
+  /** Hands over the prompt parts that were sent since the last call. */
+  takeParts: () => PartUse[]
+}
+
 interface KnownPeer {
   heardAt: Millis
   inSight: boolean
@@ -69,9 +76,9 @@
    * @param clock - source of time
    * @param listen - own address
    * @param seeds - addresses of other routers, perhaps stale, perhaps this one's own
-   * @param readOwn - reads what is to be told
+   * @param own - reads what is to be told
    */
-  constructor (readonly clock: Clock, readonly listen: ListenAddress, readonly seeds: readonly string[], readonly readOwn: () => OwnState) {
+  constructor (readonly clock: Clock, readonly listen: ListenAddress, readonly seeds: readonly string[], readonly own: OwnStateSource) {
     this.#startedAt = clock.now()
     this.#server = createServer((_req, res) => { res.writeHead(426).end() })
     this.#sockets = new WebSocketServer({ server: this.#server, maxPayload: MAX_MESSAGE_BYTES, perMessageDeflate: false })
@@ -121,7 +128,7 @@
 
   #dial (address: string): void {
     if (address === this.#address || this.#dialers.has(address)) return
-    this.#dialers.set(address, new PeerDialer(address, this.clock, dialer => { dialer.send(this.#encode(this.readOwn().totals)) }))
+    this.#dialers.set(address, new PeerDialer(address, this.clock, dialer => { dialer.send(this.#encode(this.own.read().totals, [])) }))
   }
 
   #accept (socket: WebSocket): void {
@@ -179,19 +186,19 @@
     this.#toldAt = this.clock.now()
     this.#dirty = false
     if (this.#dialers.size === 0) return
-    const { totals } = this.readOwn()
+    const { totals } = this.own.read()
     const changed = new Map([...totals].filter(([id, { asked, served }]) => {
       const told = this.#totalsTold.get(id)
       return told === undefined || told.asked !== asked || told.served !== served
     }))
     for (const [id, { asked, served }] of changed) this.#totalsTold.set(id, { asked, served })
-    const bytes = this.#encode(changed)
+    const bytes = this.#encode(changed, this.own.takeParts())
     for (const dialer of this.#dialers.values()) dialer.send(bytes)
   }
 
-  #encode (totals: ReadonlyMap<WorkspaceId, TokenTotals>): Buffer {
-    const { loads, avoided } = this.readOwn()
+  #encode (totals: ReadonlyMap<WorkspaceId, TokenTotals>, parts: readonly PartUse[]): Buffer {
+    const { loads, avoided } = this.own.read()
     const addresses = [...this.#peers.values()].filter(peer => peer.inSight).map(peer => peer.address)
-    return encodePeerState({ peer: this.self, address: this.#address, isLeaving: this.#leaving, loads, totals, avoided, addresses })
+    return encodePeerState({ peer: this.self, address: this.#address, isLeaving: this.#leaving, loads, totals, avoided, addresses, parts })
   }
 }
--- a/packages/gateway/src/peers/peerTypes.ts
+++ b/packages/gateway/src/peers/peerTypes.ts
@@ -1,6 +1,6 @@
 /** What routers tell each other. */
 import type { Millis, UpstreamId, WorkspaceId } from '@fuchsiaworks/kernel'
-import type { PeerId, TokenTotals, UpstreamLoad } from '@fuchsiaworks/policy'
+import type { PartUse, PeerId, TokenTotals, UpstreamLoad } from '@fuchsiaworks/policy'
 
 /** An upstream that its teller does not send to for a while. */
 export interface AvoidedUpstream {
@@ -20,6 +20,8 @@
   /** Tokens by workspace since the start of the teller; a workspace that is not named has not changed. */
   readonly totals: ReadonlyMap<WorkspaceId, TokenTotals>
   readonly avoided: readonly AvoidedUpstream[]
+  /** Prompt parts that the teller has sent to upstreams since its last message. */
+  readonly parts: readonly PartUse[]
   /** Addresses of other routers that the teller knows. */
   readonly addresses: readonly string[]
 }
--- a/packages/gateway/src/process/startGateway.ts
+++ b/packages/gateway/src/process/startGateway.ts
@@ -67,18 +67,22 @@
   const now = ctx.clock.now()
   ctx.placement.setRemote(state.peer, state.loads)
   ctx.shares.setRemote(state.peer, state.totals, now)
+  for (const use of state.parts) ctx.placement.notePart(use, now)
   for (const { upstream, remainingMs } of state.avoided) ctx.placement.avoid(upstream, now + remainingMs)
 }
 
 const createMesh = (clock: Clock, settings: GatewaySettings, placement: FlowContext['placement'], shares: FlowContext['shares']): PeerMesh =>
-  new PeerMesh(clock, settings.peers, settings.seeds, () => {
-    const now = clock.now()
-    const avoided = [...placement.records()].filter(({ avoidUntil }) => avoidUntil > now)
-    return {
-      loads: placement.ownLoads(now),
-      totals: shares.ownTotals(),
-      avoided: avoided.map(({ id, avoidUntil }) => ({ upstream: id, remainingMs: Math.round(avoidUntil - now) }))
-    }
+  new PeerMesh(clock, settings.peers, settings.seeds, {
+    read: () => {
+      const now = clock.now()
+      const avoided = [...placement.records()].filter(({ avoidUntil }) => avoidUntil > now)
+      return {
+        loads: placement.ownLoads(now),
+        totals: shares.ownTotals(),
+        avoided: avoided.map(({ id, avoidUntil }) => ({ upstream: id, remainingMs: Math.round(avoidUntil - now) }))
+      }
+    },
+    takeParts: () => placement.takePartUses()
   })
 
 /**
--- a/packages/policy/src/placement/placement.ts
+++ b/packages/policy/src/placement/placement.ts
@@ -5,20 +5,26 @@
 import type { Millis, UpstreamId } from '@fuchsiaworks/kernel'
 import { compareForSubject } from '../keys/rendezvous.js'
 import type { PlacementDb } from './placementDb.js'
-import type { Placement, PlacementRequest, PromptPart } from './placementTypes.js'
+import type { PartHash, Placement, PlacementRequest, PromptPart } from './placementTypes.js'
 import type { UpstreamRecord } from './upstreamRecord.js'
 
 /** Milliseconds to the first event at an upstream that has nothing else to do. */
 const BASE_LATENCY_MS = 15
 
-/** Milliseconds for which a part is expected to be kept after its last use. */
-const PART_KEPT_MS = 10_000
+/**
+ * Factor on the time to read a shared part at an upstream while another keeps it: the copy takes room from other parts
+ * and from requests that others wait for.
+ */
+const COPY_WEIGHT = 10
+
+/** Milliseconds added for each step down the preference of a prompt that no upstream keeps, so that routers that decide at once agree. */
+const RANK_MS = 30
 
-/** Share of a part that is expected to be missing at its preferred upstream while this router has not used it there. */
-const PREFERRED_MISS = 0.3
+/** Steps down the preference beyond which all upstreams are equal. */
+const MAX_RANK = 2
 
-/** Factor on the cost of reading a shared part again: it also pushes other parts out of the memory. */
-const REREAD_WEIGHT = 2
+/** A later part that is this many times as long as the parts before it decides the preference in place of the first. */
+const LONG_PART_RATIO = 3
 
 /** Milliseconds that a plain request in another zone costs beyond one in this zone. */
 const OTHER_ZONE_MS = 8
@@ -32,36 +38,65 @@
 /** Share of an engine's memory that may be promised to open requests. */
 const MEMORY_SHARE = 0.95
 
-/** The preferred upstreams of each part, best first, worked out once for a request. */
-const preferredFor = (db: PlacementDb, req: PlacementRequest): UpstreamId | undefined => {
-  const subject = longestPart(req.sharedParts)
-  if (subject === undefined) return undefined
-  const hash = db.hash(subject.id)
-  let best = db.members(req.service)[0]
-  for (const member of db.members(req.service)) if (best !== undefined && compareForSubject(member, best, hash) < 0) best = member
-  return best?.id
+/** What is known of a prompt's shared parts before any upstream is looked at. */
+interface PromptView {
+  readonly parts: ReadonlyArray<{ readonly hash: PartHash, readonly tokens: number }>
+  /** True for each part that some upstream keeps. */
+  readonly kept: readonly boolean[]
+  /** Upstreams in the order in which they are preferred, the first few only. */
+  readonly preference: readonly UpstreamId[]
 }
 
-const longestPart = (parts: readonly PromptPart[]): PromptPart | undefined =>
-  parts.reduce<PromptPart | undefined>((best, part) => best === undefined || part.tokens > best.tokens ? part : best, undefined)
-
-const missingTokens = (record: UpstreamRecord, req: PlacementRequest, preferred: UpstreamId | undefined, now: Millis): number => {
-  let missing = 0
-  for (const part of req.sharedParts) {
-    const lastUse = record.lastUseOfPart(part.id)
-    if (lastUse !== undefined && now - lastUse < PART_KEPT_MS) continue
-    missing += part.tokens * (record.id === preferred ? PREFERRED_MISS : 1)
+/**
+ * The part that names the upstream of a prompt. Prompts with the same first part go together, unless a much longer part
+ * follows: then the first is common to most prompts.
+ */
+const leadingPart = (parts: readonly PromptPart[]): PromptPart | undefined => {
+  let before = 0
+  let leading = parts[0]
+  for (const part of parts) {
+    if (before > 0 && part.tokens > before * LONG_PART_RATIO) leading = part
+    before += part.tokens
   }
-  return missing
+  return leading
+}
+
+const viewOf = (db: PlacementDb, req: PlacementRequest, now: Millis): PromptView => {
+  const parts = req.sharedParts.map(({ id, tokens }) => ({ hash: db.hash(id), tokens }))
+  const members = db.members(req.service)
+  const records = members.flatMap(({ id }) => db.record(id) ?? [])
+  const kept = parts.map(({ hash }) => records.some(record => record.keepsPart(hash, now)))
+  const leading = leadingPart(req.sharedParts)
+  if (leading === undefined) return { parts, kept, preference: [] }
+  const subject = db.hash(leading.id)
+  const ranked = [...members].sort((a, b) => compareForSubject(a, b, subject))
+  return { parts, kept, preference: ranked.slice(0, MAX_RANK).map(({ id }) => id) }
+}
+
+/** Tokens that an upstream would have to read: a part is of use only when all before it are kept too. */
+const missingTokens = (record: UpstreamRecord, view: PromptView, now: Millis): { readonly tokens: number, readonly copied: number } => {
+  let tokens = 0
+  let copied = 0
+  view.parts.forEach((part, at) => {
+    if (tokens === 0 && record.keepsPart(part.hash, now)) return
+    tokens += part.tokens
+    if (view.kept[at] === true) copied += part.tokens
+  })
+  return { tokens, copied }
+}
+
+const rankOf = (view: PromptView, id: UpstreamId): number => {
+  const rank = view.preference.indexOf(id)
+  return rank === -1 ? MAX_RANK : rank
 }
 
 interface Candidate extends Placement {
   readonly cost: number
 }
 
-const engineCandidate = (record: UpstreamRecord, req: PlacementRequest, preferred: UpstreamId | undefined, now: Millis): Candidate => {
+const engineCandidate = (record: UpstreamRecord, req: PlacementRequest, view: PromptView, now: Millis): Candidate => {
   const load = record.totalLoad(now)
-  const missing = missingTokens(record, req, preferred, now)
+  const { tokens: missing, copied } = missingTokens(record, view, now)
   const perToken = record.msPerKToken / 1000
   const aheadMs = BASE_LATENCY_MS + load.waitingTokens * perToken
   const readMs = (missing + req.ownTokens) * perToken
@@ -72,7 +107,7 @@
     promised / ((record.facts.memoryTokens ?? Infinity) * MEMORY_SHARE)
   )
   const expectedMs = aheadMs + readMs
-  const cost = expectedMs + missing * perToken * (REREAD_WEIGHT - 1)
+  const cost = expectedMs + copied * perToken * (COPY_WEIGHT - 1) + (missing > 0 ? rankOf(view, record.id) * RANK_MS : 0)
   return { upstream: record.id, expectedMs, readTokens: missing + req.ownTokens, pressure, cost }
 }
 
@@ -93,12 +128,12 @@
  * @returns the cheapest upstream, one under pressure below 1 before any other; undefined when none is usable
  */
 export const place = (db: PlacementDb, req: PlacementRequest, usable: (upstream: UpstreamId) => boolean, now: Millis): Placement | undefined => {
-  const preferred = preferredFor(db, req)
+  const view = viewOf(db, req, now)
   let best: Candidate | undefined
   for (const { id } of db.members(req.service)) {
     const record = db.record(id)
     if (record === undefined || req.tried.has(id) || record.avoidUntil > now || !usable(id)) continue
-    const candidate = record.facts.memoryTokens === undefined ? plainCandidate(record, req, now) : engineCandidate(record, req, preferred, now)
+    const candidate = record.facts.memoryTokens === undefined ? plainCandidate(record, req, now) : engineCandidate(record, req, view, now)
     if (best === undefined || isBetter(candidate, best)) best = candidate
   }
   return best
--- a/packages/policy/src/placement/placementDb.ts
+++ b/packages/policy/src/placement/placementDb.ts
@@ -1,14 +1,22 @@
 /** Loads, reading speeds and kept prompt parts of all upstreams, as one router knows them. */
 import type { Millis, ServiceId, UpstreamId } from '@fuchsiaworks/kernel'
 import { hashMembers, type HashedMember, type StringHash } from '../keys/rendezvous.js'
-import type { PeerId, PlacementRequest, PlacementUpstream, RunId, UpstreamLoad } from './placementTypes.js'
+import type { PartHash, PartUse, PeerId, PlacementRequest, PlacementUpstream, RunId, UpstreamLoad } from './placementTypes.js'
 import { UpstreamRecord } from './upstreamRecord.js'
 
+/** Milliseconds after which the use of a part is told to other routers again; well within the time for which they expect it to be kept. */
+const TELL_AGAIN_MS: Millis = 3000
+
+/** Uses that are remembered as told. */
+const MAX_TOLD = 4000
+
 /** State of placing, and the only functions that change it. */
 export class PlacementDb {
   readonly #records = new Map<UpstreamId, UpstreamRecord>()
   readonly #services = new Map<ServiceId, Array<HashedMember<UpstreamId>>>()
   readonly #runs = new Map<RunId, UpstreamRecord>()
+  readonly #untold: PartUse[] = []
+  readonly #told = new Map<string, Millis>()
 
   /** @param hash - the fleet's hash, so that all routers prefer the same upstream for a part */
   constructor (readonly hash: StringHash) {}
@@ -55,10 +63,20 @@
       heldTokens: promptTokens + req.maxOutputTokens,
       tokensAtStart: ahead + readTokens
     })
-    for (const part of req.sharedParts) record.notePart(part.id, now)
+    for (const part of req.sharedParts) this.#useOwn(this.hash(part.id), record, now)
     this.#runs.set(run, record)
   }
 
+  /** Takes the word of another router that it has sent a part to an upstream. */
+  notePart ({ part, upstream }: PartUse, now: Millis): void {
+    this.#records.get(upstream)?.notePart(part, now)
+  }
+
+  /** Hands over the parts that this router has sent since the last call, for other routers. */
+  takePartUses (): PartUse[] {
+    return this.#untold.splice(0)
+  }
+
   /** Notes the first event of a run. */
   firstEvent (run: RunId, now: Millis): void {
     const record = this.#runs.get(run)
@@ -92,6 +110,17 @@
     for (const record of this.#records.values()) record.remote.delete(peer)
   }
 
+  /** A use is told again only after a while: others remember it for longer. */
+  #useOwn (part: PartHash, record: UpstreamRecord, now: Millis): void {
+    record.notePart(part, now)
+    const key = `${part} ${record.id}`
+    if (now - (this.#told.get(key) ?? -Infinity) < TELL_AGAIN_MS) return
+    this.#told.delete(key)
+    this.#told.set(key, now)
+    if (this.#told.size > MAX_TOLD) this.#told.delete([...this.#told.keys()][0] ?? key)
+    this.#untold.push({ part, upstream: record.id })
+  }
+
   /** @returns what this router has open, for other routers; idle upstreams are left out */
   ownLoads (now: Millis): Map<UpstreamId, UpstreamLoad> {
     const loads = [...this.#records.values()].map(record => [record.id, record.ownLoad(now)] as const)
--- a/packages/policy/src/placement/placementTypes.ts
+++ b/packages/policy/src/placement/placementTypes.ts
@@ -8,6 +8,9 @@
   readonly tokens: number
 }
 
+/** Short name of a part, the same at all routers. */
+export type PartHash = number
+
 /** Names one run of a request at an upstream, inside one process. */
 export type RunId = Id<'run'>
 
@@ -37,6 +40,12 @@
   readonly recentStarts: number
 }
 
+/** A prompt part that a router has sent to an upstream. */
+export interface PartUse {
+  readonly part: PartHash
+  readonly upstream: UpstreamId
+}
+
 /** What placing needs to know of a request. */
 export interface PlacementRequest {
   readonly service: ServiceId
--- a/packages/policy/src/placement/upstreamRecord.ts
+++ b/packages/policy/src/placement/upstreamRecord.ts
@@ -1,6 +1,6 @@
 /** What one router knows of one upstream: its own runs there, those of other routers, and how fast the upstream reads. */
 import { clamp, type Millis, type UpstreamId } from '@fuchsiaworks/kernel'
-import type { PeerId, PlacementUpstream, RunId, UpstreamLoad } from './placementTypes.js'
+import type { PartHash, PeerId, PlacementUpstream, RunId, UpstreamLoad } from './placementTypes.js'
 
 /** Milliseconds to read a thousand prompt tokens before anything was measured: an engine that reads 48 tokens a millisecond between decoding steps. */
 const INITIAL_MS_PER_KTOKEN = 21
@@ -17,6 +17,9 @@
 /** Span of the count of recent starts, in milliseconds. */
 const RECENT_MS = 1000
 
+/** Milliseconds for which a part is expected to be kept after its last use. */
+const PART_KEPT_MS = 10_000
+
 /** Parts of prompts remembered by upstream; a memory of half a million tokens keeps fewer of the usual size. */
 const MAX_REMEMBERED_PARTS = 2000
 
@@ -41,7 +44,7 @@
   msPerKToken = INITIAL_MS_PER_KTOKEN
   readonly #starts: Millis[] = []
   /** Last use by part, oldest first. */
-  readonly #parts = new Map<string, Millis>()
+  readonly #parts = new Map<PartHash, Millis>()
 
   constructor (public facts: PlacementUpstream) {}
 
@@ -85,8 +88,8 @@
     this.msPerKToken += (bounded - this.msPerKToken) * READING_WEIGHT
   }
 
-  /** Remembers that the upstream has read a part. */
-  notePart (part: string, now: Millis): void {
+  /** Remembers that a router sent a prompt with the part here. */
+  notePart (part: PartHash, now: Millis): void {
     this.#parts.delete(part)
     this.#parts.set(part, now)
     if (this.#parts.size <= MAX_REMEMBERED_PARTS) return
@@ -94,9 +97,10 @@
     if (oldest !== undefined) this.#parts.delete(oldest)
   }
 
-  /** @returns when this router last sent a prompt with the part here */
-  lastUseOfPart (part: string): Millis | undefined {
-    return this.#parts.get(part)
+  /** @returns whether the upstream is expected to keep the part */
+  keepsPart (part: PartHash, now: Millis): boolean {
+    const lastUse = this.#parts.get(part)
+    return lastUse !== undefined && now - lastUse < PART_KEPT_MS
   }
 
   #recentStarts (now: Millis): number {
