Count suspended time by the steps of the wall clock; pass answers without a length on without one; wait at the router

Leaps of the wall clock against the monotonic one count as suspended time now. Headers of the upstream's connection no longer reach the caller.

--- a/packages/gateway/src/callers/callerServer.ts
+++ b/packages/gateway/src/callers/callerServer.ts
@@ -125,7 +125,7 @@
   }
 
   #honoursKeys (): boolean {
-    return mayHonourKeys({ confirmedAt: this.ctx.fleet.confirmedAt }, this.ctx.settings.revokeMs, this.ctx.bootTime())
+    return mayHonourKeys(this.ctx.fleet.confirmedAge(), this.ctx.settings.revokeMs)
   }
 
   async #read (admitted: Admitted, req: IncomingMessage, res: ServerResponse, arrivedAt: Millis): Promise<void> {
@@ -164,7 +164,7 @@
       reason: refusal.reason,
       status: refusal.status,
       revision: this.ctx.fleet.view.table?.revision ?? -1,
-      beliefAgeMs: Math.round(this.ctx.bootTime() - (this.ctx.fleet.confirmedAt ?? 0))
+      beliefAgeMs: Math.round(this.ctx.fleet.confirmedAge() ?? -1)
     })
   }
 }
--- a/packages/gateway/src/port/fleetPort.ts
+++ b/packages/gateway/src/port/fleetPort.ts
@@ -17,8 +17,8 @@
   readonly view: FleetView
   /** Each change of the view. */
   readonly changes: Stream<FleetView>
-  /** Reading of the suspend clock when the view was last confirmed; undefined before the first time. */
-  readonly confirmedAt: Millis | undefined
+  /** @returns milliseconds, suspended time included, since the view was certainly the newest; undefined before the first time */
+  confirmedAge: () => Millis | undefined
   start: () => void
   close: () => Promise<void>
 }
--- a/packages/gateway/src/process/startGateway.ts
+++ b/packages/gateway/src/process/startGateway.ts
@@ -1,6 +1,6 @@
 /** Starts a gateway: a router that sends requests straight to upstreams. */
 import { randomBytes } from 'node:crypto'
-import { bootTime, type Clock, createLog, Kernel, type Millis, onEvent, type RunningProcess, type Service, systemClock, type UpstreamId } from '@fuchsiaworks/kernel'
+import { type Clock, createLog, Kernel, type Millis, onEvent, type RunningProcess, type Service, systemClock, type UpstreamId } from '@fuchsiaworks/kernel'
 import { coldPaceDefinition, loadStringHash, placementDefinition, RetryBudget, tokenShareDefinition } from '@fuchsiaworks/policy'
 import { CallerServer } from '../callers/callerServer.js'
 import { GatewayMetrics } from '../log/gatewayMetrics.js'
@@ -101,7 +101,6 @@
   const ctx: FlowContext = {
     settings,
     clock,
-    bootTime,
     random: () => randomBytes(4).readUInt32LE() / 2 ** 32,
     hash,
     fleet: ports.fleet,
--- a/packages/gateway/src/requests/answerRelay.ts
+++ b/packages/gateway/src/requests/answerRelay.ts
@@ -1,16 +1,21 @@
 /** Passes one answer on to a caller, over one or more runs of the request. */
 import type { ServerResponse } from 'node:http'
-import type { HeaderList } from '@fuchsiaworks/wire'
+import { endToEndHeaders, type HeaderList } from '@fuchsiaworks/wire'
 import { EventSplitter } from './eventSplitter.js'
 
 /** Bytes of a plain answer that are held until it is whole, so that a broken one can still be replaced. */
 const HELD_BYTES = 64 * 1024
 
+/** Headers that tell where a body ends. */
+const FRAMING = new Set(['content-length', 'transfer-encoding'])
+
 /** The answer of one caller. */
 export class AnswerRelay {
   readonly #res: ServerResponse
   readonly #isStream: boolean
   #status = 0
+  /** True when the body ends with the upstream's connection: whether it is whole cannot be seen. */
+  #isUnframed = false
   #headers: HeaderList = []
   #held: Buffer[] = []
   #heldBytes = 0
@@ -49,7 +54,8 @@
     this.#heldBytes = 0
     if (this.hasBegun) return
     this.#status = status
-    this.#headers = headers
+    this.#isUnframed = !headers.some(([name]) => FRAMING.has(name.toLowerCase()))
+    this.#headers = endToEndHeaders(headers)
   }
 
   /**
@@ -72,7 +78,7 @@
    */
   end (): boolean {
     if (this.#isStream && this.#splitter.pendingBytes > 0) return false
-    if (!this.hasBegun && !this.#isStream) this.#headers = [...this.#headers.filter(([name]) => name !== 'content-length'), ['content-length', String(this.#heldBytes)]]
+    if (!this.hasBegun && !this.#isStream && !this.#isUnframed) this.#headers = [...this.#headers.filter(([name]) => name !== 'content-length'), ['content-length', String(this.#heldBytes)]]
     this.#flushHeld()
     this.#begin()
     this.#res.end()
@@ -105,6 +111,8 @@
 
   #begin (): void {
     if (this.hasBegun) return
+    // A body without a length is passed on without one: a length of ours would vouch for what nobody has seen.
+    if (this.#isUnframed) this.#res.useChunkedEncodingByDefault = false
     this.#res.writeHead(this.#status, this.#headers.flatMap(([name, value]) => [name, value]))
   }
 }
--- a/packages/gateway/src/requests/callerExchange.ts
+++ b/packages/gateway/src/requests/callerExchange.ts
@@ -2,7 +2,7 @@
 import { asId, type Millis, newId, type Timer, type UpstreamId } from '@fuchsiaworks/kernel'
 import {
   type AttemptFailure, coldRate, decideAttempt, decideShare, maySendCold, type Placement, type PlacementRequest, place,
-  type PromptPart, type RunId
+  type PromptPart, type RunId, waitLeft, type WaitingCall
 } from '@fuchsiaworks/policy'
 import type { UpstreamExchange } from '@fuchsiaworks/upstreams'
 import type { HeaderList } from '@fuchsiaworks/wire'
@@ -55,12 +55,15 @@
   readonly #tried = new Set<UpstreamId>()
   readonly #placing: PlacementRequest
   readonly #timer: Timer
+  /** True while it is to be tried again when there may be room. */
+  isWaiting = false
   #attempt: Attempt | undefined
   #attempts = 0
   #lastReason = ''
   #firstByteMs: Millis | undefined
   #pressure = 0
   #expectedMs = 0
+  #waitedMs = 0
   #readTokens = 0
   #shareUse = 0
   #mayHaveRun = false
@@ -86,14 +89,29 @@
   start (): void {
     this.#ctx.retries.countFirst(this.#call.service, this.#budgetOwner, this.#now)
     if (this.#call.workspace !== undefined && this.#isEngine) this.#ctx.shares.ask(this.#call.workspace, this.#tokens, this.#now)
+    this.tryStart()
+  }
+
+  /** What the order of waiting goes by. */
+  get waiting (): WaitingCall {
+    return { use: this.#shareUse, arrivedAt: this.#call.arrivedAt, targetMs: this.#call.route.targetMs }
+  }
+
+  /** Sends the request if an upstream has room for it, lets it wait, or refuses it. */
+  tryStart (): void {
+    if (this.#isDone || this.#attempts > 0) return
     const placement = this.#place()
-    if (placement === undefined) return this.#refuse({ status: 503, reason: 'no-upstream', returnMs: NO_UPSTREAM_RETURN_MS })
-    this.#pressure = placement.pressure
-    this.#expectedMs = placement.expectedMs
-    this.#readTokens = placement.readTokens
-    const refusal = this.#checkShare(placement)
-    if (refusal !== undefined) return this.#refuse(refusal)
-    this.#send(placement)
+    if (placement !== undefined) {
+      this.#pressure = placement.pressure
+      this.#expectedMs = placement.expectedMs
+      this.#readTokens = placement.readTokens
+    }
+    const refusal = placement === undefined
+      ? { status: 503, reason: 'no-upstream', returnMs: NO_UPSTREAM_RETURN_MS }
+      : this.#checkShare(placement)
+    if (placement !== undefined && refusal === undefined) return this.#send(placement)
+    this.isWaiting = waitLeft(this.waiting, this.#now) > 0
+    if (!this.isWaiting && refusal !== undefined) this.#refuse(refusal)
   }
 
   /** Ends the request because the process ends. */
@@ -195,6 +213,8 @@
     const attempt: Attempt = { run: newId<RunId>(), upstream, startedAt: this.#now, placement, exchange: undefined, isOver: false, hasBody: false }
     this.#attempt = attempt
     this.#attempts += 1
+    this.isWaiting = false
+    this.#waitedMs = this.#now - call.arrivedAt
     this.#tried.add(upstream.id)
     if (upstream.coldUntil > this.#now) this.#ctx.coldPace.take(upstream.id, coldRate({ id: upstream.id, perSecond: this.#coldPerSecond(upstream) }), this.#now)
     this.#ctx.placement.begin(attempt.run, upstream.id, this.#placing, placement.readTokens, this.#now)
@@ -377,6 +397,7 @@
   #finish (outcome: Outcome, reason: string): void {
     if (this.#isDone) return
     this.#isDone = true
+    this.isWaiting = false
     this.#timer.close()
     const call = this.#call
     const { metrics } = this.#ctx
@@ -392,6 +413,7 @@
       upstreams: [...this.#tried].join(','),
       revision: call.revision,
       pressure: Number(this.#pressure.toFixed(2)),
+      waitedMs: Math.round(this.#waitedMs),
       expectedMs: Math.round(this.#expectedMs),
       tokens: this.#tokens,
       readTokens: Math.round(this.#readTokens),
--- a/packages/gateway/src/requests/flowContext.ts
+++ b/packages/gateway/src/requests/flowContext.ts
@@ -13,8 +13,6 @@
 export interface FlowContext {
   readonly settings: GatewaySettings
   readonly clock: Clock
-  /** Clock that also counts suspended time. */
-  readonly bootTime: () => Millis
   readonly random: () => number
   readonly hash: StringHash
   readonly fleet: FleetPort
--- a/packages/gateway/src/requests/requestFlow.ts
+++ b/packages/gateway/src/requests/requestFlow.ts
@@ -1,5 +1,6 @@
 /** All open requests of a process. */
 import type { Millis, Service, Timer } from '@fuchsiaworks/kernel'
+import { compareWaiting } from '@fuchsiaworks/policy'
 import type { CallerCall } from './callerCall.js'
 import { CallerExchange } from './callerExchange.js'
 import type { FlowContext } from './flowContext.js'
@@ -7,13 +8,17 @@
 /** Milliseconds between two looks for attempts that have fallen silent. */
 const SILENCE_CHECK_MS = 100
 
+/** Milliseconds between two looks for room for waiting requests; short against every target. */
+const WAITING_CHECK_MS = 15
+
 /** Milliseconds without a byte after which an upstream with open runs counts as silent. */
 const UPSTREAM_SILENCE_MS: Millis = 600
 
 /** Opens requests and follows them. */
 export class RequestFlow implements Service {
   readonly #open = new Set<CallerExchange>()
-  #timer: Timer | undefined
+  readonly #waiting = new Set<CallerExchange>()
+  #timers: Timer[] = []
 
   /** @param ctx - services of the process */
   constructor (readonly ctx: FlowContext) {}
@@ -24,7 +29,10 @@
   }
 
   start (): void {
-    this.#timer = this.ctx.clock.every(SILENCE_CHECK_MS, () => { this.#checkSilence() })
+    this.#timers = [
+      this.ctx.clock.every(SILENCE_CHECK_MS, () => { this.#checkSilence() }),
+      this.ctx.clock.every(WAITING_CHECK_MS, () => { this.#tryWaiting() })
+    ]
   }
 
   /** Begins a request. */
@@ -36,13 +44,24 @@
     this.#open.add(exchange)
     this.ctx.metrics.open.set(this.#open.size)
     exchange.start()
+    if (exchange.isWaiting) this.#waiting.add(exchange)
   }
 
   close (): void {
-    this.#timer?.close()
+    for (const timer of this.#timers) timer.close()
     for (const exchange of [...this.#open]) exchange.abort()
   }
 
+  /** Offers room to waiting requests, the least served workspace's first. */
+  #tryWaiting (): void {
+    if (this.#waiting.size === 0) return
+    const ordered = [...this.#waiting].sort((a, b) => compareWaiting(a.waiting, b.waiting))
+    for (const exchange of ordered) {
+      exchange.tryStart()
+      if (!exchange.isWaiting) this.#waiting.delete(exchange)
+    }
+  }
+
   #checkSilence (): void {
     const now = this.ctx.clock.now()
     for (const exchange of [...this.#open]) {
--- /dev/null
+++ b/packages/kernel/src/clock/suspendClock.spec.ts
@@ -0,0 +1,45 @@
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import type { Clock } from './clock.js'
+import { SuspendClock } from './suspendClock.js'
+
+/** A clock whose two readings are set by the test. */
+const createClocks = () => {
+  const readings = { now: 1000, wall: 50_000 }
+  const clock: Clock = {
+    now: () => readings.now,
+    wall: () => readings.wall,
+    after: () => ({ close: () => {} }),
+    every: () => ({ close: () => {} })
+  }
+  return { readings, suspend: new SuspendClock(clock) }
+}
+
+describe('a clock that counts suspended time', () => {
+  it('goes as the monotonic clock while both run', () => {
+    const { readings, suspend } = createClocks()
+    const start = suspend.now()
+    readings.now += 700
+    readings.wall += 700
+    expect(suspend.now() - start).toEqual(700)
+  })
+
+  it('adds the time for which only the wall clock ran', () => {
+    const { readings, suspend } = createClocks()
+    const start = suspend.now()
+    readings.now += 10
+    readings.wall += 5010
+    expect(suspend.now() - start).toEqual(5010)
+  })
+
+  it('never goes back with the time of day, and counts on afterwards', () => {
+    const { readings, suspend } = createClocks()
+    const start = suspend.now()
+    readings.now += 100
+    readings.wall -= 4000
+    expect(suspend.now() - start).toEqual(100)
+    readings.now += 10
+    readings.wall += 3010
+    expect(suspend.now() - start).toEqual(3110)
+  })
+})
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -1,8 +1,8 @@
 /** Public entry of the kernel package. */
-export * from './clock/bootTime.js'
 export * from './clock/clock.js'
 export * from './clock/manualClock.js'
 export * from './clock/pauseDetector.js'
+export * from './clock/suspendClock.js'
 export * from './errors/errors.js'
 export * from './findings/findings.js'
 export * from './ids/ids.js'
--- /dev/null
+++ b/packages/policy/src/waiting/waitingTypes.ts
@@ -0,0 +1,12 @@
+/** Requests that wait at a router for room at an upstream. */
+import type { Millis } from '@fuchsiaworks/kernel'
+
+/** What is known of one waiting request. */
+export interface WaitingCall {
+  /** Tokens served to its workspace in the window as a multiple of the workspace's share. */
+  readonly use: number
+  /** Monotonic milliseconds of its arrival. */
+  readonly arrivedAt: Millis
+  /** Milliseconds from the arrival within which it earns full credit. */
+  readonly targetMs: Millis
+}
