--- a/packages/policy/src/waiting/waiting.ts
+++ b/packages/policy/src/waiting/waiting.ts
@@ -6,10 +6,10 @@
 import type { WaitingCall } from './waitingTypes.js'
 
 /** Share of the target that a request waits at most: the rest is for reading its prompt. */
-const WAIT_SHARE = 0.4
+const WAIT_SHARE = 0.15
 
 /** Multiple of its share beyond which a workspace's requests are refused rather than wait behind all others. */
-const MAX_USE = 2
+const MAX_USE = 1.2
 
 /**
  * Works out how long a request may go on waiting.
