--- a/packages/gateway/src/process/startGateway.ts
+++ b/packages/gateway/src/process/startGateway.ts
@@ -10,6 +10,7 @@
 import type { FleetPort, FleetView } from '../port/fleetPort.js'
 import type { GatewaySettings } from '@fuchsiaworks/settings'
 import type { HeaderPort } from '../port/headerPort.js'
+import { shortestTargets } from '../routing/findRoute.js'
 import type { FlowContext } from '../requests/flowContext.js'
 import { RequestFlow } from '../requests/requestFlow.js'
 import { UpstreamClients } from '../upstreams/upstreamClients.js'
@@ -59,6 +60,7 @@
   ctx.metrics.upstreams.set(upstreams.filter(({ isDraining }) => !isDraining).length)
   if (table === undefined) return
   ctx.shares.capacityPerSecond = table.limits.tokensPerSecond
+  ctx.shortestTargets = shortestTargets(table)
   ctx.metrics.revision.set(table.revision)
   callers.applyLimits(table)
 }
@@ -111,6 +113,7 @@
     coldPace: coldPaceDefinition.createDb(),
     retries: new RetryBudget({ budgetPercent: settings.retryRatio * 100 * RETRY_BUDGET_SHARE, floorPerSecond: RETRY_FLOOR_PER_SECOND, burst: RETRY_BURST }),
     mesh,
+    shortestTargets: new Map(),
     metrics: new GatewayMetrics(),
     requestLog: new RequestLog(clock),
     log
--- a/packages/gateway/src/requests/callerExchange.ts
+++ b/packages/gateway/src/requests/callerExchange.ts
@@ -171,7 +171,7 @@
       sharedParts: parts.slice(0, -1),
       ownTokens: ownTokens(parts, head.prompt?.promptTokens ?? 0),
       maxOutputTokens: head.prompt?.maxOutputTokens ?? 0,
-      targetMs: route.targetMs,
+      targetMs: this.#ctx.shortestTargets.get(service) ?? route.targetMs,
       tried: this.#tried
     }
   }
--- a/packages/gateway/src/requests/flowContext.ts
+++ b/packages/gateway/src/requests/flowContext.ts
@@ -23,6 +23,8 @@
   readonly coldPace: ColdPaceDb
   readonly retries: RetryBudget
   readonly mesh: PeerMesh
+  /** Shortest target of the routes to each service. */
+  shortestTargets: ReadonlyMap<ServiceId, Millis>
   readonly metrics: GatewayMetrics
   readonly requestLog: RequestLog
   readonly log: Log
--- a/packages/gateway/src/routing/findRoute.ts
+++ b/packages/gateway/src/routing/findRoute.ts
@@ -1,5 +1,5 @@
 /** Finds the route of a request and the service that is to answer it. */
-import type { ServiceId } from '@fuchsiaworks/kernel'
+import type { Millis, ServiceId } from '@fuchsiaworks/kernel'
 import type { GatewayRoute, RoutingTable } from './routingTypes.js'
 
 /** @returns a Host header's name in lower case, without its port */
@@ -46,3 +46,17 @@
   }
   return targets.at(-1)?.service
 }
+
+/**
+ * Finds the shortest target of the routes to each service.
+ *
+ * @param table - the routes
+ * @returns milliseconds by service
+ */
+export const shortestTargets = (table: RoutingTable): Map<ServiceId, Millis> => {
+  const shortest = new Map<ServiceId, Millis>()
+  for (const { targets, targetMs } of table.routes) {
+    for (const { service } of targets) shortest.set(service, Math.min(targetMs, shortest.get(service) ?? Infinity))
+  }
+  return shortest
+}
--- a/packages/policy/src/placement/placementTypes.ts
+++ b/packages/policy/src/placement/placementTypes.ts
@@ -56,7 +56,10 @@
   /** Tokens of the part that belongs to this request alone. */
   readonly ownTokens: number
   readonly maxOutputTokens: number
-  /** Milliseconds within which the first event earns full credit. */
+  /**
+   * Milliseconds against which the queue of an upstream is judged: the shortest target of the service, so that requests
+   * with a longer one do not fill the queue beyond what the others bear.
+   */
   readonly targetMs: Millis
   /** Upstreams that have been tried. */
   readonly tried: ReadonlySet<UpstreamId>
