--- a/packages/gateway/src/requests/callerExchange.ts
+++ b/packages/gateway/src/requests/callerExchange.ts
@@ -61,6 +61,7 @@
   #attempts = 0
   #lastReason = ''
   #firstByteMs: Millis | undefined
+  #lastByteAt: Millis = 0
   #pressure = 0
   #expectedMs = 0
   #waitedMs = 0
@@ -121,18 +122,18 @@
     this.#finish('broken-off', 'the router ended')
   }
 
-  /** Ends an attempt whose upstream has shown no sign of life for too long. */
+  /** Moves the request to another upstream when its own has shown no sign of life for too long; without another it waits on. */
   checkSilence (isUpstreamSilent: (upstream: UpstreamId) => boolean): void {
     const attempt = this.#attempt
     if (attempt === undefined || attempt.isOver || this.#call.route.repeatability === 'once') return
     const limit = this.#silenceLimit(attempt)
     if (this.#now - Math.max(attempt.startedAt, this.#lastByteAt) < limit) return
     if (this.#isEngine && !isUpstreamSilent(attempt.upstream.id)) return
-    this.#fail(attempt, { kind: 'uncertain', reason: 'silent' })
+    const silent: AttemptFailure = { kind: 'uncertain', reason: 'silent' }
+    const next = this.#verdict(silent).kind
+    if ((next === 'retry' || next === 'resume') && this.#place() !== undefined) this.#fail(attempt, silent)
   }
 
-  #lastByteAt: Millis = 0
-
   get #now (): Millis {
     return this.#ctx.clock.now()
   }
--- /dev/null
+++ b/packages/policy/src/attempt/attempt.spec.ts
@@ -0,0 +1,69 @@
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import * as fc from 'fast-check'
+import { decideAttempt } from './attempt.js'
+import type { AttemptFacts, AttemptFailure, Repeatability } from './attemptTypes.js'
+
+const FACTS: AttemptFacts = {
+  repeatability: 'idempotent',
+  failure: { kind: 'uncertain', reason: 'reset' },
+  answerBegun: false,
+  attemptsLeft: 1,
+  timeLeftMs: 1000,
+  budgetLeft: true
+}
+
+const decide = (facts: Partial<AttemptFacts>): string => decideAttempt({ ...FACTS, ...facts }).kind
+
+const failures = fc.constantFrom<AttemptFailure>(
+  { kind: 'not-run', reason: 'full' }, { kind: 'not-run', reason: 'unreachable' }, { kind: 'uncertain', reason: 'reset' },
+  { kind: 'uncertain', reason: 'silent' }, { kind: 'uncertain', reason: 'garbled' }, { kind: 'error-answer', status: 500 }
+)
+const anyFacts = fc.record({
+  repeatability: fc.constantFrom<Repeatability>('idempotent', 'once', 'resumable'),
+  failure: failures,
+  answerBegun: fc.boolean(),
+  attemptsLeft: fc.integer({ min: 0, max: 3 }),
+  timeLeftMs: fc.integer({ min: 0, max: 5000 }),
+  budgetLeft: fc.boolean()
+})
+
+describe('a failed attempt', () => {
+  it('is repeated when the request may run again', () => {
+    expect(decide({})).toEqual('retry')
+    expect(decide({ repeatability: 'resumable' })).toEqual('retry')
+  })
+
+  it('of a request that may run once is answered without a promise', () => {
+    expect(decide({ repeatability: 'once' })).toEqual('answer-unknown')
+  })
+
+  it('that certainly did not run is sent elsewhere, also when it may run once', () => {
+    expect(decide({ repeatability: 'once', failure: { kind: 'not-run', reason: 'full' } })).toEqual('retry')
+    expect(decide({ failure: { kind: 'not-run', reason: 'full' }, attemptsLeft: 0 })).toEqual('refuse')
+  })
+
+  it('in the middle of a stream is resumed where that is allowed, and breaks the answer off elsewhere', () => {
+    expect(decide({ repeatability: 'resumable', answerBegun: true })).toEqual('resume')
+    expect(decide({ repeatability: 'idempotent', answerBegun: true })).toEqual('break-off')
+    expect(decide({ repeatability: 'once', answerBegun: true })).toEqual('break-off')
+  })
+
+  it('with an error of the upstream passes the error on when nothing else is left', () => {
+    const failure: AttemptFailure = { kind: 'error-answer', status: 500 }
+    expect(decide({ failure })).toEqual('retry')
+    expect(decide({ failure, attemptsLeft: 0 })).toEqual('relay')
+    expect(decide({ failure, repeatability: 'once' })).toEqual('relay')
+  })
+
+  it('never makes a request that may run once run twice, or says that it did not run when it may have', () => {
+    fc.assert(fc.property(anyFacts, facts => {
+      const verdict = decideAttempt(facts).kind
+      const mayHaveRun = facts.failure.kind !== 'not-run'
+      if (mayHaveRun && facts.repeatability === 'once') expect(['answer-unknown', 'break-off', 'relay'].includes(verdict)).toEqual(true)
+      if (mayHaveRun) expect(verdict).not.toEqual('refuse')
+      if (facts.answerBegun) expect(['resume', 'break-off'].includes(verdict)).toEqual(true)
+      if (!facts.budgetLeft || facts.attemptsLeft === 0) expect(['retry', 'resume'].includes(verdict)).toEqual(false)
+    }))
+  })
+})
--- /dev/null
+++ b/packages/policy/src/placement/placement.spec.ts
@@ -0,0 +1,127 @@
+import { describe, it } from 'node:test'
+import { asId, type ServiceId, type UpstreamId, type ZoneId } from '@fuchsiaworks/kernel'
+import { expect } from 'earl'
+import { loadStringHash } from '../keys/rendezvous.js'
+import { place } from './placement.js'
+import { PlacementDb } from './placementDb.js'
+import type { PeerId, PlacementRequest, PlacementUpstream, RunId } from './placementTypes.js'
+
+const hash = await loadStringHash()
+const SERVICE = asId<ServiceId>('engine')
+const ZONE = asId<ZoneId>('east')
+const always = (): boolean => true
+
+const upstreamIds = (count: number): UpstreamId[] => Array.from({ length: count }, (_, at) => asId<UpstreamId>(`u${at}`))
+
+const engine = (id: UpstreamId): PlacementUpstream => ({ id, service: SERVICE, zone: ZONE, slots: 64, memoryTokens: 500_000 })
+
+const createDb = (count: number): PlacementDb => {
+  const db = new PlacementDb(hash)
+  db.setUpstreams(upstreamIds(count).map(engine))
+  return db
+}
+
+const request = (fields: Partial<PlacementRequest> = {}): PlacementRequest => ({
+  service: SERVICE,
+  zone: ZONE,
+  sharedParts: [{ id: 'common', tokens: 500 }, { id: 'thing', tokens: 5000 }],
+  ownTokens: 1000,
+  maxOutputTokens: 400,
+  targetMs: 600,
+  tried: new Set(),
+  ...fields
+})
+
+let runs = 0
+const send = (db: PlacementDb, req: PlacementRequest, now: number): UpstreamId => {
+  const placement = place(db, req, always, now)
+  if (placement === undefined) throw new Error('no upstream was chosen')
+  runs += 1
+  db.begin(asId<RunId>(`run${runs}`), placement.upstream, req, placement.readTokens, now)
+  return placement.upstream
+}
+
+describe('placing prompts', () => {
+  it('keeps prompts with a shared part together while their upstream can begin in time', () => {
+    const db = createDb(6)
+    const first = send(db, request(), 0)
+    expect(send(db, request(), 10)).toEqual(first)
+    expect(send(db, request(), 20)).toEqual(first)
+  })
+
+  it('spreads prompts without a shared part by their waiting tokens', () => {
+    const db = createDb(4)
+    const chosen = Array.from({ length: 4 }, (_, at) => send(db, request({ sharedParts: [{ id: `p${at}`, tokens: 100 }], ownTokens: 8000 }), 0))
+    expect(new Set(chosen).size).toEqual(4)
+  })
+
+  it('agrees at two routers that decide at once', () => {
+    const [a, b] = [createDb(6), createDb(6)]
+    expect(send(a, request(), 0)).toEqual(send(b, request(), 0))
+  })
+
+  it('makes a copy of a part once its upstream cannot begin in time', () => {
+    const db = createDb(6)
+    const first = send(db, request({ ownTokens: 40_000 }), 0)
+    expect(send(db, request(), 5)).not.toEqual(first)
+  })
+
+  it('follows the word of another router on where a part is kept', () => {
+    const db = createDb(6)
+    const preferred = place(db, request(), always, 0)?.upstream
+    const other = upstreamIds(6).find(id => id !== preferred)!
+    for (const part of ['common', 'thing']) db.notePart({ part: hash(part), upstream: other }, 0)
+    expect(place(db, request(), always, 10)?.upstream).toEqual(other)
+    expect(place(db, request(), always, 20_000)?.upstream).toEqual(preferred)
+  })
+
+  it('counts what other routers have open, until they are out of sight', () => {
+    const db = createDb(2)
+    const peer = asId<PeerId>('peer')
+    const [busy, free] = upstreamIds(2) as [UpstreamId, UpstreamId]
+    db.setRemote(peer, new Map([[busy, { open: 60, waitingTokens: 60_000, heldTokens: 200_000, recentStarts: 20 }]]))
+    expect(place(db, request(), always, 0)?.upstream).toEqual(free)
+    const alone = { ...request(), tried: new Set([free]) }
+    expect(place(db, alone, always, 0)!.pressure).toBeGreaterThan(1)
+    db.dropPeer(peer)
+    expect(place(db, alone, always, 0)!.pressure).toBeLessThan(0.5)
+  })
+
+  it('lets a prompt that takes longer than the target by itself run at an idle upstream', () => {
+    expect(place(createDb(1), request({ ownTokens: 50_000 }), always, 0)!.pressure).toBeLessThan(0.4)
+  })
+
+  it('leaves out upstreams that were tried, are avoided or may not be used', () => {
+    const db = createDb(3)
+    const [a, b, c] = upstreamIds(3) as [UpstreamId, UpstreamId, UpstreamId]
+    db.avoid(b, 100)
+    expect(place(db, request({ tried: new Set([a]) }), id => id !== c, 50)).toEqual(undefined)
+    expect(place(db, request({ tried: new Set([a]) }), id => id !== c, 150)?.upstream).toEqual(b)
+  })
+
+  it('learns that an upstream reads slowly and sends it less', () => {
+    const db = createDb(2)
+    const [slow, fast] = upstreamIds(2) as [UpstreamId, UpstreamId]
+    for (let at = 0; at < 20; at++) {
+      const run = asId<RunId>(`slow${at}`)
+      db.begin(run, slow, request(), 6000, at * 2000)
+      db.firstEvent(run, at * 2000 + 900)
+      db.end(run)
+    }
+    const now = 60_000
+    const chosen = Array.from({ length: 10 }, (_, at) => send(db, request({ sharedParts: [{ id: `n${at}`, tokens: 10 }], ownTokens: 5000 }), now))
+    expect(chosen.filter(id => id === fast).length).toBeGreaterThan(6)
+  })
+})
+
+describe('placing plain requests', () => {
+  const plain = { service: SERVICE, zone: ZONE, slots: 4, memoryTokens: undefined }
+
+  it('takes the upstream with the fewest open requests, one in the own zone first', () => {
+    const db = new PlacementDb(hash)
+    const [near, far] = upstreamIds(2) as [UpstreamId, UpstreamId]
+    db.setUpstreams([{ ...plain, id: far, zone: asId('west') }, { ...plain, id: near }])
+    const req = request({ sharedParts: [], ownTokens: 0, maxOutputTokens: 0, targetMs: 150 })
+    expect([send(db, req, 0), send(db, req, 0), send(db, req, 0)]).toEqual([near, far, near])
+  })
+})
--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -13,8 +13,10 @@
   .map(name => join(folder, String(name)))
   .filter(name => name.endsWith('.spec.js'))
 
-const specs = readdirSync(join(root, 'packages'))
-  .flatMap(name => listSpecs(join(root, 'packages', name, 'dist')))
+const folders = [...readdirSync(join(root, 'packages')).map(name => join(root, 'packages', name)), join(root, 'platform')]
+
+const specs = folders
+  .flatMap(folder => listSpecs(join(folder, 'dist')))
   .map(name => relative(root, name))
   .filter(name => process.argv.length === 2 || process.argv.slice(2).some(part => name.includes(part)))
   .sort()
