--- a/packages/upstreams/src/client/upstreamClient.spec.ts
+++ b/packages/upstreams/src/client/upstreamClient.spec.ts
@@ -1,5 +1,4 @@
-import { createServer, type Server, type Socket } from 'node:net'
-import type { AddressInfo } from 'node:net'
+import { type AddressInfo, createServer, type Server, type Socket } from 'node:net'
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
 import { UpstreamClient } from './upstreamClient.js'
@@ -64,9 +63,9 @@
   it('uses a connection again, but not after bytes that no request asked for', async () => {
     let connections = 0
     const server = await listen(socket => {
-      connections += 1
-      socket.on('data', () => { socket.write(`HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n${connections}`) })
-      if (connections === 2) socket.once('data', () => { setTimeout(() => { socket.write('HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra') }, 10) })
+      const number = ++connections
+      socket.on('data', () => { socket.write(`HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n${number}`) })
+      if (number === 2) socket.once('data', () => { setTimeout(() => { socket.write('HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra') }, 10) })
     })
     const client = new UpstreamClient(urlOf(server), OPTIONS)
     expect((await exchange(client)).body).toEqual('1')
