Let runs end at an upstream that is taken out of the list

A client is retired now: idle connections close at once, others after their exchange. The spec fails without the change. Sums of loads are kept up to date instead of summed per request.

--- a/packages/gateway/src/peers/peerMesh.ts
+++ b/packages/gateway/src/peers/peerMesh.ts
@@ -17,6 +17,9 @@
 /** Milliseconds after which a state is told although nothing changed. */
 const HEARTBEAT_MS: Millis = 250
 
+/** Milliseconds between two messages that name the addresses of other routers. */
+const ADDRESSES_MS: Millis = 400
+
 /** Milliseconds without a state after which a router counts as out of sight. */
 const SILENT_AFTER_MS: Millis = 1000
 
@@ -68,6 +71,7 @@
   readonly #startedAt: Millis
   #timers: Timer[] = []
   #toldAt: Millis = 0
+  #addressesToldAt: Millis = -Infinity
   #dirty = false
   #leaving = false
   #totalsTold = new Map<WorkspaceId, TokenTotals>()
@@ -196,9 +200,17 @@
     for (const dialer of this.#dialers.values()) dialer.send(bytes)
   }
 
+  /** Addresses are told now and then only, as they are many and seldom news. */
+  #takeAddresses (): string[] {
+    const now = this.clock.now()
+    if (now - this.#addressesToldAt < ADDRESSES_MS) return []
+    this.#addressesToldAt = now
+    return [...this.#peers.values()].filter(peer => peer.inSight).map(peer => peer.address)
+  }
+
   #encode (totals: ReadonlyMap<WorkspaceId, TokenTotals>, parts: readonly PartUse[]): Buffer {
     const { loads, avoided } = this.own.read()
-    const addresses = [...this.#peers.values()].filter(peer => peer.inSight).map(peer => peer.address)
+    const addresses = this.#takeAddresses()
     return encodePeerState({ peer: this.self, address: this.#address, isLeaving: this.#leaving, loads, totals, avoided, addresses, parts })
   }
 }
--- a/packages/gateway/src/port/fleetPort.ts
+++ b/packages/gateway/src/port/fleetPort.ts
@@ -1,5 +1,5 @@
 /** What the gateway asks of an adapter that reads the platform's lists. */
-import type { Millis, ZoneId } from '@fuchsiaworks/kernel'
+import type { Millis, UpstreamId, ZoneId } from '@fuchsiaworks/kernel'
 import type { Stream } from 'most'
 import type { GatewayUpstream, RoutingTable } from '../routing/routingTypes.js'
 
@@ -7,7 +7,7 @@
 export interface FleetView {
   /** Undefined until a configuration was read. */
   readonly table: RoutingTable | undefined
-  readonly upstreams: readonly GatewayUpstream[]
+  readonly upstreams: ReadonlyMap<UpstreamId, GatewayUpstream>
   /** Zones whose upstreams get nothing new. */
   readonly closedZones: ReadonlySet<ZoneId>
 }
--- a/packages/gateway/src/process/gateway.spec.ts
+++ b/packages/gateway/src/process/gateway.spec.ts
@@ -131,6 +131,21 @@
     })
   })
 
+  it('runs to its end when its upstream is taken out of the list meanwhile', async () => {
+    const script: Script = (_req, res) => {
+      res.writeHead(200, { seal: 's', try: 't1', 'content-type': 'text/event-stream' })
+      res.write(events(1, 1))
+      setTimeout(() => { res.end(events(2, 2)) }, 200)
+    }
+    await within([script], async gateway => {
+      const answered = gateway.ask('/stream/x')
+      await pause(80)
+      gateway.unlistUpstreams()
+      expect(await answered).toMatchRegex(/id: 2\n[^]*0\r\n\r\n$/)
+      expect(statusOf(await gateway.ask('/stream/x'))).toEqual(503)
+    })
+  })
+
   it('is cancelled at its upstream when its caller leaves', async () => {
     let closedAt = 0
     const script: Script = (req, res) => {
--- a/packages/gateway/src/process/gatewayFixtures.ts
+++ b/packages/gateway/src/process/gatewayFixtures.ts
@@ -72,6 +72,8 @@
   /** Age of the view that the gateway is told. */
   age: Millis
   readonly running: RunningProcess
+  /** Takes every upstream out of the list. */
+  unlistUpstreams: () => void
   /** Sends raw bytes on a new connection and returns all that comes until it ends or is quiet. */
   raw: (bytes: string, quietMs?: Millis) => Promise<string>
   /** Sends one request; its connection is closed afterwards. */
@@ -136,13 +138,14 @@
       workspaceByKey: new Map([['k1', asId<WorkspaceId>('w1')]]),
       limits: { headerBytes: 2000, bodyBytes: 1000, headerTimeoutMs: 1000, idleTimeoutMs: 2000, tokensPerSecond: undefined }
     },
-    upstreams: started.map(({ upstream }) => upstream),
+    upstreams: new Map(started.map(({ upstream }) => [upstream.id, upstream])),
     closedZones: new Set()
   }
   const source = new EventSource<FleetView>()
   const [callers, ready, peers] = [await freePort(), await freePort(), await freePort()]
   const under = { arrivals, view, age: 0 }
-  const fleet: FleetPort = { view, changes: source.stream, confirmedAge: () => under.age, start: () => { source.emit(view) }, close: async () => {} }
+  let current = view
+  const fleet: FleetPort = { get view () { return current }, changes: source.stream, confirmedAge: () => under.age, start: () => { source.emit(view) }, close: async () => {} }
   const at = (port: number) => ({ host: '127.0.0.1', port })
   const running = await startGateway({
     role: 'gateway',
@@ -161,6 +164,10 @@
   }, { fleet, headers: testHeaders, readyPath: '/ready', metrics: undefined })
   return Object.assign(under, {
     running,
+    unlistUpstreams: () => {
+      current = { ...view, upstreams: new Map() }
+      source.emit(current)
+    },
     raw: async (bytes: string, quietMs = 80) => await exchangeRaw(callers, bytes, quietMs),
     ask: async (path: string, headers = '', body = '') => {
       const length = body === '' ? '' : `Content-Length: ${body.length}\r\n`
--- a/packages/gateway/src/process/startGateway.ts
+++ b/packages/gateway/src/process/startGateway.ts
@@ -51,12 +51,13 @@
 
 /** Adapts a view to placing. */
 const applyView = (ctx: FlowContext, callers: CallerServer, view: FleetView): void => {
-  const { table, upstreams } = view
+  const { table } = view
+  const upstreams = [...view.upstreams.values()]
   ctx.placement.setUpstreams(upstreams.map(({ id, service, zone, slots }) =>
     ({ id, service, zone, slots, memoryTokens: table?.services.get(service)?.engine?.memoryTokens })))
   const listed = new Set<UpstreamId>(upstreams.map(({ id }) => id))
   ctx.coldPace.keepOnly(listed)
-  ctx.clients.keepOnly(listed, id => (ctx.placement.record(id)?.runs.size ?? 0) > 0)
+  ctx.clients.keepOnly(listed)
   ctx.metrics.upstreams.set(upstreams.filter(({ isDraining }) => !isDraining).length)
   if (table === undefined) return
   ctx.shares.capacityPerSecond = table.limits.tokensPerSecond
--- a/packages/gateway/src/requests/callerExchange.ts
+++ b/packages/gateway/src/requests/callerExchange.ts
@@ -182,7 +182,7 @@
   }
 
   #upstream (id: UpstreamId): GatewayUpstream | undefined {
-    return this.#ctx.fleet.view.upstreams.find(upstream => upstream.id === id)
+    return this.#ctx.fleet.view.upstreams.get(id)
   }
 
   #isUsable (id: UpstreamId): boolean {
--- a/packages/gateway/src/upstreams/upstreamClients.ts
+++ b/packages/gateway/src/upstreams/upstreamClients.ts
@@ -1,5 +1,5 @@
 /** One client for each upstream that is or was listed. */
-import { createLog, toError, type UpstreamId } from '@fuchsiaworks/kernel'
+import type { UpstreamId } from '@fuchsiaworks/kernel'
 import { UpstreamClient } from '@fuchsiaworks/upstreams'
 import type { GatewayUpstream } from '../routing/routingTypes.js'
 
@@ -12,8 +12,6 @@
 /** Milliseconds by which an idle connection is given up before the upstream closes it. */
 const KEEP_ALIVE_MARGIN_MS = 400
 
-const log = createLog('upstreams')
-
 /** Clients by upstream. */
 export class UpstreamClients {
   readonly #clients = new Map<UpstreamId, UpstreamClient>()
@@ -32,12 +30,12 @@
     return client
   }
 
-  /** Lets go of clients whose upstream is gone; `inUse` tells which still run requests. */
-  keepOnly (listed: ReadonlySet<UpstreamId>, inUse: (id: UpstreamId) => boolean): void {
+  /** Lets go of clients whose upstream is no longer listed; what they still run goes on to its end. */
+  keepOnly (listed: ReadonlySet<UpstreamId>): void {
     for (const [id, client] of this.#clients) {
-      if (listed.has(id) || inUse(id)) continue
+      if (listed.has(id)) continue
       this.#clients.delete(id)
-      client.close().catch(err => { log.warn('connections to an upstream did not close', { upstream: id, reason: toError(err).message }) })
+      client.retire()
     }
   }
 
--- a/packages/policy/src/placement/placementDb.ts
+++ b/packages/policy/src/placement/placementDb.ts
@@ -57,7 +57,7 @@
     const ahead = record.totalLoad(now).waitingTokens
     record.noteStart(now)
     const promptTokens = req.ownTokens + req.sharedParts.reduce((sum, part) => sum + part.tokens, 0)
-    record.runs.set(run, {
+    record.addRun(run, {
       startedAt: now,
       waitingTokens: readTokens,
       heldTokens: promptTokens + req.maxOutputTokens,
@@ -86,7 +86,7 @@
 
   /** Notes that a run has ended, in whatever way. */
   end (run: RunId): void {
-    this.#runs.get(run)?.runs.delete(run)
+    this.#runs.get(run)?.removeRun(run)
     this.#runs.delete(run)
   }
 
@@ -98,16 +98,12 @@
 
   /** Takes what another router has open; upstreams that it does not name are idle there. */
   setRemote (peer: PeerId, loads: ReadonlyMap<UpstreamId, UpstreamLoad>): void {
-    for (const record of this.#records.values()) {
-      const load = loads.get(record.id)
-      if (load === undefined) record.remote.delete(peer)
-      else record.remote.set(peer, load)
-    }
+    for (const record of this.#records.values()) record.setRemote(peer, loads.get(record.id))
   }
 
   /** Forgets what another router had open. */
   dropPeer (peer: PeerId): void {
-    for (const record of this.#records.values()) record.remote.delete(peer)
+    for (const record of this.#records.values()) record.setRemote(peer, undefined)
   }
 
   /** A use is told again only after a while: others remember it for longer. */
--- a/packages/policy/src/placement/upstreamRecord.ts
+++ b/packages/policy/src/placement/upstreamRecord.ts
@@ -33,15 +33,26 @@
   readonly tokensAtStart: number
 }
 
-/** State of one upstream at one router. */
+const NO_LOAD: UpstreamLoad = { open: 0, waitingTokens: 0, heldTokens: 0, recentStarts: 0 }
+
+const addLoads = (a: UpstreamLoad, b: UpstreamLoad, sign: 1 | -1): UpstreamLoad => ({
+  open: a.open + sign * b.open,
+  waitingTokens: a.waitingTokens + sign * b.waitingTokens,
+  heldTokens: a.heldTokens + sign * b.heldTokens,
+  recentStarts: a.recentStarts + sign * b.recentStarts
+})
+
+/** State of one upstream at one router. The sums of loads are kept up to date, as each request reads those of all upstreams. */
 export class UpstreamRecord {
   readonly runs = new Map<RunId, OpenRun>()
-  readonly remote = new Map<PeerId, UpstreamLoad>()
   /** Monotonic time until which the upstream is not chosen. */
   avoidUntil: Millis = 0
   /** Monotonic time of the last byte from the upstream, or of the first start after it had nothing to do. */
   lastSignOfLife: Millis = 0
   msPerKToken = INITIAL_MS_PER_KTOKEN
+  #own: UpstreamLoad = NO_LOAD
+  readonly #remote = new Map<PeerId, UpstreamLoad>()
+  #remoteSum: UpstreamLoad = NO_LOAD
   readonly #starts: Millis[] = []
   /** Last use by part, oldest first. */
   readonly #parts = new Map<PartHash, Millis>()
@@ -54,25 +65,36 @@
 
   /** @returns what this router has open here */
   ownLoad (now: Millis): UpstreamLoad {
-    let waitingTokens = 0
-    let heldTokens = 0
-    for (const run of this.runs.values()) {
-      waitingTokens += run.waitingTokens
-      heldTokens += run.heldTokens
-    }
-    return { open: this.runs.size, waitingTokens, heldTokens, recentStarts: this.#recentStarts(now) }
+    return { ...this.#own, recentStarts: this.#recentStarts(now) }
   }
 
   /** @returns what all known routers have open here */
   totalLoad (now: Millis): UpstreamLoad {
-    let { open, waitingTokens, heldTokens, recentStarts } = this.ownLoad(now)
-    for (const load of this.remote.values()) {
-      open += load.open
-      waitingTokens += load.waitingTokens
-      heldTokens += load.heldTokens
-      recentStarts += load.recentStarts
+    return addLoads(this.ownLoad(now), this.#remoteSum, 1)
+  }
+
+  /** Takes what another router has open here; undefined when it has nothing or is out of sight. */
+  setRemote (peer: PeerId, load: UpstreamLoad | undefined): void {
+    const before = this.#remote.get(peer)
+    if (before !== undefined) this.#remoteSum = addLoads(this.#remoteSum, before, -1)
+    if (load === undefined) {
+      this.#remote.delete(peer)
+      return
     }
-    return { open, waitingTokens, heldTokens, recentStarts }
+    this.#remote.set(peer, load)
+    this.#remoteSum = addLoads(this.#remoteSum, load, 1)
+  }
+
+  addRun (id: RunId, run: OpenRun): void {
+    this.runs.set(id, run)
+    this.#own = addLoads(this.#own, { open: 1, waitingTokens: run.waitingTokens, heldTokens: run.heldTokens, recentStarts: 0 }, 1)
+  }
+
+  removeRun (id: RunId): void {
+    const run = this.runs.get(id)
+    if (run === undefined) return
+    this.runs.delete(id)
+    this.#own = addLoads(this.#own, { open: 1, waitingTokens: run.waitingTokens, heldTokens: run.heldTokens, recentStarts: 0 }, -1)
   }
 
   noteStart (now: Millis): void {
@@ -81,6 +103,7 @@
   }
 
   noteFirstEvent (run: OpenRun, now: Millis): void {
+    this.#own = addLoads(this.#own, { ...NO_LOAD, waitingTokens: run.waitingTokens }, -1)
     run.waitingTokens = 0
     if (run.tokensAtStart < MIN_READING_TOKENS) return
     const reading = (now - run.startedAt) / (run.tokensAtStart / 1000)
--- a/packages/upstreams/src/client/upstreamClient.ts
+++ b/packages/upstreams/src/client/upstreamClient.ts
@@ -55,6 +55,7 @@
 export class UpstreamClient {
   readonly #idle: Line[] = []
   readonly #lines = new Set<Line>()
+  #isRetired = false
 
   /**
    * @param url - origin of the upstream
@@ -97,6 +98,12 @@
     return exchange
   }
 
+  /** Closes idle connections now and each other one when its exchange has ended; nothing more is to be sent. */
+  retire (): void {
+    this.#isRetired = true
+    for (const line of this.#idle.splice(0)) this.#drop(line)
+  }
+
   /** Closes every connection; exchanges that still run fail. */
   async close (): Promise<void> {
     await Promise.all([...this.#lines].map(async line => { await line.client.destroy() }))
@@ -115,10 +122,11 @@
   }
 
   #release (line: Line, drop: boolean): void {
-    if (!drop && this.#idle.length < MAX_IDLE) {
-      this.#idle.push(line)
-      return
-    }
+    if (drop || this.#isRetired || this.#idle.length >= MAX_IDLE) this.#drop(line)
+    else this.#idle.push(line)
+  }
+
+  #drop (line: Line): void {
     this.#lines.delete(line)
     // The last callback of the exchange may still be running inside the client.
     setImmediate(() => { line.client.destroy().catch(() => {}) })
