--- a/packages/gateway/src/requests/callerExchange.ts
+++ b/packages/gateway/src/requests/callerExchange.ts
@@ -62,10 +62,8 @@
   #lastReason = ''
   #firstByteMs: Millis | undefined
   #lastByteAt: Millis = 0
-  #pressure = 0
-  #expectedMs = 0
+  #placement: Placement | undefined
   #waitedMs = 0
-  #readTokens = 0
   #shareUse = 0
   #mayHaveRun = false
   #isDone = false
@@ -102,11 +100,7 @@
   tryStart (): void {
     if (this.#isDone || this.#attempts > 0) return
     const placement = this.#place()
-    if (placement !== undefined) {
-      this.#pressure = placement.pressure
-      this.#expectedMs = placement.expectedMs
-      this.#readTokens = placement.readTokens
-    }
+    this.#placement = placement
     const refusal = placement === undefined
       ? { status: 503, reason: 'no-upstream', returnMs: NO_UPSTREAM_RETURN_MS }
       : this.#checkShare(placement)
@@ -413,11 +407,12 @@
       status: call.res.statusCode,
       upstreams: [...this.#tried].join(','),
       revision: call.revision,
-      pressure: Number(this.#pressure.toFixed(2)),
+      pressure: Number((this.#placement?.pressure ?? -1).toFixed(2)),
       waitedMs: Math.round(this.#waitedMs),
-      expectedMs: Math.round(this.#expectedMs),
+      expectedMs: Math.round(this.#placement?.expectedMs ?? -1),
       tokens: this.#tokens,
-      readTokens: Math.round(this.#readTokens),
+      readTokens: this.#placement?.readTokens ?? -1,
+      copiedTokens: this.#placement?.copiedTokens ?? -1,
       shareUse: Number(this.#shareUse.toFixed(2)),
       firstMs: Math.round(this.#firstByteMs ?? -1),
       ms: Math.round(this.#now - call.arrivedAt)
--- a/packages/policy/src/placement/placement.ts
+++ b/packages/policy/src/placement/placement.ts
@@ -108,14 +108,14 @@
   )
   const expectedMs = aheadMs + readMs
   const cost = expectedMs + copied * perToken * (COPY_WEIGHT - 1) + (missing > 0 ? rankOf(view, record.id) * RANK_MS : 0)
-  return { upstream: record.id, expectedMs, readTokens: missing + req.ownTokens, pressure, cost }
+  return { upstream: record.id, expectedMs, readTokens: missing + req.ownTokens, copiedTokens: copied, pressure, cost }
 }
 
 const plainCandidate = (record: UpstreamRecord, req: PlacementRequest, now: Millis): Candidate => {
   const { open } = record.totalLoad(now)
   const pressure = (open + 1) / record.facts.slots
   const cost = pressure * req.targetMs + (record.facts.zone === req.zone ? 0 : OTHER_ZONE_MS)
-  return { upstream: record.id, expectedMs: 0, readTokens: 0, pressure, cost }
+  return { upstream: record.id, expectedMs: 0, readTokens: 0, copiedTokens: 0, pressure, cost }
 }
 
 /**
--- a/packages/policy/src/placement/placementTypes.ts
+++ b/packages/policy/src/placement/placementTypes.ts
@@ -72,6 +72,8 @@
   readonly expectedMs: Millis
   /** Prompt tokens that the upstream is expected to read. */
   readonly readTokens: number
+  /** Those of them that another upstream keeps. */
+  readonly copiedTokens: number
   /** How full the upstream would be: 1 means that the target would just be met, or that no slot would be left. */
   readonly pressure: number
 }
