--- a/packages/policy/src/placement/placement.ts
+++ b/packages/policy/src/placement/placement.ts
@@ -17,6 +17,9 @@
  */
 const COPY_WEIGHT = 10
 
+/** Factor on the time to read a copy in the pressure: a copy is made where there is room to spare, not for the last place. */
+const COPY_PRESSURE = 3
+
 /** Milliseconds added for each step down the preference of a prompt that no upstream keeps, so that routers that decide at once agree. */
 const RANK_MS = 30
 
@@ -100,14 +103,15 @@
   const perToken = record.msPerKToken / 1000
   const aheadMs = BASE_LATENCY_MS + load.waitingTokens * perToken
   const readMs = (missing + req.ownTokens) * perToken
+  const copyMs = copied * perToken
   const promised = load.heldTokens + req.ownTokens + req.maxOutputTokens
   const pressure = Math.max(
-    aheadMs / req.targetMs + Math.min(readMs / req.targetMs, OWN_PRESSURE),
+    aheadMs / req.targetMs + Math.min(readMs / req.targetMs, OWN_PRESSURE) + copyMs * COPY_PRESSURE / req.targetMs,
     (load.open + 1) / record.facts.slots,
     promised / ((record.facts.memoryTokens ?? Infinity) * MEMORY_SHARE)
   )
   const expectedMs = aheadMs + readMs
-  const cost = expectedMs + copied * perToken * (COPY_WEIGHT - 1) + (missing > 0 ? rankOf(view, record.id) * RANK_MS : 0)
+  const cost = expectedMs + copyMs * (COPY_WEIGHT - 1) + (missing > 0 ? rankOf(view, record.id) * RANK_MS : 0)
   return { upstream: record.id, expectedMs, readTokens: missing + req.ownTokens, copiedTokens: copied, pressure, cost }
 }
 
