--- a/packages/gateway/src/peers/peerDialer.ts
+++ b/packages/gateway/src/peers/peerDialer.ts
@@ -6,10 +6,10 @@
 const CONNECT_TIMEOUT_MS = 1000
 
 /** Milliseconds between two probes of the connection. */
-const PROBE_PERIOD_MS = 500
+const PROBE_PERIOD_MS = 1500
 
 /** Probes without an answer after which the connection counts as dead. */
-const MAX_UNANSWERED = 3
+const MAX_UNANSWERED = 1
 
 /** Shortest and longest milliseconds between two attempts to connect. */
 const RETRY_MS = { min: 100, max: 1000 } as const
--- a/packages/gateway/src/peers/peerMesh.ts
+++ b/packages/gateway/src/peers/peerMesh.ts
@@ -9,19 +9,19 @@
 import type { AvoidedUpstream, PeerState } from './peerTypes.js'
 
 /** Milliseconds between two states for each known router: more routers tell less often, so that the messages a router reads stay bounded. */
-const PERIOD_BY_ROUTER_MS = 8
+const PERIOD_BY_ROUTER_MS = 14
 
 /** Bounds of the time between two states, in milliseconds. */
-const PERIOD_MS = { min: 40, max: 250 } as const
+const PERIOD_MS = { min: 40, max: 420 } as const
 
 /** Milliseconds after which a state is told although nothing changed. */
-const HEARTBEAT_MS: Millis = 250
+const HEARTBEAT_MS: Millis = 600
 
 /** Milliseconds between two messages that name the addresses of other routers. */
-const ADDRESSES_MS: Millis = 400
+const ADDRESSES_MS: Millis = 1000
 
 /** Milliseconds without a state after which a router counts as out of sight. */
-const SILENT_AFTER_MS: Millis = 1000
+const SILENT_AFTER_MS: Millis = 2000
 
 /** Milliseconds for which a router that went out of sight is remembered as lost. */
 const LOST_MS: Millis = 15_000
@@ -69,10 +69,11 @@
   readonly #server: Server
   readonly #sockets: WebSocketServer
   readonly #startedAt: Millis
-  #timers: Timer[] = []
+  /** Tells a change once the period since the last message is over; undefined while there is no change. */
+  #changeTimer: Timer | undefined
+  #heartbeat: Timer | undefined
   #toldAt: Millis = 0
   #addressesToldAt: Millis = -Infinity
-  #dirty = false
   #leaving = false
   #totalsTold = new Map<WorkspaceId, TokenTotals>()
 
@@ -99,12 +100,15 @@
       this.#server.listen(this.listen.port, this.listen.host, resolve)
     })
     for (const seed of this.seeds) this.#dial(seed)
-    this.#timers = [this.clock.every(PERIOD_MS.min, () => { this.#tick() })]
+    this.#heartbeat = this.clock.every(HEARTBEAT_MS, () => { this.#beat() })
   }
 
   /** Says that there is something new to tell. */
   touch (): void {
-    this.#dirty = true
+    if (this.#changeTimer !== undefined) return
+    const period = Math.min(PERIOD_MS.max, Math.max(PERIOD_MS.min, this.#peers.size * PERIOD_BY_ROUTER_MS))
+    const wait = Math.max(0, this.#toldAt + period - this.clock.now())
+    this.#changeTimer = this.clock.after(wait, () => { this.#tell() })
   }
 
   /** Tells the others that this router ends. */
@@ -114,7 +118,8 @@
   }
 
   close (): void {
-    for (const timer of this.#timers) timer.close()
+    this.#changeTimer?.close()
+    this.#heartbeat?.close()
     for (const dialer of this.#dialers.values()) dialer.close()
     for (const socket of this.#sockets.clients) socket.terminate()
     this.#server.close()
@@ -168,13 +173,10 @@
     this.lost.emit(id)
   }
 
-  #tick (): void {
+  #beat (): void {
     const now = this.clock.now()
     for (const [id, peer] of this.#peers) this.#checkSight(id, peer, now)
-    const period = Math.min(PERIOD_MS.max, Math.max(PERIOD_MS.min, this.#peers.size * PERIOD_BY_ROUTER_MS))
-    const due = this.#dirty ? period : HEARTBEAT_MS
-    // A timer that fires a little early must not make a state wait for the next one.
-    if (now - this.#toldAt >= due - PERIOD_MS.min / 2) this.#tell()
+    if (now - this.#toldAt >= HEARTBEAT_MS / 2) this.#tell()
   }
 
   #checkSight (id: PeerId, peer: KnownPeer, now: Millis): void {
@@ -188,7 +190,8 @@
 
   #tell (): void {
     this.#toldAt = this.clock.now()
-    this.#dirty = false
+    this.#changeTimer?.close()
+    this.#changeTimer = undefined
     if (this.#dialers.size === 0) return
     const { totals } = this.own.read()
     const changed = new Map([...totals].filter(([id, { asked, served }]) => {
--- a/packages/gateway/src/requests/requestFlow.ts
+++ b/packages/gateway/src/requests/requestFlow.ts
@@ -18,7 +18,10 @@
 export class RequestFlow implements Service {
   readonly #open = new Set<CallerExchange>()
   readonly #waiting = new Set<CallerExchange>()
-  #timers: Timer[] = []
+  /** Runs only while something waits: an idle process is not woken. */
+  #waitingTimer: Timer | undefined
+  /** Runs only while requests are open. */
+  #silenceTimer: Timer | undefined
 
   /** @param ctx - services of the process */
   constructor (readonly ctx: FlowContext) {}
@@ -28,13 +31,6 @@
     return this.#open.size
   }
 
-  start (): void {
-    this.#timers = [
-      this.ctx.clock.every(SILENCE_CHECK_MS, () => { this.#checkSilence() }),
-      this.ctx.clock.every(WAITING_CHECK_MS, () => { this.#tryWaiting() })
-    ]
-  }
-
   /** Begins a request. */
   open (call: CallerCall): void {
     const exchange = new CallerExchange(this.ctx, call, done => {
@@ -44,25 +40,39 @@
     this.#open.add(exchange)
     this.ctx.metrics.open.set(this.#open.size)
     exchange.start()
-    if (exchange.isWaiting) this.#waiting.add(exchange)
+    this.#silenceTimer ??= this.ctx.clock.every(SILENCE_CHECK_MS, () => { this.#checkSilence() })
+    if (exchange.isWaiting) this.#wait(exchange)
   }
 
   close (): void {
-    for (const timer of this.#timers) timer.close()
+    this.#silenceTimer?.close()
+    this.#waitingTimer?.close()
     for (const exchange of [...this.#open]) exchange.abort()
   }
 
+  #wait (exchange: CallerExchange): void {
+    this.#waiting.add(exchange)
+    this.#waitingTimer ??= this.ctx.clock.every(WAITING_CHECK_MS, () => { this.#tryWaiting() })
+  }
+
   /** Offers room to waiting requests, the least served workspace's first. */
   #tryWaiting (): void {
-    if (this.#waiting.size === 0) return
     const ordered = [...this.#waiting].sort((a, b) => compareWaiting(a.waiting, b.waiting))
     for (const exchange of ordered) {
       exchange.tryStart()
       if (!exchange.isWaiting) this.#waiting.delete(exchange)
     }
+    if (this.#waiting.size > 0) return
+    this.#waitingTimer?.close()
+    this.#waitingTimer = undefined
   }
 
   #checkSilence (): void {
+    if (this.#open.size === 0) {
+      this.#silenceTimer?.close()
+      this.#silenceTimer = undefined
+      return
+    }
     const now = this.ctx.clock.now()
     for (const exchange of [...this.#open]) {
       exchange.checkSilence(id => now - (this.ctx.placement.record(id)?.lastSignOfLife ?? 0) > UPSTREAM_SILENCE_MS)
