--- a/packages/gateway/src/requests/callerExchange.ts
+++ b/packages/gateway/src/requests/callerExchange.ts
@@ -1,13 +1,13 @@
 /** The life of one request: placed, sent, passed on, and sent again where that is allowed. */
 import { asId, type Millis, newId, type Timer, type UpstreamId } from '@fuchsiaworks/kernel'
 import {
-  type AttemptFailure, coldRate, decideAttempt, decideShare, maySendCold, type Placement, type PlacementRequest, place,
-  type PromptPart, type RunId, waitLeft, type WaitingCall
+  type AttemptFailure, decideAttempt, type Placement, type RunId, waitLeft, type WaitingCall
 } from '@fuchsiaworks/policy'
 import type { UpstreamExchange } from '@fuchsiaworks/upstreams'
 import type { HeaderList } from '@fuchsiaworks/wire'
 import type { AnswerHead } from '../port/headerPort.js'
 import type { GatewayUpstream } from '../routing/routingTypes.js'
+import { Admission, NO_UPSTREAM_RETURN_MS } from './admission.js'
 import { AnswerRelay } from './answerRelay.js'
 import type { CallerCall } from './callerCall.js'
 import type { FlowContext } from './flowContext.js'
@@ -22,12 +22,6 @@
 /** Milliseconds for which an upstream is not chosen after a connection to it broke. */
 const BROKEN_AVOID_MS = 300
 
-/** Milliseconds to return for a request that no upstream could take. */
-const NO_UPSTREAM_RETURN_MS = 1000
-
-/** Engines generate tokens one after the other, which costs about twice as much as reading them. */
-const OUTPUT_TOKEN_WEIGHT = 2
-
 /** Status of an upstream that is not the one that was meant. */
 const MISDIRECTED = 421
 
@@ -52,8 +46,7 @@
   readonly #call: CallerCall
   readonly #relay: AnswerRelay
   readonly #deadlineAt: Millis
-  readonly #tried = new Set<UpstreamId>()
-  readonly #placing: PlacementRequest
+  readonly #admission: Admission
   readonly #timer: Timer
   /** True while it is to be tried again when there may be room. */
   isWaiting = false
@@ -64,7 +57,6 @@
   #lastByteAt: Millis = 0
   #placement: Placement | undefined
   #waitedMs = 0
-  #shareUse = 0
   #mayHaveRun = false
   #isDone = false
 
@@ -79,7 +71,7 @@
     this.#relay = new AnswerRelay(call.res, call.route.isStream, call.head.resumeAfter)
     const { route, head } = call
     this.#deadlineAt = call.arrivedAt + Math.min(head.deadlineMs ?? route.timeoutMs, route.timeoutMs)
-    this.#placing = this.#placementRequest()
+    this.#admission = new Admission(ctx, call)
     this.#timer = ctx.clock.after(Math.max(0, this.#timeLeft), () => { this.#onTimeout() })
     call.res.on('close', () => { this.#onCallerGone() })
   }
@@ -87,23 +79,23 @@
   /** Places and sends the request for the first time. */
   start (): void {
     this.#ctx.retries.countFirst(this.#call.service, this.#budgetOwner, this.#now)
-    if (this.#call.workspace !== undefined && this.#isEngine) this.#ctx.shares.ask(this.#call.workspace, this.#tokens, this.#now)
+    this.#admission.noteAsked()
     this.tryStart()
   }
 
   /** What the order of waiting goes by. */
   get waiting (): WaitingCall {
-    return { use: this.#shareUse, arrivedAt: this.#call.arrivedAt, targetMs: this.#call.route.targetMs }
+    return { use: this.#admission.shareUse, arrivedAt: this.#call.arrivedAt, targetMs: this.#call.route.targetMs }
   }
 
   /** Sends the request if an upstream has room for it, lets it wait, or refuses it. */
   tryStart (): void {
     if (this.#isDone || this.#attempts > 0) return
-    const placement = this.#place()
+    const placement = this.#admission.place()
     this.#placement = placement
     const refusal = placement === undefined
       ? { status: 503, reason: 'no-upstream', returnMs: NO_UPSTREAM_RETURN_MS }
-      : this.#checkShare(placement)
+      : this.#admission.check(placement)
     if (placement !== undefined && refusal === undefined) return this.#send(placement)
     this.isWaiting = waitLeft(this.waiting, this.#now) > 0
     if (!this.isWaiting && refusal !== undefined) this.#refuse(refusal)
@@ -122,10 +114,10 @@
     if (attempt === undefined || attempt.isOver || this.#call.route.repeatability === 'once') return
     const limit = this.#silenceLimit(attempt)
     if (this.#now - Math.max(attempt.startedAt, this.#lastByteAt) < limit) return
-    if (this.#isEngine && !isUpstreamSilent(attempt.upstream.id)) return
+    if (this.#admission.isEngine && !isUpstreamSilent(attempt.upstream.id)) return
     const silent: AttemptFailure = { kind: 'uncertain', reason: 'silent' }
     const next = this.#verdict(silent).kind
-    if ((next === 'retry' || next === 'resume') && this.#place() !== undefined) this.#fail(attempt, silent)
+    if ((next === 'retry' || next === 'resume') && this.#admission.place() !== undefined) this.#fail(attempt, silent)
   }
 
   get #now (): Millis {
@@ -136,84 +128,27 @@
     return this.#deadlineAt - this.#now
   }
 
-  get #isEngine (): boolean {
-    return this.#ctx.fleet.view.table?.services.get(this.#call.service)?.engine !== undefined
-  }
-
-  /** What the request takes of the engines: shared parts are read once for many requests and count for none. */
-  get #tokens (): number {
-    const { prompt } = this.#call.head
-    if (prompt === undefined) return 0
-    return this.#placing.ownTokens + OUTPUT_TOKEN_WEIGHT * (prompt.expectedOutputTokens ?? prompt.maxOutputTokens)
-  }
-
   /** Public routes share one part of the retry budget. */
   get #budgetOwner (): NonNullable<CallerCall['workspace']> {
     return this.#call.workspace ?? asId('public')
   }
 
   #silenceLimit ({ placement }: Attempt): Millis {
-    if (!this.#isEngine) return this.#call.route.targetMs * PLAIN_SILENCE_SHARE
+    if (!this.#admission.isEngine) return this.#call.route.targetMs * PLAIN_SILENCE_SHARE
     return ENGINE_SILENCE_MS + placement.expectedMs
   }
 
-  #placementRequest (): PlacementRequest {
-    const { head, route, service } = this.#call
-    const parts = head.prompt?.parts ?? []
-    return {
-      service,
-      zone: this.#ctx.settings.zone,
-      sharedParts: parts.slice(0, -1),
-      ownTokens: ownTokens(parts, head.prompt?.promptTokens ?? 0),
-      maxOutputTokens: head.prompt?.maxOutputTokens ?? 0,
-      targetMs: this.#ctx.shortestTargets.get(service) ?? route.targetMs,
-      tried: this.#tried
-    }
-  }
-
-  #place (): Placement | undefined {
-    return place(this.#ctx.placement, this.#placing, id => this.#isUsable(id), this.#now)
-  }
-
-  #upstream (id: UpstreamId): GatewayUpstream | undefined {
-    return this.#ctx.fleet.view.upstreams.get(id)
-  }
-
-  #isUsable (id: UpstreamId): boolean {
-    const upstream = this.#upstream(id)
-    if (upstream === undefined || upstream.isDraining || this.#ctx.fleet.view.closedZones.has(upstream.zone)) return false
-    if (upstream.coldUntil <= this.#now) return true
-    const cold = { id, perSecond: this.#coldPerSecond(upstream) }
-    return cold.perSecond <= 0 || maySendCold(this.#ctx.coldPace, this.#ctx.hash, this.#ctx.mesh.view(), cold, this.#now)
-  }
-
-  #coldPerSecond (upstream: GatewayUpstream): number {
-    return this.#ctx.fleet.view.table?.services.get(upstream.service)?.coldPerSecond ?? 0
-  }
-
-  #checkShare (placement: Placement): Refusal | undefined {
-    const { workspace } = this.#call
-    if (workspace === undefined || !this.#isEngine) {
-      return placement.pressure <= PLAIN_PRESSURE ? undefined : { status: 503, reason: 'full', returnMs: NO_UPSTREAM_RETURN_MS }
-    }
-    const verdict = decideShare(this.#ctx.shares, { workspace, tokens: this.#tokens, pressure: placement.pressure }, this.#now)
-    this.#shareUse = verdict.use
-    return verdict.kind === 'admit' ? undefined : { status: 503, reason: verdict.reason, returnMs: verdict.returnMs }
-  }
-
   #send (placement: Placement): void {
     const call = this.#call
-    const upstream = this.#upstream(placement.upstream)
+    const upstream = this.#ctx.fleet.view.upstreams.get(placement.upstream)
     if (upstream === undefined) return this.#refuse({ status: 503, reason: 'no-upstream', returnMs: NO_UPSTREAM_RETURN_MS })
     const attempt: Attempt = { run: newId<RunId>(), upstream, startedAt: this.#now, placement, exchange: undefined, isOver: false, hasBody: false }
     this.#attempt = attempt
     this.#attempts += 1
     this.isWaiting = false
     this.#waitedMs = this.#now - call.arrivedAt
-    this.#tried.add(upstream.id)
-    if (upstream.coldUntil > this.#now) this.#ctx.coldPace.take(upstream.id, coldRate({ id: upstream.id, perSecond: this.#coldPerSecond(upstream) }), this.#now)
-    this.#ctx.placement.begin(attempt.run, upstream.id, this.#placing, placement.readTokens, this.#now)
-    if (this.#attempts === 1 && call.workspace !== undefined) this.#ctx.shares.serve(call.workspace, this.#tokens, this.#now)
+    this.#admission.noteSent(upstream)
+    this.#ctx.placement.begin(attempt.run, upstream.id, this.#admission.request, placement.readTokens, this.#now)
     this.#ctx.mesh.touch()
     const headers = this.#ctx.headers.encodeCall(call.headers, {
       upstream: upstream.id,
@@ -336,7 +271,7 @@
 
   /** Sends the request once more; where no upstream can take it, ends it by what may have happened before. */
   #again (): void {
-    const placement = this.#place()
+    const placement = this.#admission.place()
     if (placement !== undefined && this.#ctx.retries.take(this.#call.service, this.#budgetOwner, this.#now)) return this.#send(placement)
     if (this.#relay.hasBegun) {
       this.#call.res.destroy()
@@ -405,15 +340,15 @@
       outcome,
       reason,
       status: call.res.statusCode,
-      upstreams: [...this.#tried].join(','),
+      upstreams: [...this.#admission.tried].join(','),
       revision: call.revision,
       pressure: Number((this.#placement?.pressure ?? -1).toFixed(2)),
       waitedMs: Math.round(this.#waitedMs),
       expectedMs: Math.round(this.#placement?.expectedMs ?? -1),
-      tokens: this.#tokens,
+      tokens: this.#admission.tokens,
       readTokens: this.#placement?.readTokens ?? -1,
       copiedTokens: this.#placement?.copiedTokens ?? -1,
-      shareUse: Number(this.#shareUse.toFixed(2)),
+      shareUse: Number(this.#admission.shareUse.toFixed(2)),
       firstMs: Math.round(this.#firstByteMs ?? -1),
       ms: Math.round(this.#now - call.arrivedAt)
     })
@@ -427,9 +362,6 @@
 /** Milliseconds without a byte from an engine with open runs after which it counts as dead, beyond the expected start. */
 const ENGINE_SILENCE_MS = 800
 
-/** How full a plain upstream may be: every slot taken and as many requests waiting. */
-const PLAIN_PRESSURE = 2
-
 const avoidanceOf = (failure: AttemptFailure): Millis => {
   switch (failure.kind) {
     case 'not-run':
@@ -441,6 +373,3 @@
       return 0
   }
 }
-
-/** Tokens of the part that only this request has; the whole prompt when it names no parts. */
-const ownTokens = (parts: readonly PromptPart[], promptTokens: number): number => parts.at(-1)?.tokens ?? promptTokens
