--- a/packages/gateway/src/requests/flowContext.ts
+++ b/packages/gateway/src/requests/flowContext.ts
@@ -1,5 +1,5 @@
 /** What every request of a gateway works with. */
-import type { Clock, Log, Millis, ServiceId, UpstreamId } from '@fuchsiaworks/kernel'
+import type { Clock, Log, Millis, ServiceId } from '@fuchsiaworks/kernel'
 import type { ColdPaceDb, PlacementDb, RetryBudget, StringHash, TokenShareDb } from '@fuchsiaworks/policy'
 import type { GatewayMetrics } from '../log/gatewayMetrics.js'
 import type { RequestLog } from '../log/requestLog.js'
@@ -29,11 +29,3 @@
   readonly requestLog: RequestLog
   readonly log: Log
 }
-
-/** Says why an upstream is not sent to for a while. */
-export interface Avoidance {
-  readonly upstream: UpstreamId
-  readonly service: ServiceId
-  readonly reason: string
-  readonly forMs: Millis
-}
