--- a/packages/gateway/src/requests/callerExchange.ts
+++ b/packages/gateway/src/requests/callerExchange.ts
@@ -25,6 +25,25 @@
 /** Status of an upstream that is not the one that was meant. */
 const MISDIRECTED = 421
 
+/** Share of its target that a plain request may stay without an answer before another upstream is tried. */
+const PLAIN_SILENCE_SHARE = 0.9
+
+/** Milliseconds without a byte from an engine with open runs after which it counts as dead, beyond the expected start. */
+const ENGINE_SILENCE_MS = 800
+
+/** @returns milliseconds for which an upstream is not chosen after a failure */
+const avoidanceOf = (failure: AttemptFailure): Millis => {
+  switch (failure.kind) {
+    case 'not-run':
+      if (failure.reason === 'unreachable') return UNREACHABLE_AVOID_MS
+      return failure.reason === 'full' ? FULL_AVOID_MS : 0
+    case 'uncertain':
+      return BROKEN_AVOID_MS
+    case 'error-answer':
+      return 0
+  }
+}
+
 /** One attempt at one upstream. */
 interface Attempt {
   readonly run: RunId
@@ -355,21 +374,3 @@
     this.onDone(this)
   }
 }
-
-/** Share of its target that a plain request may stay without an answer before another upstream is tried. */
-const PLAIN_SILENCE_SHARE = 0.9
-
-/** Milliseconds without a byte from an engine with open runs after which it counts as dead, beyond the expected start. */
-const ENGINE_SILENCE_MS = 800
-
-const avoidanceOf = (failure: AttemptFailure): Millis => {
-  switch (failure.kind) {
-    case 'not-run':
-      if (failure.reason === 'unreachable') return UNREACHABLE_AVOID_MS
-      return failure.reason === 'full' ? FULL_AVOID_MS : 0
-    case 'uncertain':
-      return BROKEN_AVOID_MS
-    case 'error-answer':
-      return 0
-  }
-}
