--- a/packages/gateway/src/callers/callerServer.ts
+++ b/packages/gateway/src/callers/callerServer.ts
@@ -25,6 +25,11 @@
 
 const log = createLog('callers')
 
+/** Waits until the event loop has polled its sockets once more: the second immediate runs after the poll that follows the first. */
+const nextPoll = async (): Promise<void> => {
+  await new Promise<void>(resolve => { setImmediate(() => { setImmediate(resolve) }) })
+}
+
 /** What was found out about a request before its body is read. */
 interface Admitted {
   readonly table: RoutingTable
@@ -133,6 +138,9 @@
     const result = await readCallerBody(req, table.limits.bodyBytes)
     if (result.kind === 'cut') return
     if (result.kind === 'too-long') return this.#reject(req, res, { status: 413, reason: 'body-too-long' })
+    await nextPoll()
+    // A process that was busy or has just started reads requests whose callers have given up; their close is read after them.
+    if (req.socket.readableEnded || req.socket.destroyed) return this.#noteCallerGone(head)
     // A body may take long; what was admitted by its headers may not be allowed any more.
     const still = this.#admit(req)
     if ('status' in still) return this.#reject(req, res, still)
@@ -153,6 +161,11 @@
     })
   }
 
+  #noteCallerGone (head: CallerHead): void {
+    this.ctx.metrics.requests.inc({ service: 'none', outcome: 'caller-gone' })
+    this.ctx.requestLog.write('a request was dropped: its caller had closed the connection before it was read', { request: head.attempt })
+  }
+
   #reject (req: IncomingMessage, res: ServerResponse, refusal: Refusal): void {
     // What is left of the body would be taken for the next request.
     if (!req.complete) res.setHeader('connection', 'close')
--- a/packages/gateway/src/process/gateway.spec.ts
+++ b/packages/gateway/src/process/gateway.spec.ts
@@ -163,6 +163,16 @@
   })
 })
 
+describe('a request whose caller has left before it was read', () => {
+  it('reaches no upstream', async () => {
+    await within([answer], async gateway => {
+      await gateway.sendAndLeave('POST /safe/x HTTP/1.1\r\nHost: a.example\r\nTry: t1\r\nContent-Length: 2\r\n\r\nhi')
+      await pause(100)
+      expect(gateway.arrivals.length).toEqual(0)
+    })
+  })
+})
+
 describe('malformed input', () => {
   const head = 'POST /safe/x HTTP/1.1\r\nHost: a.example\r\nTry: t1\r\n'
   const cases: Record<string, string> = {
--- a/packages/gateway/src/process/gatewayFixtures.ts
+++ b/packages/gateway/src/process/gatewayFixtures.ts
@@ -76,6 +76,8 @@
   unlistUpstreams: () => void
   /** Sends raw bytes on a new connection and returns all that comes until it ends or is quiet. */
   raw: (bytes: string, quietMs?: Millis) => Promise<string>
+  /** Sends raw bytes and closes the connection with them. */
+  sendAndLeave: (bytes: string) => Promise<void>
   /** Sends one request; its connection is closed afterwards. */
   ask: (path: string, headers?: string, body?: string) => Promise<string>
   /** Status of the balancer's question. */
@@ -169,6 +171,14 @@
       source.emit(current)
     },
     raw: async (bytes: string, quietMs = 80) => await exchangeRaw(callers, bytes, quietMs),
+    sendAndLeave: async (bytes: string) => {
+      await new Promise<void>(resolve => {
+        const socket = connect(callers, '127.0.0.1', () => { socket.end(bytes) })
+        socket.on('error', () => {})
+        socket.on('close', () => { resolve() })
+        socket.resume()
+      })
+    },
     ask: async (path: string, headers = '', body = '') => {
       const length = body === '' ? '' : `Content-Length: ${body.length}\r\n`
       return await exchangeRaw(callers, `POST ${path} HTTP/1.1\r\nHost: a.example\r\nTry: t1\r\nConnection: close\r\n${headers}${length}\r\n${body}`, 2500)
