Remove what nothing uses in the gateway; one place for an answer that promises nothing

Found when the whole change was read again: a log in the context that nobody wrote to, a bound on events that nobody asked for, and the answer without a promise in two places.

--- a/packages/gateway/src/process/startGateway.ts
+++ b/packages/gateway/src/process/startGateway.ts
@@ -116,8 +116,7 @@
     mesh,
     shortestTargets: new Map(),
     metrics: new GatewayMetrics(),
-    requestLog: new RequestLog(clock),
-    log
+    requestLog: new RequestLog(clock)
   }
   const flow = new RequestFlow(ctx)
   const callers = new CallerServer(ctx, flow)
--- a/packages/gateway/src/requests/callerExchange.ts
+++ b/packages/gateway/src/requests/callerExchange.ts
@@ -280,8 +280,7 @@
         return this.#refuse({ status: 503, reason: this.#lastReason, returnMs: NO_UPSTREAM_RETURN_MS })
       case 'relay':
       case 'answer-unknown':
-        sendRefusal(this.#call.res, this.#ctx.headers, { status: 502, reason: this.#lastReason })
-        return this.#finish('unknown', this.#lastReason)
+        return this.#answerUnknown()
       case 'break-off':
         this.#call.res.destroy()
         return this.#finish('broken-off', this.#lastReason)
@@ -297,6 +296,11 @@
       return this.#finish('broken-off', this.#lastReason)
     }
     if (!this.#mayHaveRun) return this.#refuse({ status: 503, reason: this.#lastReason, returnMs: NO_UPSTREAM_RETURN_MS })
+    this.#answerUnknown()
+  }
+
+  /** Ends the request with an answer that promises nothing: it may have run. */
+  #answerUnknown (): void {
     sendRefusal(this.#call.res, this.#ctx.headers, { status: 502, reason: this.#lastReason })
     this.#finish('unknown', this.#lastReason)
   }
--- a/packages/gateway/src/requests/eventSplitter.ts
+++ b/packages/gateway/src/requests/eventSplitter.ts
@@ -10,9 +10,6 @@
 /** Line feed. */
 const LF = 0x0a
 
-/** Longest event that is waited for, in bytes. */
-const MAX_EVENT_BYTES = 1024 * 1024
-
 /** Splits one stream. */
 export class EventSplitter {
   #rest: Buffer = Buffer.alloc(0)
@@ -22,11 +19,6 @@
     return this.#rest.length
   }
 
-  /** True when an event is longer than any that is passed on. */
-  get isOverlong (): boolean {
-    return this.#rest.length > MAX_EVENT_BYTES
-  }
-
   /**
    * Takes the next chunk.
    *
--- a/packages/gateway/src/requests/flowContext.ts
+++ b/packages/gateway/src/requests/flowContext.ts
@@ -1,5 +1,5 @@
 /** What every request of a gateway works with. */
-import type { Clock, Log, Millis, ServiceId } from '@fuchsiaworks/kernel'
+import type { Clock, Millis, ServiceId } from '@fuchsiaworks/kernel'
 import type { ColdPaceDb, PlacementDb, RetryBudget, StringHash, TokenShareDb } from '@fuchsiaworks/policy'
 import type { GatewayMetrics } from '../log/gatewayMetrics.js'
 import type { RequestLog } from '../log/requestLog.js'
@@ -27,5 +27,4 @@
   shortestTargets: ReadonlyMap<ServiceId, Millis>
   readonly metrics: GatewayMetrics
   readonly requestLog: RequestLog
-  readonly log: Log
 }
