Add a seeded fault soak that runs gateways as processes

It starts bundled gateways, stand-ins of store and upstreams, and loopback relays, draws faults from a seed, and checks seventeen promises from what callers and upstreams see. Each check reads a record only; its spec shows a record that breaks it.

--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -7,7 +7,7 @@
     { name: 'no-foreign-internals', severity: 'error', from: { path: '^packages/([^/]+)/src' }, to: { path: '^packages/[^/]+/src', pathNot: ['^packages/$1/src', '^packages/[^/]+/src/index\\.ts$'] } }
   ],
   options: {
-    includeOnly: '^(packages/[^/]+|platform)/src',
+    includeOnly: '^(packages/[^/]+|platform|soak)/src',
     tsPreCompilationDeps: true,
     tsConfig: { fileName: 'tsconfig.base.json' },
     enhancedResolveOptions: { extensions: ['.ts', '.js'], exportsFields: ['exports'], conditionNames: ['types', 'import'] }
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -4,9 +4,9 @@
 export default [
   ...neostandard({ ts: true, noStyle: true, ignores: ['**/dist/**', '**/node_modules/**', 'target/**'] }),
   {
-    files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'],
+    files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts', 'soak/src/**/*.ts'],
     rules: {
-      'no-restricted-imports': ['error', { patterns: [{ group: ['@fuchsiaworks/*/*', '!@fuchsiaworks/kernel/logs'], message: 'Import the public entry of the package.' }] }]
+      'no-restricted-imports': ['error', { patterns: [{ group: ['@fuchsiaworks/*/*', '!@fuchsiaworks/kernel/logs', '!@fuchsiaworks/platform-adapter/standins'], message: 'Import the public entry of the package.' }] }]
     }
   }
 ]
--- a/packages/bench/src/processes/child.ts
+++ b/packages/bench/src/processes/child.ts
@@ -3,7 +3,7 @@
 import { createInterface } from 'node:readline'
 import { FuchsiaError } from '@fuchsiaworks/kernel'
 
-/** Lines of output that are kept for a report. */
+/** Lines of output that are kept for a report unless more are asked for. */
 const KEPT_LINES = 40
 
 /** Milliseconds that a process has to end after SIGTERM, longer than the patience of every caller. */
@@ -34,8 +34,9 @@
    *
    * @param name - name in reports
    * @param args - script and its arguments
+   * @param keptLines - last lines of output to keep
    */
-  constructor (readonly name: string, readonly args: readonly string[]) {
+  constructor (readonly name: string, readonly args: readonly string[], readonly keptLines = KEPT_LINES) {
     this.#process = spawn(process.execPath, args, { stdio: ['ignore', 'pipe', 'pipe'], env: { ...process.env, ROARR_LOG: 'true' } })
     running.add(this.#process)
     this.ended = new Promise(resolve => {
@@ -108,6 +109,6 @@
 
   #keepLine (line: string): void {
     this.#lines.push(line)
-    if (this.#lines.length > KEPT_LINES) this.#lines.shift()
+    if (this.#lines.length > this.keptLines) this.#lines.shift()
   }
 }
--- a/packages/gateway/src/peers/peerMesh.spec.ts
+++ b/packages/gateway/src/peers/peerMesh.spec.ts
@@ -56,7 +56,7 @@
   const meshes: PeerMesh[] = []
 
   const startMesh = async (port: number, seeds: string[], totals: Map<WorkspaceId, TokenTotals> = new Map()): Promise<{ mesh: PeerMesh, states: PeerState[], lost: PeerId[] }> => {
-    const mesh = new PeerMesh(systemClock, { host: '127.0.0.1', port }, seeds, {
+    const mesh = new PeerMesh(systemClock, { host: '127.0.0.1', port }, undefined, seeds, {
       read: () => ({ loads: new Map([[asId<UpstreamId>('u1'), LOAD]]), totals, avoided: [] }),
       takeParts: () => []
     })
--- a/packages/gateway/src/peers/peerMesh.ts
+++ b/packages/gateway/src/peers/peerMesh.ts
@@ -80,10 +80,11 @@
   /**
    * @param clock - source of time
    * @param listen - own address
+   * @param advertised - the address that other routers are told; undefined for the own one
    * @param seeds - addresses of other routers, perhaps stale, perhaps this one's own
    * @param own - reads what is to be told
    */
-  constructor (readonly clock: Clock, readonly listen: ListenAddress, readonly seeds: readonly string[], readonly own: OwnStateSource) {
+  constructor (readonly clock: Clock, readonly listen: ListenAddress, readonly advertised: string | undefined, readonly seeds: readonly string[], readonly own: OwnStateSource) {
     this.#startedAt = clock.now()
     this.#server = createServer((_req, res) => { res.writeHead(426).end() })
     this.#sockets = new WebSocketServer({ server: this.#server, maxPayload: MAX_MESSAGE_BYTES, perMessageDeflate: false })
@@ -91,7 +92,7 @@
   }
 
   get #address (): string {
-    return `${this.listen.host}:${this.listen.port}`
+    return this.advertised ?? `${this.listen.host}:${this.listen.port}`
   }
 
   async start (): Promise<void> {
--- a/packages/gateway/src/process/startGateway.ts
+++ b/packages/gateway/src/process/startGateway.ts
@@ -75,7 +75,7 @@
 }
 
 const createMesh = (clock: Clock, settings: GatewaySettings, placement: FlowContext['placement'], shares: FlowContext['shares']): PeerMesh =>
-  new PeerMesh(clock, settings.peers, settings.seeds, {
+  new PeerMesh(clock, settings.peers, settings.peersAdvertised, settings.seeds, {
     read: () => {
       const now = clock.now()
       const avoided = [...placement.records()].filter(({ avoidUntil }) => avoidUntil > now)
--- a/packages/settings/src/processSettings/gatewaySchema.ts
+++ b/packages/settings/src/processSettings/gatewaySchema.ts
@@ -30,6 +30,7 @@
   callers: listen.describe('Address for callers.'),
   ready: listen.describe('Address at which the balancer asks whether the router takes callers.'),
   peers: listen.describe('Address for other routers.'),
+  peersAdvertised: text.exactOptional().describe('Address that other routers are told, where they reach this one by another than the one it listens on.'),
   seeds: z.array(text).default([]).describe('Addresses of some routers, to begin with.'),
   source: text.describe('Address of the service that publishes configuration and upstreams.'),
   graceSeconds: z.number().min(0).default(8).describe('Seconds from the word to end until the process is killed.'),
--- a/packages/standins/src/delay/delay.ts
+++ b/packages/standins/src/delay/delay.ts
@@ -30,14 +30,17 @@
 /** A running relay. */
 export interface DelayStandin extends Standin<DelayKnobs> {
   readonly port: number
-  /** Makes the open connections silent for good; new ones work. */
-  readonly silence: () => void
+  /** Makes the open connections silent for good, on one way or both; new ones work. */
+  readonly silence: (way?: SilentWay) => void
 }
 
+/** Ways on which a connection can lose its bytes. `forth`: towards the target. */
+export type SilentWay = 'forth' | 'back' | 'both'
+
 interface Relayed {
   readonly sockets: readonly Socket[]
   readonly pipes: DelayedPipe[]
-  silent: boolean
+  silent: SilentWay | undefined
 }
 
 class Delay {
@@ -57,20 +60,20 @@
     }
     const far = connect({ ...this.options.target, noDelay: true, allowHalfOpen: true })
     near.setNoDelay(true)
-    const relayed: Relayed = { sockets: [near, far], pipes: [], silent: false }
-    const timing = this.timing(relayed)
-    relayed.pipes.push(new DelayedPipe(near, far, timing), new DelayedPipe(far, near, timing))
+    const relayed: Relayed = { sockets: [near, far], pipes: [], silent: undefined }
+    relayed.pipes.push(new DelayedPipe(near, far, this.timing(relayed, 'forth')), new DelayedPipe(far, near, this.timing(relayed, 'back')))
     this.relayed.add(relayed)
     this.watch(relayed, near, far)
     this.watch(relayed, far, near)
   }
 
-  timing (relayed: Relayed): PipeTiming {
+  timing (relayed: Relayed, way: 'forth' | 'back'): PipeTiming {
     const random = this.options.random ?? Math.random
+    const isSilent = (): boolean => relayed.silent === way || relayed.silent === 'both'
     return {
       delay: () => this.knobs.delay + this.knobs.jitter * random(),
-      open: () => this.knobs.mode !== 'stalled' && !relayed.silent,
-      losing: () => relayed.silent
+      open: () => this.knobs.mode !== 'stalled' && !isSilent(),
+      losing: isSilent
     }
   }
 
@@ -78,7 +81,7 @@
     socket.on('error', () => {})
     socket.on('close', () => {
       // A silent connection stays open on the other side, as when something between has lost track of it.
-      if (relayed.silent && !other.destroyed) return
+      if (relayed.silent !== undefined && !other.destroyed) return
       if (socket.errored !== null) other.resetAndDestroy()
       if (!other.destroyed) return
       for (const pipe of relayed.pipes) pipe.close()
@@ -92,8 +95,8 @@
     for (const relayed of this.relayed) for (const pipe of relayed.pipes) pipe.flush()
   }
 
-  silence (): void {
-    for (const relayed of this.relayed) relayed.silent = true
+  silence (way: SilentWay): void {
+    for (const relayed of this.relayed) relayed.silent = way
   }
 
   drop (): void {
@@ -127,10 +130,10 @@
     set: knobs => { delay.set(knobs) },
     facts: () => ({ accepted: delay.accepted, open: delay.relayed.size }),
     orders: {
-      silence: () => { delay.silence() },
+      silence: () => { delay.silence('both') },
       drop: () => { delay.drop() }
     },
-    silence: () => { delay.silence() },
+    silence: (way = 'both') => { delay.silence(way) },
     close: async () => {
       delay.drop()
       await new Promise<void>(resolve => { server.close(() => { resolve() }) })
--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -13,7 +13,7 @@
   .map(name => join(folder, String(name)))
   .filter(name => name.endsWith('.spec.js'))
 
-const folders = [...readdirSync(join(root, 'packages')).map(name => join(root, 'packages', name)), join(root, 'platform')]
+const folders = [...readdirSync(join(root, 'packages')).map(name => join(root, 'packages', name)), join(root, 'platform'), join(root, 'soak')]
 
 const specs = folders
   .flatMap(folder => listSpecs(join(folder, 'dist')))
--- /dev/null
+++ b/soak/src/callers/caller.ts
@@ -0,0 +1,80 @@
+/** Sends requests to gateways and records how they end. */
+import { Agent, type IncomingMessage, request } from 'node:http'
+import type { Clock, Millis } from '@fuchsiaworks/kernel'
+import { HEADER } from '@fuchsiaworks/platform-adapter'
+import type { SentRequest } from '../promises/ledgerTypes.js'
+import { HOST } from '../world/routes.js'
+
+/** Milliseconds beyond the timeout of its route after which a caller gives up for good. */
+const GIVE_UP_MS: Millis = 4000
+
+const singleHeader = (res: IncomingMessage, name: string): string | undefined => {
+  const value = res.headers[name]
+  return typeof value === 'string' ? value : undefined
+}
+
+/** Callers of one gateway, which keep their connections for many requests. */
+export class Caller {
+  readonly #agent = new Agent({ keepAlive: true })
+
+  /**
+   * @param clock - source of time
+   * @param port - of the gateway
+   */
+  constructor (readonly clock: Clock, readonly port: number) {}
+
+  /**
+   * Sends one request; its end is noted in it.
+   *
+   * @param sent - the request
+   * @param isNewConnection - whether it gets a connection of its own
+   * @param leaveAfterMs - milliseconds after which the caller closes its connection; undefined when it stays
+   */
+  send (sent: SentRequest, isNewConnection: boolean, leaveAfterMs: Millis | undefined): void {
+    let body = ''
+    let status: number | undefined
+    const endWith = (end: NonNullable<SentRequest['end']>): void => {
+      if (sent.end !== undefined) return
+      sent.end = end
+      leaving?.close()
+      givingUp.close()
+    }
+    const broken = (reason: string): void => { endWith({ kind: 'broken', at: this.clock.now(), status, body, reason }) }
+    const req = request({
+      host: '127.0.0.1',
+      port: this.port,
+      method: 'POST',
+      path: sent.path,
+      agent: isNewConnection ? false : this.#agent,
+      headers: {
+        host: HOST,
+        'content-length': Buffer.byteLength(sent.body),
+        [HEADER.attempt]: sent.attempt,
+        [HEADER.deadlineMs]: String(sent.timeoutMs),
+        ...sent.key === undefined ? {} : { authorization: `Bearer ${sent.key}` }
+      }
+    }, res => {
+      status = res.statusCode
+      res.setEncoding('utf8')
+      res.on('data', text => { body += String(text) })
+      res.on('error', err => { broken(err.message) })
+      res.on('close', () => { if (!res.complete) broken('the answer was cut') })
+      res.on('end', () => {
+        if (!res.complete) return broken('the answer was cut')
+        endWith({ kind: 'answer', at: this.clock.now(), status: res.statusCode ?? 0, seal: singleHeader(res, HEADER.seal), body, returnAfter: singleHeader(res, HEADER.retryAfter) })
+      })
+    })
+    const leave = (): void => {
+      endWith({ kind: 'left', at: this.clock.now() })
+      req.destroy()
+    }
+    const leaving = leaveAfterMs === undefined ? undefined : this.clock.after(leaveAfterMs, leave)
+    const givingUp = this.clock.after(sent.timeoutMs + GIVE_UP_MS, leave)
+    req.on('error', err => { broken(err.message) })
+    req.end(sent.body)
+  }
+
+  close (): void {
+    this.#agent.destroy()
+  }
+}
--- /dev/null
+++ b/soak/src/index.ts
@@ -0,0 +1,2 @@
+/** Public entry of the soak. */
+export { runSoak, type SoakOptions, type SoakResult } from './soak.js'
--- /dev/null
+++ b/soak/src/world/fleet.ts
@@ -0,0 +1,64 @@
+/** Gateways, relays and the store of a soak. */
+import { mkdtempSync, rmSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import type { Clock } from '@fuchsiaworks/kernel'
+import { StoreStandin } from '@fuchsiaworks/platform-adapter/standins'
+import { Balancer } from './balancer.js'
+import { findGatewayPorts, GatewayProcess } from './gatewayProcess.js'
+import { Relay } from './relays.js'
+
+/** Availability zones. */
+export const ZONES = ['north', 'south'] as const
+
+/** Seeds that a gateway is told; it learns of the others from them. */
+const SEEDS = 2
+
+/** What runs. */
+export interface Fleet {
+  readonly store: StoreStandin
+  readonly gateways: readonly GatewayProcess[]
+  readonly balancer: Balancer
+  /** Relay from gateway to store, by gateway. */
+  readonly storeLinks: readonly Relay[]
+  /** Relay in front of each gateway's port for others. */
+  readonly peerLinks: readonly Relay[]
+  readonly close: () => Promise<void>
+}
+
+/**
+ * Builds a fleet; its gateways are not started.
+ *
+ * @param clock - source of time
+ * @param size - number of gateways
+ */
+export const buildFleet = async (clock: Clock, size: number): Promise<Fleet> => {
+  const folder = mkdtempSync(join(tmpdir(), 'fuchsiaworks-soak-'))
+  const store = new StoreStandin()
+  await store.start()
+  const storePort = Number(store.address.split(':')[1])
+  const indexes = Array.from({ length: size }, (_, index) => index)
+  const ports = await Promise.all(indexes.map(findGatewayPorts))
+  const storeLinks = await Promise.all(indexes.map(async () => await Relay.to(storePort)))
+  const peerLinks = await Promise.all(ports.map(async ({ peers }) => await Relay.to(peers)))
+  const gateways = ports.map((own, index) => new GatewayProcess(folder, index, ZONES[index % ZONES.length] ?? '', own, {
+    source: storeLinks[index]?.address ?? '',
+    advertised: peerLinks[index]?.address ?? '',
+    seeds: peerLinks.slice(0, SEEDS).map(({ address }) => address)
+  }))
+  const balancer = new Balancer(clock, ports.map(({ ready }) => ready))
+  return {
+    store,
+    gateways,
+    balancer,
+    storeLinks,
+    peerLinks,
+    close: async () => {
+      balancer.close()
+      await Promise.all(gateways.map(async gateway => { await gateway.kill() }))
+      await Promise.all([...storeLinks, ...peerLinks].map(async relay => { await relay.close() }))
+      store.close()
+      rmSync(folder, { recursive: true })
+    }
+  }
+}
--- /dev/null
+++ b/soak/src/world/relays.ts
@@ -0,0 +1,48 @@
+/** Relays between the processes of a soak, by the link that they stand in. */
+import { assertNever, type Clock, type Millis } from '@fuchsiaworks/kernel'
+import { type DelayStandin, startDelay } from '@fuchsiaworks/standins'
+import type { LINK_FAULTS } from '../schedule/faultTypes.js'
+
+/** Milliseconds that a slow link adds, one way, and its jitter. */
+const SLOW_LINK = { delay: 120, jitter: 120 } as const
+
+/** A relay with the number of faults that hold on it. */
+export class Relay {
+  #holding = 0
+
+  private constructor (readonly standin: DelayStandin) {}
+
+  /** @returns a relay that leads to a port of this machine */
+  static async to (port: number): Promise<Relay> {
+    return new Relay(await startDelay({ target: { host: '127.0.0.1', port } }))
+  }
+
+  get address (): string {
+    return `127.0.0.1:${this.standin.port}`
+  }
+
+  /** Disturbs the link for a while. Of faults that overlap the newest sets how, and the last to end frees the link. */
+  disturb (clock: Clock, act: typeof LINK_FAULTS[number], length: Millis): void {
+    this.#holding += 1
+    this.#begin(act)
+    clock.after(length, () => {
+      this.#holding -= 1
+      if (this.#holding === 0) this.standin.set({ mode: 'pass', delay: 0, jitter: 0 })
+    })
+  }
+
+  async close (): Promise<void> {
+    await this.standin.close()
+  }
+
+  #begin (act: typeof LINK_FAULTS[number]): void {
+    switch (act) {
+      case 'cut': return this.standin.set({ mode: 'cut' })
+      case 'stall': return this.standin.set({ mode: 'stalled' })
+      case 'delay': return this.standin.set(SLOW_LINK)
+      case 'silence': return this.standin.silence('both')
+      case 'one-way': return this.standin.silence('forth')
+      default: return assertNever(act)
+    }
+  }
+}
