Copy kept parts of a prompt from another engine in place of reading them again

Change: placing names the engine from which most of the parts can be copied, and the request carries its address; a part can be copied 300 ms after its first use, when it has been read. A copy costs half of its reading time in the choice, for the room it takes. A router that comes into sight is told the parts sent of late, not only those sent from then on.

Ruled out: keeping parts at one engine more strictly (an earlier trial: the engine fills, refusals rise).

What is still read again comes after engines have ended, after gateways have restarted, and from parts that were dropped.

--- a/packages/gateway/src/peers/peerMesh.spec.ts
+++ b/packages/gateway/src/peers/peerMesh.spec.ts
@@ -58,7 +58,8 @@
   const startMesh = async (port: number, seeds: string[], totals: Map<WorkspaceId, TokenTotals> = new Map()): Promise<{ mesh: PeerMesh, states: PeerState[], lost: PeerId[] }> => {
     const mesh = new PeerMesh(systemClock, { host: '127.0.0.1', port }, undefined, seeds, {
       read: () => ({ loads: new Map([[asId<UpstreamId>('u1'), LOAD]]), totals, avoided: [] }),
-      takeParts: () => []
+      takeParts: () => [],
+      recentParts: () => STATE.parts.slice()
     })
     const states: PeerState[] = []
     const lost: PeerId[] = []
@@ -79,6 +80,14 @@
     expect(all[2]?.states.at(-1)?.loads.get(asId('u1'))).toEqual(LOAD)
   })
 
+  it('tell one that has just come which parts they have sent of late', async () => {
+    const ports = [await freePort(), await freePort()]
+    await startMesh(ports[0]!, [])
+    const { states } = await startMesh(ports[1]!, [`127.0.0.1:${ports[0]}`])
+    await until(() => states.some(({ parts }) => parts.length > 0))
+    expect(states.flatMap(({ parts }) => parts)[0]).toEqual(STATE.parts[0])
+  })
+
   it('tell a new connection all totals and later only those that changed', async () => {
     const ports = [await freePort(), await freePort()]
     const totals = new Map<WorkspaceId, TokenTotals>([[asId('w1'), { asked: 1, served: 1 }], [asId('w2'), { asked: 2, served: 2 }]])
--- a/packages/gateway/src/peers/peerMesh.ts
+++ b/packages/gateway/src/peers/peerMesh.ts
@@ -49,6 +49,8 @@
   read: () => OwnState
   /** Hands over the prompt parts that were sent since the last call. */
   takeParts: () => PartUse[]
+  /** Prompt parts that were sent of late, for a router that has just come into sight. */
+  recentParts: () => PartUse[]
 }
 
 interface KnownPeer {
@@ -138,7 +140,7 @@
 
   #dial (address: string): void {
     if (address === this.#address || this.#dialers.has(address)) return
-    this.#dialers.set(address, new PeerDialer(address, this.clock, dialer => { dialer.send(this.#encode(this.own.read().totals, [])) }))
+    this.#dialers.set(address, new PeerDialer(address, this.clock, dialer => { dialer.send(this.#encode(this.own.read().totals, this.own.recentParts())) }))
   }
 
   #accept (socket: WebSocket): void {
--- a/packages/gateway/src/port/headerPort.ts
+++ b/packages/gateway/src/port/headerPort.ts
@@ -34,6 +34,8 @@
   readonly workspace: WorkspaceId | undefined
   /** Last event that the caller has, when the stream is continued. */
   readonly resumeAfter: number | undefined
+  /** Address of an upstream from which to copy what it keeps of the prompt. */
+  readonly copyFrom: string | undefined
 }
 
 /** What the head of an upstream's answer says. */
--- a/packages/gateway/src/process/startGateway.ts
+++ b/packages/gateway/src/process/startGateway.ts
@@ -53,8 +53,10 @@
 const applyView = (ctx: FlowContext, callers: CallerServer, view: FleetView): void => {
   const { table } = view
   const upstreams = [...view.upstreams.values()]
-  ctx.placement.setUpstreams(upstreams.map(({ id, service, zone, slots }) =>
-    ({ id, service, zone, slots, memoryTokens: table?.services.get(service)?.engine?.memoryTokens })))
+  ctx.placement.setUpstreams(upstreams.map(({ id, service, zone, slots }) => {
+    const engine = table?.services.get(service)?.engine
+    return { id, service, zone, slots, memoryTokens: engine?.memoryTokens, copyMsPerKToken: engine?.copyMsPerKToken }
+  }))
   const listed = new Set<UpstreamId>(upstreams.map(({ id }) => id))
   ctx.coldPace.keepOnly(listed)
   ctx.clients.keepOnly(listed)
@@ -85,7 +87,8 @@
         avoided: avoided.map(({ id, avoidUntil }) => ({ upstream: id, remainingMs: Math.round(avoidUntil - now) }))
       }
     },
-    takeParts: () => placement.takePartUses()
+    takeParts: () => placement.takePartUses(),
+    recentParts: () => placement.recentPartUses(clock.now())
   })
 
 /**
--- a/packages/gateway/src/requests/callerExchange.ts
+++ b/packages/gateway/src/requests/callerExchange.ts
@@ -173,7 +173,8 @@
       upstream: upstream.id,
       deadlineMs: Math.max(1, Math.floor(this.#timeLeft)),
       workspace: call.workspace,
-      resumeAfter: this.#relay.lastEvent
+      resumeAfter: this.#relay.lastEvent,
+      copyFrom: placement.copyFrom === undefined ? undefined : this.#ctx.fleet.view.upstreams.get(placement.copyFrom)?.address
     })
     attempt.exchange = this.#ctx.clients.get(upstream).send({
       method: call.method,
@@ -370,6 +371,7 @@
       expectedMs: Math.round(this.#placement?.expectedMs ?? -1),
       tokens: this.#admission.tokens,
       readTokens: this.#placement?.readTokens ?? -1,
+      rereadTokens: this.#placement?.rereadTokens ?? -1,
       copiedTokens: this.#placement?.copiedTokens ?? -1,
       shareUse: Number(this.#admission.shareUse.toFixed(2)),
       firstMs: Math.round(this.#firstByteMs ?? -1),
--- a/packages/gateway/src/routing/routingTypes.ts
+++ b/packages/gateway/src/routing/routingTypes.ts
@@ -37,6 +37,8 @@
 export interface EngineFacts {
   /** Tokens that fit in the memory of one upstream. */
   readonly memoryTokens: number
+  /** Milliseconds in which an upstream copies a thousand tokens from another; undefined when it cannot. */
+  readonly copyMsPerKToken: Millis | undefined
 }
 
 /** One service. */
--- a/packages/policy/src/placement/placement.spec.ts
+++ b/packages/policy/src/placement/placement.spec.ts
@@ -66,6 +66,34 @@
     expect(send(db, request(), 5)).not.toEqual(first)
   })
 
+  it('copies a part that another upstream has read in place of reading it again', () => {
+    const db = new PlacementDb(hash)
+    db.setUpstreams(upstreamIds(3).map(id => ({ ...engine(id), copyMsPerKToken: 1.2 })))
+    const first = send(db, request({ ownTokens: 40_000 }), 0)
+    const early = place(db, request(), id => id !== first, 5)!
+    expect([early.copyFrom, early.rereadTokens]).toEqual([undefined, 5500])
+    const later = place(db, request(), id => id !== first, 1000)!
+    expect([later.copyFrom, later.copiedTokens, later.rereadTokens, later.readTokens]).toEqual([first, 5500, 0, 1000])
+    expect(later.expectedMs).toBeLessThan(60)
+  })
+
+  it('copies nothing from an upstream that is avoided or no longer keeps the part', () => {
+    const db = new PlacementDb(hash)
+    db.setUpstreams(upstreamIds(3).map(id => ({ ...engine(id), copyMsPerKToken: 1.2 })))
+    const first = send(db, request(), 0)
+    db.avoid(first, 3000)
+    expect(place(db, request(), always, 2000)?.copyFrom).toEqual(undefined)
+    expect(place(db, request(), id => id !== first, 12_000)?.copyFrom).toEqual(undefined)
+  })
+
+  it('tells a router that has just come what it has sent of late', () => {
+    const db = createDb(2)
+    const upstream = send(db, request(), 0)
+    db.takePartUses()
+    expect(db.recentPartUses(5000)).toEqual([{ part: hash('common'), upstream }, { part: hash('thing'), upstream }])
+    expect(db.recentPartUses(10_000)).toEqual([])
+  })
+
   it('follows the word of another router on where a part is kept', () => {
     const db = createDb(6)
     const preferred = place(db, request(), always, 0)?.upstream
--- a/packages/policy/src/placement/placement.ts
+++ b/packages/policy/src/placement/placement.ts
@@ -12,13 +12,16 @@
 const BASE_LATENCY_MS = 15
 
 /**
- * Factor on the time to read a shared part at an upstream while another keeps it: the copy takes room from other parts
- * and from requests that others wait for.
+ * Factor on the time to read a shared part at an upstream while another keeps it: the second reading takes time from
+ * requests that others wait for, and room from other parts.
  */
-const COPY_WEIGHT = 10
+const REREAD_WEIGHT = 10
 
-/** Factor on the time to read a copy in the pressure: a copy is made where there is room to spare, not for the last place. */
-const COPY_PRESSURE = 3
+/** Factor on the time of a second reading in the pressure: it is done where there is room to spare, not for the last place. */
+const REREAD_PRESSURE = 3
+
+/** Cost of a copy as a share of the time to read it: it takes room from other parts. */
+const COPY_WEIGHT = 0.5
 
 /** Milliseconds added for each step down the preference of a prompt that no upstream keeps, so that routers that decide at once agree. */
 const RANK_MS = 30
@@ -46,6 +49,8 @@
   readonly parts: ReadonlyArray<{ readonly hash: PartHash, readonly tokens: number }>
   /** True for each part that some upstream keeps. */
   readonly kept: readonly boolean[]
+  /** The upstream that others can copy most of the parts from, and how many parts these are. */
+  readonly giver: { readonly id: UpstreamId, readonly parts: number } | undefined
   /** Upstreams in the order in which they are preferred, the first few only. */
   readonly preference: readonly UpstreamId[]
 }
@@ -64,28 +69,58 @@
   return leading
 }
 
+/** Finds the upstream from which most of the parts can be copied; of several the one with the least to read. */
+const findGiver = (records: readonly UpstreamRecord[], parts: PromptView['parts'], now: Millis): PromptView['giver'] => {
+  let best: { readonly id: UpstreamId, readonly parts: number, readonly waiting: number } | undefined
+  for (const record of records) {
+    if (record.facts.copyMsPerKToken === undefined || record.avoidUntil > now) continue
+    const missing = parts.findIndex(({ hash }) => !record.canGivePart(hash, now))
+    const count = missing === -1 ? parts.length : missing
+    const waiting = record.totalLoad(now).waitingTokens
+    if (count > 0 && (best === undefined || count > best.parts || (count === best.parts && waiting < best.waiting))) best = { id: record.id, parts: count, waiting }
+  }
+  return best
+}
+
 const viewOf = (db: PlacementDb, req: PlacementRequest, now: Millis): PromptView => {
   const parts = req.sharedParts.map(({ id, tokens }) => ({ hash: db.hash(id), tokens }))
   const members = db.members(req.service)
   const records = members.flatMap(({ id }) => db.record(id) ?? [])
   const kept = parts.map(({ hash }) => records.some(record => record.keepsPart(hash, now)))
+  const giver = findGiver(records, parts, now)
   const leading = leadingPart(req.sharedParts)
-  if (leading === undefined) return { parts, kept, preference: [] }
+  if (leading === undefined) return { parts, kept, giver, preference: [] }
   const subject = db.hash(leading.id)
   const ranked = [...members].sort((a, b) => compareForSubject(a, b, subject))
-  return { parts, kept, preference: ranked.slice(0, MAX_RANK).map(({ id }) => id) }
+  return { parts, kept, giver, preference: ranked.slice(0, MAX_RANK).map(({ id }) => id) }
+}
+
+/** What an upstream would have to do for the shared parts of a prompt, in tokens. */
+interface MissingParts {
+  /** To be read. */
+  readonly read: number
+  /** Those of them that another upstream keeps. */
+  readonly reread: number
+  /** To be copied from another upstream in place of being read. */
+  readonly copied: number
 }
 
-/** Tokens that an upstream would have to read: a part is of use only when all before it are kept too. */
-const missingTokens = (record: UpstreamRecord, view: PromptView, now: Millis): { readonly tokens: number, readonly copied: number } => {
-  let tokens = 0
-  let copied = 0
+/** A part is of use only when all before it are kept too. */
+const missingParts = (record: UpstreamRecord, view: PromptView, now: Millis): MissingParts => {
+  const given = record.facts.copyMsPerKToken === undefined || view.giver === undefined || view.giver.id === record.id ? 0 : view.giver.parts
+  let isMissing = false
+  let [read, reread, copied] = [0, 0, 0]
   view.parts.forEach((part, at) => {
-    if (tokens === 0 && record.keepsPart(part.hash, now)) return
-    tokens += part.tokens
-    if (view.kept[at] === true) copied += part.tokens
+    isMissing ||= !record.keepsPart(part.hash, now)
+    if (!isMissing) return
+    if (at < given) {
+      copied += part.tokens
+      return
+    }
+    read += part.tokens
+    if (view.kept[at] === true) reread += part.tokens
   })
-  return { tokens, copied }
+  return { read, reread, copied }
 }
 
 const rankOf = (view: PromptView, id: UpstreamId): number => {
@@ -99,27 +134,37 @@
 
 const engineCandidate = (record: UpstreamRecord, req: PlacementRequest, view: PromptView, now: Millis): Candidate => {
   const load = record.totalLoad(now)
-  const { tokens: missing, copied } = missingTokens(record, view, now)
+  const { read, reread, copied } = missingParts(record, view, now)
   const perToken = record.msPerKToken / 1000
   const aheadMs = BASE_LATENCY_MS + load.waitingTokens * perToken
-  const readMs = (missing + req.ownTokens) * perToken
-  const copyMs = copied * perToken
+  const copyMs = copied * (record.facts.copyMsPerKToken ?? 0) / 1000
+  const readMs = (read + req.ownTokens) * perToken + copyMs
+  const rereadMs = reread * perToken
   const promised = load.heldTokens + req.ownTokens + req.maxOutputTokens
   const pressure = Math.max(
-    aheadMs / req.targetMs + Math.min(readMs / req.targetMs, OWN_PRESSURE) + copyMs * COPY_PRESSURE / req.targetMs,
+    aheadMs / req.targetMs + Math.min(readMs / req.targetMs, OWN_PRESSURE) + rereadMs * REREAD_PRESSURE / req.targetMs,
     (load.open + 1) / record.facts.slots,
     promised / ((record.facts.memoryTokens ?? Infinity) * MEMORY_SHARE)
   )
   const expectedMs = aheadMs + readMs
-  const cost = expectedMs + copyMs * (COPY_WEIGHT - 1) + (missing > 0 ? rankOf(view, record.id) * RANK_MS : 0)
-  return { upstream: record.id, expectedMs, readTokens: missing + req.ownTokens, copiedTokens: copied, pressure, cost }
+  const cost = expectedMs + rereadMs * (REREAD_WEIGHT - 1) + copied * perToken * COPY_WEIGHT + (read > 0 ? rankOf(view, record.id) * RANK_MS : 0)
+  return {
+    upstream: record.id,
+    expectedMs,
+    readTokens: read + req.ownTokens,
+    rereadTokens: reread,
+    copiedTokens: copied,
+    copyFrom: copied > 0 ? view.giver?.id : undefined,
+    pressure,
+    cost
+  }
 }
 
 const plainCandidate = (record: UpstreamRecord, req: PlacementRequest, now: Millis): Candidate => {
   const { open } = record.totalLoad(now)
   const pressure = (open + 1) / record.facts.slots
   const cost = pressure * req.targetMs + (record.facts.zone === req.zone ? 0 : OTHER_ZONE_MS)
-  return { upstream: record.id, expectedMs: 0, readTokens: 0, copiedTokens: 0, pressure, cost }
+  return { upstream: record.id, expectedMs: 0, readTokens: 0, rereadTokens: 0, copiedTokens: 0, copyFrom: undefined, pressure, cost }
 }
 
 /**
--- a/packages/policy/src/placement/placementDb.ts
+++ b/packages/policy/src/placement/placementDb.ts
@@ -2,7 +2,7 @@
 import type { Millis, ServiceId, UpstreamId } from '@fuchsiaworks/kernel'
 import { hashMembers, type HashedMember, type StringHash } from '../keys/rendezvous.js'
 import type { PartHash, PartUse, PeerId, PlacementRequest, PlacementUpstream, RunId, UpstreamLoad } from './placementTypes.js'
-import { UpstreamRecord } from './upstreamRecord.js'
+import { PART_KEPT_MS, UpstreamRecord } from './upstreamRecord.js'
 
 /** Milliseconds after which the use of a part is told to other routers again; well within the time for which they expect it to be kept. */
 const TELL_AGAIN_MS: Millis = 3000
@@ -16,7 +16,8 @@
   readonly #services = new Map<ServiceId, Array<HashedMember<UpstreamId>>>()
   readonly #runs = new Map<RunId, UpstreamRecord>()
   readonly #untold: PartUse[] = []
-  readonly #told = new Map<string, Millis>()
+  /** Uses by part and upstream, the longest told first. */
+  readonly #told = new Map<string, { readonly use: PartUse, readonly at: Millis }>()
 
   /** @param hash - the fleet's hash, so that all routers prefer the same upstream for a part */
   constructor (readonly hash: StringHash) {}
@@ -77,6 +78,11 @@
     return this.#untold.splice(0)
   }
 
+  /** @returns the parts that this router has sent of late, for a router that has just come into sight */
+  recentPartUses (now: Millis): PartUse[] {
+    return [...this.#told.values()].filter(({ at }) => now - at < PART_KEPT_MS).map(({ use }) => use)
+  }
+
   /** Notes the first event of a run. */
   firstEvent (run: RunId, now: Millis): void {
     const record = this.#runs.get(run)
@@ -110,11 +116,12 @@
   #useOwn (part: PartHash, record: UpstreamRecord, now: Millis): void {
     record.notePart(part, now)
     const key = `${part} ${record.id}`
-    if (now - (this.#told.get(key) ?? -Infinity) < TELL_AGAIN_MS) return
+    if (now - (this.#told.get(key)?.at ?? -Infinity) < TELL_AGAIN_MS) return
+    const use: PartUse = { part, upstream: record.id }
     this.#told.delete(key)
-    this.#told.set(key, now)
+    this.#told.set(key, { use, at: now })
     if (this.#told.size > MAX_TOLD) this.#told.delete([...this.#told.keys()][0] ?? key)
-    this.#untold.push({ part, upstream: record.id })
+    this.#untold.push(use)
   }
 
   /** @returns what this router has open, for other routers; idle upstreams are left out */
--- a/packages/policy/src/placement/placementTypes.ts
+++ b/packages/policy/src/placement/placementTypes.ts
@@ -26,6 +26,8 @@
   readonly slots: number
   /** Tokens that fit in its memory; undefined for plain services. */
   readonly memoryTokens: number | undefined
+  /** Milliseconds in which it copies a thousand tokens from another upstream of its service; undefined when it cannot. */
+  readonly copyMsPerKToken?: Millis | undefined
 }
 
 /** What one router has open at one upstream. */
@@ -73,7 +75,11 @@
   /** Prompt tokens that the upstream is expected to read. */
   readonly readTokens: number
   /** Those of them that another upstream keeps. */
+  readonly rereadTokens: number
+  /** Prompt tokens that are to be copied from another upstream in place of being read. */
   readonly copiedTokens: number
+  /** The upstream from which they are to be copied. */
+  readonly copyFrom: UpstreamId | undefined
   /** How full the upstream would be: 1 means that the target would just be met, or that no slot would be left. */
   readonly pressure: number
 }
--- a/packages/policy/src/placement/upstreamRecord.ts
+++ b/packages/policy/src/placement/upstreamRecord.ts
@@ -18,7 +18,10 @@
 const RECENT_MS = 1000
 
 /** Milliseconds for which a part is expected to be kept after its last use. */
-const PART_KEPT_MS = 10_000
+export const PART_KEPT_MS: Millis = 10_000
+
+/** Milliseconds from the first use of a part until it can be expected to have been read: the usual target of a first event. */
+const PART_READ_MS = 300
 
 /** Parts of prompts remembered by upstream; a memory of half a million tokens keeps fewer of the usual size. */
 const MAX_REMEMBERED_PARTS = 2000
@@ -33,6 +36,13 @@
   readonly tokensAtStart: number
 }
 
+/** Uses of a part at an upstream. */
+interface PartRecord {
+  /** Monotonic time of the first use since the part was last expected to be gone. */
+  readonly firstUse: Millis
+  readonly lastUse: Millis
+}
+
 const NO_LOAD: UpstreamLoad = { open: 0, waitingTokens: 0, heldTokens: 0, recentStarts: 0 }
 
 const addLoads = (a: UpstreamLoad, b: UpstreamLoad, sign: 1 | -1): UpstreamLoad => ({
@@ -54,8 +64,8 @@
   readonly #remote = new Map<PeerId, UpstreamLoad>()
   #remoteSum: UpstreamLoad = NO_LOAD
   readonly #starts: Millis[] = []
-  /** Last use by part, oldest first. */
-  readonly #parts = new Map<PartHash, Millis>()
+  /** Uses by part, the longest unused first. */
+  readonly #parts = new Map<PartHash, PartRecord>()
 
   constructor (public facts: PlacementUpstream) {}
 
@@ -113,8 +123,9 @@
 
   /** Remembers that a router sent a prompt with the part here. */
   notePart (part: PartHash, now: Millis): void {
+    const known = this.#parts.get(part)
     this.#parts.delete(part)
-    this.#parts.set(part, now)
+    this.#parts.set(part, { firstUse: known !== undefined && now - known.lastUse < PART_KEPT_MS ? known.firstUse : now, lastUse: now })
     if (this.#parts.size <= MAX_REMEMBERED_PARTS) return
     const [oldest] = this.#parts.keys()
     if (oldest !== undefined) this.#parts.delete(oldest)
@@ -122,8 +133,14 @@
 
   /** @returns whether the upstream is expected to keep the part */
   keepsPart (part: PartHash, now: Millis): boolean {
-    const lastUse = this.#parts.get(part)
-    return lastUse !== undefined && now - lastUse < PART_KEPT_MS
+    const known = this.#parts.get(part)
+    return known !== undefined && now - known.lastUse < PART_KEPT_MS
+  }
+
+  /** @returns whether the upstream is expected to have read the part, so that others can copy it */
+  canGivePart (part: PartHash, now: Millis): boolean {
+    const known = this.#parts.get(part)
+    return known !== undefined && now - known.lastUse < PART_KEPT_MS && now - known.firstUse > PART_READ_MS
   }
 
   #recentStarts (now: Millis): number {
