Pass an upstream's own error on when there is no other upstream to try

Cause: an error of an upstream began a second attempt before it was known that there was a place for it; without one the caller got a 502 of ours in place of the upstream's sealed answer. Now a place is looked for first. The spec failed before (502).

--- a/packages/gateway/src/process/gateway.spec.ts
+++ b/packages/gateway/src/process/gateway.spec.ts
@@ -86,6 +86,13 @@
     })
   })
 
+  it('passes an upstream\'s own error on when there is no other upstream to try', async () => {
+    await within([fail], async gateway => {
+      expect(await gateway.ask('/safe/x')).toMatchRegex(/^HTTP\/1.1 500[^]*seal: s[^]*broken$/)
+      expect(gateway.arrivals.length).toEqual(1)
+    })
+  })
+
   it('never passes on an answer to another request, an unsealed success or an encoded body', async () => {
     const wrong: Script[] = [
       (_req, res) => { res.writeHead(200, { seal: 's', try: 'other' }).end('other') },
--- a/packages/gateway/src/requests/callerExchange.ts
+++ b/packages/gateway/src/requests/callerExchange.ts
@@ -199,7 +199,8 @@
     if (failure !== undefined) return this.#fail(attempt, failure)
     if (status >= 500 && !this.#relay.hasBegun) {
       const error: AttemptFailure = { kind: 'error-answer', status }
-      if (this.#verdict(error).kind === 'retry') return this.#fail(attempt, error)
+      // The upstream's own error says more than ours would when there is nowhere else to send the request.
+      if (this.#verdict(error).kind === 'retry' && this.#admission.place() !== undefined) return this.#fail(attempt, error)
     }
     this.#relay.head(status, headers)
   }
