Let one gateway of each zone read the store for the others in a large fleet

Change: with twelve gateways or more in sight, rendezvous names one reader for each zone; the others ask it over the port of the peers.

--- a/packages/gateway/src/peers/peerCodec.measure.ts
+++ b/packages/gateway/src/peers/peerCodec.measure.ts
@@ -9,6 +9,7 @@
 const stateOf = (upstreams: number, workspaces: number): PeerState => ({
   peer: asId('pA3kZ9xQ0bLm'),
   address: '10.1.0.33:8785',
+  zone: asId('east'),
   isLeaving: false,
   loads: new Map(Array.from({ length: upstreams }, (_, at) => [asId<UpstreamId>(`i-7f3a9${String(at).padStart(5, '0')}`), { open: 3 + at % 7, waitingTokens: 4200 + at, heldTokens: 31_000 + at, recentStarts: at % 5 }])),
   totals: new Map(Array.from({ length: workspaces }, (_, at) => [asId<WorkspaceId>(`hule${at}`), { asked: 1_200_000 + at, served: 900_000 + at }])),
--- a/packages/gateway/src/peers/peerCodec.ts
+++ b/packages/gateway/src/peers/peerCodec.ts
@@ -1,11 +1,11 @@
 /** Bytes of the messages between routers. What cannot be read is refused whole. */
-import { asId, FuchsiaError, type Id, type UpstreamId, type WorkspaceId } from '@fuchsiaworks/kernel'
+import { asId, FuchsiaError, type Id, type UpstreamId, type WorkspaceId, type ZoneId } from '@fuchsiaworks/kernel'
 import type { PeerId, TokenTotals, UpstreamLoad } from '@fuchsiaworks/policy'
 import { Packr } from 'msgpackr'
 import type { PeerState } from './peerTypes.js'
 
 /** Version of the messages; others are refused. */
-const VERSION = 1
+const VERSION = 2
 
 const packer = new Packr({ useRecords: false })
 
@@ -22,6 +22,7 @@
   VERSION,
   state.peer,
   state.address,
+  state.zone,
   state.isLeaving,
   [...state.loads].map(([id, load]) => [id, load.open, load.waitingTokens, load.heldTokens, load.recentStarts]),
   [...state.totals].map(([id, totals]) => [id, totals.asked, totals.served]),
@@ -68,11 +69,12 @@
  * @throws PeerMessageError when it is malformed or of another version
  */
 export const decodePeerState = (bytes: Uint8Array): PeerState => {
-  const [version, peer, address, isLeaving, loads, totals, avoided, addresses, parts] = list(packer.unpack(bytes), 'the message')
+  const [version, peer, address, zone, isLeaving, loads, totals, avoided, addresses, parts] = list(packer.unpack(bytes), 'the message')
   if (version !== VERSION) throw new PeerMessageError(`version ${String(version)}`)
   return {
     peer: text<PeerId>(peer, 'the peer'),
     address: text(address, 'the address'),
+    zone: text<ZoneId>(zone, 'the zone'),
     isLeaving: isLeaving === true,
     loads: new Map(list(loads, 'loads').map(decodeLoad)),
     totals: new Map(list(totals, 'totals').map(decodeTotals)),
--- a/packages/gateway/src/peers/peerMesh.spec.ts
+++ b/packages/gateway/src/peers/peerMesh.spec.ts
@@ -1,6 +1,6 @@
 import { type AddressInfo, createServer } from 'node:net'
 import { afterEach, describe, it } from 'node:test'
-import { asId, onEvent, createLog, setLogLevel, systemClock, type UpstreamId, type WorkspaceId } from '@fuchsiaworks/kernel'
+import { asId, onEvent, createLog, setLogLevel, systemClock, type UpstreamId, type WorkspaceId, type ZoneId } from '@fuchsiaworks/kernel'
 import type { PeerId, TokenTotals, UpstreamLoad } from '@fuchsiaworks/policy'
 import { expect } from 'earl'
 import { WebSocket } from 'ws'
@@ -15,6 +15,7 @@
 const STATE: PeerState = {
   peer: asId<PeerId>('p1'),
   address: '127.0.0.1:1',
+  zone: asId<ZoneId>('east'),
   isLeaving: false,
   loads: new Map([[asId<UpstreamId>('u1'), LOAD]]),
   totals: new Map([[asId<WorkspaceId>('w1'), { asked: 10, served: 5 }]]),
@@ -43,7 +44,7 @@
   })
 
   it('is refused whole when it is malformed or of another version', () => {
-    const wrong = [[2, 'p', 'a', false, [], [], [], [], []], [1, 5, 'a', false, [], [], [], [], []], [1, 'p', 'a', false, [['u', 'many']], [], [], [], []], 'text']
+    const wrong = [[1, 'p', 'a', 'z', false, [], [], [], [], []], [2, 5, 'a', 'z', false, [], [], [], [], []], [2, 'p', 'a', 'z', false, [['u', 'many']], [], [], [], []], 'text']
     for (const message of wrong) {
       const bytes = Buffer.from(JSON.stringify(message))
       expect(() => decodePeerState(bytes)).toThrow()
@@ -56,11 +57,11 @@
   const meshes: PeerMesh[] = []
 
   const startMesh = async (port: number, seeds: string[], totals: Map<WorkspaceId, TokenTotals> = new Map()): Promise<{ mesh: PeerMesh, states: PeerState[], lost: PeerId[] }> => {
-    const mesh = new PeerMesh(systemClock, { host: '127.0.0.1', port }, undefined, seeds, {
+    const mesh = new PeerMesh(systemClock, { zone: STATE.zone, listen: { host: '127.0.0.1', port }, advertised: undefined, seeds }, {
       read: () => ({ loads: new Map([[asId<UpstreamId>('u1'), LOAD]]), totals, avoided: [] }),
       takeParts: () => [],
       recentParts: () => STATE.parts.slice()
-    })
+    }, () => false)
     const states: PeerState[] = []
     const lost: PeerId[] = []
     onEvent(mesh.states.stream, log, state => { states.push(state) })
--- a/packages/gateway/src/peers/peerMesh.ts
+++ b/packages/gateway/src/peers/peerMesh.ts
@@ -1,7 +1,7 @@
 /** Finds the other routers and exchanges states with each of them, directly. */
-import { createServer, type Server } from 'node:http'
-import { type Clock, createLog, EventSource, type Millis, newId, type Service, type Timer, toError, type UpstreamId, type WorkspaceId } from '@fuchsiaworks/kernel'
-import type { PartUse, PeerId, RouterView, TokenTotals, UpstreamLoad } from '@fuchsiaworks/policy'
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { type Clock, createLog, EventSource, type Millis, newId, type Service, type Timer, toError, type UpstreamId, type WorkspaceId, type ZoneId } from '@fuchsiaworks/kernel'
+import type { Neighbour, PartUse, PeerId, RouterView, TokenTotals, UpstreamLoad } from '@fuchsiaworks/policy'
 import { type WebSocket, WebSocketServer } from 'ws'
 import type { ListenAddress } from '@fuchsiaworks/settings'
 import { decodePeerState, encodePeerState } from './peerCodec.js'
@@ -57,8 +57,23 @@
   heardAt: Millis
   inSight: boolean
   address: string
+  zone: ZoneId
 }
 
+/** Where a router is found. */
+export interface MeshPlace {
+  readonly zone: ZoneId
+  /** Own address. */
+  readonly listen: ListenAddress
+  /** The address that other routers are told; undefined for the own one. */
+  readonly advertised: string | undefined
+  /** Addresses of other routers, perhaps stale, perhaps this one's own. */
+  readonly seeds: readonly string[]
+}
+
+/** Answers requests of other routers that are no links; false when it does not know them. */
+export type PeerRequestHandler = (req: IncomingMessage, res: ServerResponse) => boolean
+
 /** The links between routers. */
 export class PeerMesh implements Service {
   readonly self = newId<PeerId>()
@@ -81,28 +96,28 @@
 
   /**
    * @param clock - source of time
-   * @param listen - own address
-   * @param advertised - the address that other routers are told; undefined for the own one
-   * @param seeds - addresses of other routers, perhaps stale, perhaps this one's own
+   * @param place - where this router is and where it finds others
    * @param own - reads what is to be told
+   * @param answer - answers requests that are no links
    */
-  constructor (readonly clock: Clock, readonly listen: ListenAddress, readonly advertised: string | undefined, readonly seeds: readonly string[], readonly own: OwnStateSource) {
+  constructor (readonly clock: Clock, readonly place: MeshPlace, readonly own: OwnStateSource, answer: PeerRequestHandler) {
     this.#startedAt = clock.now()
-    this.#server = createServer((_req, res) => { res.writeHead(426).end() })
+    this.#server = createServer((req, res) => { if (!answer(req, res)) res.writeHead(426).end() })
     this.#sockets = new WebSocketServer({ server: this.#server, maxPayload: MAX_MESSAGE_BYTES, perMessageDeflate: false })
     this.#sockets.on('connection', socket => { this.#accept(socket) })
   }
 
   get #address (): string {
-    return this.advertised ?? `${this.listen.host}:${this.listen.port}`
+    const { advertised, listen } = this.place
+    return advertised ?? `${listen.host}:${listen.port}`
   }
 
   async start (): Promise<void> {
     await new Promise<void>((resolve, reject) => {
       this.#server.once('error', reject)
-      this.#server.listen(this.listen.port, this.listen.host, resolve)
+      this.#server.listen(this.place.listen.port, this.place.listen.host, resolve)
     })
-    for (const seed of this.seeds) this.#dial(seed)
+    for (const seed of this.place.seeds) this.#dial(seed)
     this.#heartbeat = this.clock.every(HEARTBEAT_MS, () => { this.#beat() })
   }
 
@@ -138,6 +153,11 @@
     return { self: this.self, reachable, lost: this.#peers.size - reachable.length, settled }
   }
 
+  /** @returns the routers in sight, with where they are */
+  neighbours (): Neighbour[] {
+    return [...this.#peers].filter(([, { inSight }]) => inSight).map(([id, { zone, address }]) => ({ id, zone, address }))
+  }
+
   #dial (address: string): void {
     if (address === this.#address || this.#dialers.has(address)) return
     this.#dialers.set(address, new PeerDialer(address, this.clock, dialer => { dialer.send(this.#encode(this.own.read().totals, this.own.recentParts())) }))
@@ -167,7 +187,7 @@
     for (const address of state.addresses) this.#dial(address)
     this.states.emit(state)
     if (state.isLeaving) this.#forget(state.peer)
-    else this.#peers.set(state.peer, { heardAt: this.clock.now(), inSight: true, address: state.address })
+    else this.#peers.set(state.peer, { heardAt: this.clock.now(), inSight: true, address: state.address, zone: state.zone })
   }
 
   /** Ends the record of a router that left, or whose successor listens on its address. */
@@ -217,6 +237,6 @@
   #encode (totals: ReadonlyMap<WorkspaceId, TokenTotals>, parts: readonly PartUse[]): Buffer {
     const { loads, avoided } = this.own.read()
     const addresses = this.#takeAddresses()
-    return encodePeerState({ peer: this.self, address: this.#address, isLeaving: this.#leaving, loads, totals, avoided, addresses, parts })
+    return encodePeerState({ peer: this.self, address: this.#address, zone: this.place.zone, isLeaving: this.#leaving, loads, totals, avoided, addresses, parts })
   }
 }
--- a/packages/gateway/src/peers/peerTypes.ts
+++ b/packages/gateway/src/peers/peerTypes.ts
@@ -1,5 +1,5 @@
 /** What routers tell each other. */
-import type { Millis, UpstreamId, WorkspaceId } from '@fuchsiaworks/kernel'
+import type { Millis, UpstreamId, WorkspaceId, ZoneId } from '@fuchsiaworks/kernel'
 import type { PartUse, PeerId, TokenTotals, UpstreamLoad } from '@fuchsiaworks/policy'
 
 /** An upstream that its teller does not send to for a while. */
@@ -13,6 +13,7 @@
   readonly peer: PeerId
   /** Address as `ip:port` at which the teller listens for other routers. */
   readonly address: string
+  readonly zone: ZoneId
   /** True when the teller is ending and takes no more requests. */
   readonly isLeaving: boolean
   /** What the teller has open; upstreams that are not named are idle there. */
--- a/packages/gateway/src/port/fleetPort.ts
+++ b/packages/gateway/src/port/fleetPort.ts
@@ -1,5 +1,7 @@
 /** What the gateway asks of an adapter that reads the platform's lists. */
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Millis, UpstreamId, ZoneId } from '@fuchsiaworks/kernel'
+import type { ReadingRole } from '@fuchsiaworks/policy'
 import type { Stream } from 'most'
 import type { GatewayUpstream, RoutingTable } from '../routing/routingTypes.js'
 
@@ -19,6 +21,10 @@
   readonly changes: Stream<FleetView>
   /** @returns milliseconds, suspended time included, since the view was certainly the newest; undefined before the first time */
   confirmedAge: () => Millis | undefined
+  /** Tells how changes are to be learned: from the platform, or from another router. */
+  setRole: (role: ReadingRole) => void
+  /** Answers another router that asks for changes. @returns false when the request is for something else */
+  answerPeer: (req: IncomingMessage, res: ServerResponse) => boolean
   start: () => void
   close: () => Promise<void>
 }
--- a/packages/gateway/src/process/gatewayFixtures.ts
+++ b/packages/gateway/src/process/gatewayFixtures.ts
@@ -147,7 +147,15 @@
   const [callers, ready, peers] = [await freePort(), await freePort(), await freePort()]
   const under = { arrivals, view, age: 0 }
   let current = view
-  const fleet: FleetPort = { get view () { return current }, changes: source.stream, confirmedAge: () => under.age, start: () => { source.emit(view) }, close: async () => {} }
+  const fleet: FleetPort = {
+    get view () { return current },
+    changes: source.stream,
+    confirmedAge: () => under.age,
+    setRole: () => {},
+    answerPeer: () => false,
+    start: () => { source.emit(view) },
+    close: async () => {}
+  }
   const at = (port: number) => ({ host: '127.0.0.1', port })
   const running = await startGateway({
     role: 'gateway',
--- a/packages/gateway/src/process/startGateway.ts
+++ b/packages/gateway/src/process/startGateway.ts
@@ -1,7 +1,7 @@
 /** Starts a gateway: a router that sends requests straight to upstreams. */
 import { randomBytes } from 'node:crypto'
 import { type Clock, createLog, Kernel, type Millis, onEvent, type RunningProcess, type Service, systemClock, type UpstreamId } from '@fuchsiaworks/kernel'
-import { coldPaceDefinition, loadStringHash, placementDefinition, RetryBudget, tokenShareDefinition } from '@fuchsiaworks/policy'
+import { chooseReadingRole, coldPaceDefinition, loadStringHash, placementDefinition, RetryBudget, tokenShareDefinition } from '@fuchsiaworks/policy'
 import { CallerServer } from '../callers/callerServer.js'
 import { GatewayMetrics } from '../log/gatewayMetrics.js'
 import { RequestLog } from '../log/requestLog.js'
@@ -34,6 +34,9 @@
 /** Milliseconds between two looks whether the last request has ended. */
 const DRAIN_CHECK_MS = 50
 
+/** Milliseconds between two looks at who reads the platform's lists for whom. */
+const ROLE_CHECK_MS: Millis = 500
+
 /** Milliseconds in a second. */
 const SECOND_MS = 1000
 
@@ -76,8 +79,9 @@
   for (const { upstream, remainingMs } of state.avoided) ctx.placement.avoid(upstream, now + remainingMs)
 }
 
-const createMesh = (clock: Clock, settings: GatewaySettings, placement: FlowContext['placement'], shares: FlowContext['shares']): PeerMesh =>
-  new PeerMesh(clock, settings.peers, settings.peersAdvertised, settings.seeds, {
+const createMesh = (clock: Clock, settings: GatewaySettings, { fleet, placement, shares }: Pick<FlowContext, 'fleet' | 'placement' | 'shares'>): PeerMesh => {
+  const { zone, peers: listen, peersAdvertised: advertised, seeds } = settings
+  return new PeerMesh(clock, { zone, listen, advertised, seeds }, {
     read: () => {
       const now = clock.now()
       const avoided = [...placement.records()].filter(({ avoidUntil }) => avoidUntil > now)
@@ -89,7 +93,8 @@
     },
     takeParts: () => placement.takePartUses(),
     recentParts: () => placement.recentPartUses(clock.now())
-  })
+  }, (req, res) => fleet.answerPeer(req, res))
+}
 
 /**
  * Starts a gateway.
@@ -103,7 +108,7 @@
   const hash = await loadStringHash()
   const placement = placementDefinition.createDb(hash)
   const shares = tokenShareDefinition.createDb({ windowMs: settings.shareWindowSeconds * SECOND_MS })
-  const mesh = createMesh(clock, settings, placement, shares)
+  const mesh = createMesh(clock, settings, { fleet: ports.fleet, placement, shares })
   const ctx: FlowContext = {
     settings,
     clock,
@@ -135,6 +140,10 @@
     shares.dropPeer(peer)
   })
 
+  const roleTimer = clock.every(ROLE_CHECK_MS, () => {
+    ports.fleet.setRole(chooseReadingRole(hash, { self: mesh.self, zone: settings.zone, neighbours: mesh.neighbours() }))
+  })
+
   const kernel = new Kernel()
   const register = (id: string, service: Service): void => { kernel.register({ id, needs: [], create: () => service }) }
   register('clients', { close: async () => { await ctx.clients.close() } })
@@ -167,5 +176,11 @@
     }
     log.info('drained', { open: flow.size, ms: Math.round(clock.now() - startedAt) })
   }
-  return { drain, close: async () => { await kernel.close() } }
+  return {
+    drain,
+    close: async () => {
+      roleTimer.close()
+      await kernel.close()
+    }
+  }
 }
