--- a/packages/gateway/src/peers/peerCodec.ts
+++ b/packages/gateway/src/peers/peerCodec.ts
@@ -24,7 +24,7 @@
   state.address,
   state.zone,
   state.isLeaving,
-  [...state.loads].map(([id, load]) => [id, load.open, load.waitingTokens, load.heldTokens, load.recentStarts]),
+  [...state.loads].map(([id, load]) => [id, load.open, load.waitingTokens, load.heldTokens]),
   [...state.totals].map(([id, totals]) => [id, totals.asked, totals.served]),
   state.avoided.map(({ upstream, remainingMs }) => [upstream, remainingMs]),
   state.addresses,
@@ -47,12 +47,11 @@
 }
 
 const decodeLoad = (entry: unknown): readonly [UpstreamId, UpstreamLoad] => {
-  const [id, open, waitingTokens, heldTokens, recentStarts] = list(entry, 'a load')
+  const [id, open, waitingTokens, heldTokens] = list(entry, 'a load')
   return [text<UpstreamId>(id, 'an upstream'), {
     open: number(open, 'open'),
     waitingTokens: number(waitingTokens, 'waiting tokens'),
-    heldTokens: number(heldTokens, 'held tokens'),
-    recentStarts: number(recentStarts, 'recent starts')
+    heldTokens: number(heldTokens, 'held tokens')
   }]
 }
 
--- a/packages/gateway/src/process/startGateway.ts
+++ b/packages/gateway/src/process/startGateway.ts
@@ -86,7 +86,7 @@
       const now = clock.now()
       const avoided = [...placement.records()].filter(({ avoidUntil }) => avoidUntil > now)
       return {
-        loads: placement.ownLoads(now),
+        loads: placement.ownLoads(),
         totals: shares.ownTotals(),
         avoided: avoided.map(({ id, avoidUntil }) => ({ upstream: id, remainingMs: Math.round(avoidUntil - now) }))
       }
--- a/packages/policy/src/placement/placement.ts
+++ b/packages/policy/src/placement/placement.ts
@@ -76,7 +76,7 @@
     if (record.facts.copyMsPerKToken === undefined || record.avoidUntil > now) continue
     const missing = parts.findIndex(({ hash }) => !record.canGivePart(hash, now))
     const count = missing === -1 ? parts.length : missing
-    const waiting = record.totalLoad(now).waitingTokens
+    const waiting = record.totalLoad.waitingTokens
     if (count > 0 && (best === undefined || count > best.parts || (count === best.parts && waiting < best.waiting))) best = { id: record.id, parts: count, waiting }
   }
   return best
@@ -133,7 +133,7 @@
 }
 
 const engineCandidate = (record: UpstreamRecord, req: PlacementRequest, view: PromptView, now: Millis): Candidate => {
-  const load = record.totalLoad(now)
+  const load = record.totalLoad
   const { read, reread, copied } = missingParts(record, view, now)
   const perToken = record.msPerKToken / 1000
   const aheadMs = BASE_LATENCY_MS + load.waitingTokens * perToken
@@ -160,8 +160,8 @@
   }
 }
 
-const plainCandidate = (record: UpstreamRecord, req: PlacementRequest, now: Millis): Candidate => {
-  const { open } = record.totalLoad(now)
+const plainCandidate = (record: UpstreamRecord, req: PlacementRequest): Candidate => {
+  const { open } = record.totalLoad
   const pressure = (open + 1) / record.facts.slots
   const cost = pressure * req.targetMs + (record.facts.zone === req.zone ? 0 : OTHER_ZONE_MS)
   return { upstream: record.id, expectedMs: 0, readTokens: 0, rereadTokens: 0, copiedTokens: 0, copyFrom: undefined, pressure, cost }
@@ -182,7 +182,7 @@
   for (const { id } of db.members(req.service)) {
     const record = db.record(id)
     if (record === undefined || req.tried.has(id) || record.avoidUntil > now || !usable(id)) continue
-    const candidate = record.facts.memoryTokens === undefined ? plainCandidate(record, req, now) : engineCandidate(record, req, view, now)
+    const candidate = record.facts.memoryTokens === undefined ? plainCandidate(record, req) : engineCandidate(record, req, view, now)
     if (best === undefined || isBetter(candidate, best)) best = candidate
   }
   return best
--- a/packages/policy/src/placement/placementDb.ts
+++ b/packages/policy/src/placement/placementDb.ts
@@ -55,7 +55,7 @@
   begin (run: RunId, upstream: UpstreamId, req: PlacementRequest, readTokens: number, now: Millis): void {
     const record = this.#records.get(upstream)
     if (record === undefined) return
-    const ahead = record.totalLoad(now).waitingTokens
+    const ahead = record.totalLoad.waitingTokens
     record.noteStart(now)
     const promptTokens = req.ownTokens + req.sharedParts.reduce((sum, part) => sum + part.tokens, 0)
     record.addRun(run, {
@@ -125,8 +125,8 @@
   }
 
   /** @returns what this router has open, for other routers; idle upstreams are left out */
-  ownLoads (now: Millis): Map<UpstreamId, UpstreamLoad> {
-    const loads = [...this.#records.values()].map(record => [record.id, record.ownLoad(now)] as const)
-    return new Map(loads.filter(([, load]) => load.open > 0 || load.recentStarts > 0))
+  ownLoads (): Map<UpstreamId, UpstreamLoad> {
+    const loads = [...this.#records.values()].map(record => [record.id, record.ownLoad] as const)
+    return new Map(loads.filter(([, load]) => load.open > 0))
   }
 }
--- a/packages/policy/src/placement/placementTypes.ts
+++ b/packages/policy/src/placement/placementTypes.ts
@@ -38,8 +38,6 @@
   readonly waitingTokens: number
   /** Prompt and output tokens that the open requests occupy or will occupy. */
   readonly heldTokens: number
-  /** Requests sent in the last second. */
-  readonly recentStarts: number
 }
 
 /** A prompt part that a router has sent to an upstream. */
--- a/packages/policy/src/placement/upstreamRecord.ts
+++ b/packages/policy/src/placement/upstreamRecord.ts
@@ -14,9 +14,6 @@
 /** Fewest tokens of a reading; shorter prompts mostly measure the fixed part of the latency. */
 const MIN_READING_TOKENS = 3000
 
-/** Span of the count of recent starts, in milliseconds. */
-const RECENT_MS = 1000
-
 /** Milliseconds for which a part is expected to be kept after its last use. */
 export const PART_KEPT_MS: Millis = 10_000
 
@@ -43,13 +40,12 @@
   readonly lastUse: Millis
 }
 
-const NO_LOAD: UpstreamLoad = { open: 0, waitingTokens: 0, heldTokens: 0, recentStarts: 0 }
+const NO_LOAD: UpstreamLoad = { open: 0, waitingTokens: 0, heldTokens: 0 }
 
 const addLoads = (a: UpstreamLoad, b: UpstreamLoad, sign: 1 | -1): UpstreamLoad => ({
   open: a.open + sign * b.open,
   waitingTokens: a.waitingTokens + sign * b.waitingTokens,
-  heldTokens: a.heldTokens + sign * b.heldTokens,
-  recentStarts: a.recentStarts + sign * b.recentStarts
+  heldTokens: a.heldTokens + sign * b.heldTokens
 })
 
 /** State of one upstream at one router. The sums of loads are kept up to date, as each request reads those of all upstreams. */
@@ -63,7 +59,6 @@
   #own: UpstreamLoad = NO_LOAD
   readonly #remote = new Map<PeerId, UpstreamLoad>()
   #remoteSum: UpstreamLoad = NO_LOAD
-  readonly #starts: Millis[] = []
   /** Uses by part, the longest unused first. */
   readonly #parts = new Map<PartHash, PartRecord>()
 
@@ -74,13 +69,13 @@
   }
 
   /** @returns what this router has open here */
-  ownLoad (now: Millis): UpstreamLoad {
-    return { ...this.#own, recentStarts: this.#recentStarts(now) }
+  get ownLoad (): UpstreamLoad {
+    return this.#own
   }
 
   /** @returns what all known routers have open here */
-  totalLoad (now: Millis): UpstreamLoad {
-    return addLoads(this.ownLoad(now), this.#remoteSum, 1)
+  get totalLoad (): UpstreamLoad {
+    return addLoads(this.#own, this.#remoteSum, 1)
   }
 
   /** Takes what another router has open here; undefined when it has nothing or is out of sight. */
@@ -97,19 +92,18 @@
 
   addRun (id: RunId, run: OpenRun): void {
     this.runs.set(id, run)
-    this.#own = addLoads(this.#own, { open: 1, waitingTokens: run.waitingTokens, heldTokens: run.heldTokens, recentStarts: 0 }, 1)
+    this.#own = addLoads(this.#own, { open: 1, waitingTokens: run.waitingTokens, heldTokens: run.heldTokens }, 1)
   }
 
   removeRun (id: RunId): void {
     const run = this.runs.get(id)
     if (run === undefined) return
     this.runs.delete(id)
-    this.#own = addLoads(this.#own, { open: 1, waitingTokens: run.waitingTokens, heldTokens: run.heldTokens, recentStarts: 0 }, -1)
+    this.#own = addLoads(this.#own, { open: 1, waitingTokens: run.waitingTokens, heldTokens: run.heldTokens }, -1)
   }
 
   noteStart (now: Millis): void {
     if (this.runs.size === 0) this.lastSignOfLife = now
-    this.#starts.push(now)
   }
 
   noteFirstEvent (run: OpenRun, now: Millis): void {
@@ -142,9 +136,4 @@
     const known = this.#parts.get(part)
     return known !== undefined && now - known.lastUse < PART_KEPT_MS && now - known.firstUse > PART_READ_MS
   }
-
-  #recentStarts (now: Millis): number {
-    while (this.#starts[0] !== undefined && this.#starts[0] <= now - RECENT_MS) this.#starts.shift()
-    return this.#starts.length
-  }
 }
