Keep the connection on which an upstream has declined a request

Now the rest of a declined answer is awaited for 300 ms and the connection used again; one that does not end is closed as before. Garbled, silent and uncertain answers still close theirs. The spec failed before.

--- a/packages/gateway/src/process/gateway.spec.ts
+++ b/packages/gateway/src/process/gateway.spec.ts
@@ -62,6 +62,29 @@
     })
   })
 
+  it('keeps the connection on which an upstream has declined', async () => {
+    await within([shed], async gateway => {
+      await gateway.ask('/once/x')
+      await pause(200)
+      await gateway.ask('/once/x')
+      expect(gateway.arrivals.length).toEqual(2)
+      expect(gateway.arrivals[0]?.req.socket === gateway.arrivals[1]?.req.socket).toEqual(true)
+    })
+  })
+
+  it('gives a connection up on which a declined answer does not end', async () => {
+    let isClosed = false
+    const endless: Script = (req, res) => {
+      req.socket.on('close', () => { isClosed = true })
+      res.writeHead(503, { 'not-run': '1' }).write('and')
+    }
+    await within([endless], async gateway => {
+      expect(statusOf(await gateway.ask('/once/x'))).toEqual(503)
+      await pause(500)
+      expect(isClosed).toEqual(true)
+    })
+  })
+
   it('says that a request did not run when no upstream ran it', async () => {
     await within([shed], async gateway => {
       const got = await gateway.ask('/once/x')
--- a/packages/gateway/src/requests/callerExchange.ts
+++ b/packages/gateway/src/requests/callerExchange.ts
@@ -22,6 +22,9 @@
 /** Milliseconds for which an upstream is not chosen after a connection to it broke. */
 const BROKEN_AVOID_MS = 300
 
+/** Milliseconds within which the rest of a declined answer arrives; then its connection can be used again. */
+const DECLINE_END_MS = 300
+
 /** Status of an upstream that is not the one that was meant. */
 const MISDIRECTED = 421
 
@@ -322,10 +325,17 @@
     this.#ctx.placement.end(attempt.run)
     this.#ctx.mesh.touch()
     this.#ctx.metrics.attempts.inc({ service: this.#call.service, outcome })
-    if (outcome !== 'answered') attempt.exchange?.cancel(new Error(`the attempt is over: ${outcome}`))
+    if (outcome !== 'answered') this.#endExchange(attempt, outcome)
     if (this.#attempt === attempt) this.#attempt = undefined
   }
 
+  /** Closes the connection of an attempt, or leaves it open where the upstream has declined in an orderly way. */
+  #endExchange ({ exchange }: Attempt, outcome: string): void {
+    const cancel = (): void => { exchange?.cancel(new Error(`the attempt is over: ${outcome}`)) }
+    if (outcome === 'full' || outcome === 'declined') this.#ctx.clock.after(DECLINE_END_MS, cancel)
+    else cancel()
+  }
+
   #refuse (refusal: Refusal): void {
     // A refusal by 503 promises that nothing ran; a request that may have run gets an answer that promises nothing.
     const status = this.#mayHaveRun ? 502 : refusal.status
--- a/packages/upstreams/src/client/exchange.ts
+++ b/packages/upstreams/src/client/exchange.ts
@@ -16,6 +16,7 @@
   #controller: Dispatcher.DispatchController | undefined
   #cancelled: Error | undefined
   #paused = false
+  #isOver = false
 
   /** @param events - called as the exchange goes on */
   constructor (events: UpstreamEvents) {
@@ -39,10 +40,12 @@
   }
 
   onResponseEnd (_controller: Dispatcher.DispatchController, trailers: IncomingHttpHeaders): void {
+    this.#isOver = true
     this.#events.end(toHeaderList(trailers ?? {}))
   }
 
   onResponseError (_controller: Dispatcher.DispatchController, err: Error): void {
+    this.#isOver = true
     this.#events.failed(err, this.#controller !== undefined)
   }
 
@@ -57,6 +60,7 @@
   }
 
   cancel (reason: Error): void {
+    if (this.#isOver) return
     this.#cancelled = reason
     this.#controller?.abort(reason)
   }
--- a/packages/upstreams/src/client/upstreamTypes.ts
+++ b/packages/upstreams/src/client/upstreamTypes.ts
@@ -37,7 +37,7 @@
   pause: () => void
   /** Goes on reading the answer. */
   resume: () => void
-  /** Gives the request up and closes its connection; `failed` follows unless it has ended. */
+  /** Gives the request up and closes its connection; `failed` follows. Does nothing when it has ended. */
   cancel: (reason: Error) => void
 }
 
