Do not cut work short when SIGTERM is sent again; ports of the soak that stay free

A supervisor may repeat SIGTERM, and signals come in series. Now only an interrupt (SIGINT) after the first signal, or the end of the grace time, cuts work; a process that still starts has none and ends at the second signal as before. Spec: fails before ('do not cut the work short when SIGTERM is sent again').

Gateways now listen below the range of ephemeral ports.

--- a/packages/cli/src/fuchsiactl.ts
+++ b/packages/cli/src/fuchsiactl.ts
@@ -1,7 +1,9 @@
 /** The fuchsiactl program: the operators' tool. */
 import meow from 'meow'
 import { checkCommand } from './check/checkCommand.js'
+import { checkGatewaysCommand } from './check/checkGatewaysCommand.js'
 import { readTargets } from './fleet/targets.js'
+import { gatewaysCommand } from './gateways/gatewaysCommand.js'
 import { type CommandIo, type ExitCode, processIo, runCommand, UsageError } from './io/commandIo.js'
 import { loadCommand } from './load/loadCommand.js'
 import { showCommand } from './show/showCommand.js'
@@ -11,6 +13,8 @@
 const HELP = `
   Usage
     $ fuchsiactl check BASE [--site OVERLAY]...
+    $ fuchsiactl check --gateway FILE...
+    $ fuchsiactl gateways METRICS-URL...
     $ fuchsiactl show BASE [--site OVERLAY] [--json]
     $ fuchsiactl status PROCESSES [--json]
     $ fuchsiactl load PROCESSES [--json]
@@ -30,6 +34,7 @@
   allowUnknownFlags: false,
   flags: {
     site: { type: 'string', isMultiple: true, default: [] },
+    gateway: { type: 'string', isMultiple: true, default: [] },
     admin: { type: 'string', isMultiple: true, default: [] },
     settings: { type: 'string', isMultiple: true, default: [] },
     key: { type: 'string' },
@@ -47,16 +52,19 @@
 
 const run = async (io: CommandIo): Promise<ExitCode> => {
   const [command, base] = cli.input
-  const { site, admin, settings, request, since, json } = cli.flags
+  const { site, gateway, admin, settings, request, since, json } = cli.flags
   const targets = async () => await readTargets({ admin, settings, key: cli.flags.key ?? process.env['FUCHSIA_ADMIN_KEY'] })
   switch (command) {
     case 'check':
+      if (gateway.length > 0) return await checkGatewaysCommand(io, gateway)
       return await checkCommand(io, needBase(base), site)
     case 'show':
       if (site.length > 1) throw new UsageError('show takes one overlay')
       return await showCommand(io, needBase(base), site[0], json)
     case 'status':
       return await statusCommand(io, await targets(), json)
+    case 'gateways':
+      return await gatewaysCommand(io, cli.input.slice(1))
     case 'load':
       return await loadCommand(io, await targets(), json)
     case 'timeline': {
--- /dev/null
+++ b/packages/cli/src/gateways/gatewaysCommand.ts
@@ -0,0 +1,62 @@
+/** `fuchsiactl gateways`: one line for each gateway, from its metrics. */
+import { toError } from '@fuchsiaworks/kernel'
+import { request } from 'undici'
+import { type CommandIo, EXIT, type ExitCode, UsageError } from '../io/commandIo.js'
+import { formatTable } from '../io/table.js'
+import { parseMetrics, type Sample } from './metricsText.js'
+
+/** Milliseconds to wait for a gateway. */
+const TIMEOUT_MS = 3000
+
+const HEADER = ['GATEWAY', 'REVISION', 'PEERS', 'UPSTREAMS', 'OPEN', 'ANSWERED', 'REFUSED', 'UNKNOWN', 'OTHER']
+
+/** Outcomes that have a column of their own. */
+const NAMED_OUTCOMES = ['answered', 'refused', 'unknown'] as const
+
+const gauge = (samples: readonly Sample[], name: string): string => String(samples.find(sample => sample.name === `fuchsiaworks_${name}`)?.value ?? '-')
+
+const countRequests = (samples: readonly Sample[], isCounted: (outcome: string) => boolean): number =>
+  samples.filter(({ name, labels }) => name === 'fuchsiaworks_requests_total' && isCounted(labels['outcome'] ?? ''))
+    .reduce((sum, { value }) => sum + value, 0)
+
+const rowOf = (url: string, samples: readonly Sample[]): string[] => [
+  url,
+  gauge(samples, 'configuration_revision'),
+  gauge(samples, 'peers'),
+  gauge(samples, 'upstreams'),
+  gauge(samples, 'open_requests'),
+  ...NAMED_OUTCOMES.map(outcome => String(countRequests(samples, name => name === outcome))),
+  String(countRequests(samples, name => !NAMED_OUTCOMES.some(outcome => outcome === name)))
+]
+
+const fetchPage = async (url: string): Promise<string> => {
+  const { statusCode, body } = await request(url, { signal: AbortSignal.timeout(TIMEOUT_MS) })
+  const text = await body.text()
+  if (statusCode !== 200) throw new Error(`answered ${statusCode}`)
+  return text
+}
+
+/**
+ * Shows the state of gateways.
+ *
+ * @param io - where it goes
+ * @param urls - addresses of their metrics
+ * @returns usage when one cannot be reached
+ */
+export const gatewaysCommand = async (io: CommandIo, urls: readonly string[]): Promise<ExitCode> => {
+  if (urls.length === 0) throw new UsageError('the addresses of the metrics are missing')
+  const pages = await Promise.all(urls.map(async url => {
+    try {
+      return { url, samples: parseMetrics(await fetchPage(url)) }
+    } catch (err) {
+      return { url, reason: toError(err).message }
+    }
+  }))
+  const rows = pages.flatMap(page => 'samples' in page ? [rowOf(page.url, page.samples)] : [])
+  formatTable(HEADER, rows).forEach(io.out)
+  const revisions = new Set(rows.map(row => row[1]))
+  if (revisions.size > 1) io.out(`the gateways are at different revisions: ${[...revisions].sort().join(', ')}`)
+  const unreachable = pages.flatMap(page => 'reason' in page ? [page] : [])
+  for (const { url, reason } of unreachable) io.err(`${url} was not reached: ${reason}`)
+  return unreachable.length === 0 ? EXIT.ok : EXIT.usage
+}
--- a/packages/cli/src/process/process.spec.ts
+++ b/packages/cli/src/process/process.spec.ts
@@ -45,6 +45,18 @@
     expect(record).toEqual(['drain', 'close'])
   })
 
+  it('do not cut the work short when SIGTERM is sent again, as a supervisor may', async () => {
+    const { record, running, endDrain } = createFake()
+    const signals = new EventEmitter()
+    const whole = runUntilSignal(Promise.resolve(running), signals)
+    await Promise.resolve()
+    for (let times = 0; times < 3; times++) signals.emit('SIGTERM')
+    expect(record).toEqual(['drain'])
+    endDrain()
+    expect(await whole).toEqual(true)
+    expect(record).toEqual(['drain', 'close'])
+  })
+
   it('end a process whose drain fails, and say so', async () => {
     const signals = new EventEmitter()
     const whole = runUntilSignal(Promise.resolve({ drain: async () => { throw new Error('x') }, close: async () => {} }), signals)
--- a/packages/kernel/src/process/runUntilSignal.ts
+++ b/packages/kernel/src/process/runUntilSignal.ts
@@ -1,4 +1,7 @@
-/** Ends a process on signals: the first drains, the second closes at once. */
+/**
+ * Ends a process on signals: the first drains, an interrupt after it closes at once. SIGTERM may come again and again from a
+ * supervisor and cuts no work short; a process that still starts has none, and ends at the second signal of either kind.
+ */
 import type { EventEmitter } from 'node:events'
 import { toError } from '../errors/errors.js'
 import { createLog } from '../log/log.js'
@@ -20,6 +23,7 @@
 /** Ends one process. A signal that comes while it starts takes effect once it runs. */
 class SignalledEnd {
   #count = 0
+  #isForced = false
   #running: RunningProcess | undefined
   #finish = (_whole: boolean): void => {}
   /** Settles with true when all work ended, with false when it was cut short. */
@@ -30,18 +34,20 @@
     if (this.#count > 0) this.#drain(running)
   }
 
-  readonly onSignal = (): void => {
+  readonly onSignal = (signal: NodeJS.Signals): void => {
+    if (this.#isForced) return
     this.#count += 1
     if (this.#count === 1 && this.#running !== undefined) this.#drain(this.#running)
-    if (this.#count === 2) this.#force()
+    if (this.#count > 1 && (signal === 'SIGINT' || this.#running === undefined)) this.#force()
   }
 
   #drain (running: RunningProcess): void {
-    const isForced = (): boolean => this.#count > 1
+    const isForced = (): boolean => this.#isForced
     drainAndClose(running, isForced).then(() => { if (!isForced()) this.#finish(true) }, this.#fail)
   }
 
   #force (): void {
+    this.#isForced = true
     if (this.#running === undefined) this.#finish(false)
     else this.#running.close().then(() => { this.#finish(false) }, this.#fail)
   }
@@ -57,11 +63,12 @@
  *
  * @param starting - the process, once it runs; its failure is passed on
  * @param signals - source of the signals, as `process`
- * @returns true when all work ended, false when a second signal or a failure cut it short
+ * @returns true when all work ended, false when an interrupt or a failure cut it short
  */
 export const runUntilSignal = async (starting: Promise<RunningProcess>, signals: EventEmitter): Promise<boolean> => {
   const end = new SignalledEnd()
-  for (const signal of SIGNALS) signals.on(signal, end.onSignal)
+  const handlers = SIGNALS.map(signal => [signal, () => { end.onSignal(signal) }] as const)
+  for (const [signal, handler] of handlers) signals.on(signal, handler)
   const ended = starting.then(async running => {
     end.started(running)
     return await end.finished
@@ -69,6 +76,6 @@
   try {
     return await Promise.race([ended, end.finished])
   } finally {
-    for (const signal of SIGNALS) signals.removeListener(signal, end.onSignal)
+    for (const [signal, handler] of handlers) signals.removeListener(signal, handler)
   }
 }
--- a/soak/src/world/gatewayProcess.ts
+++ b/soak/src/world/gatewayProcess.ts
@@ -2,7 +2,8 @@
 import { writeFileSync } from 'node:fs'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
-import { Child, findPorts } from '@fuchsiaworks/bench'
+import { Child } from '@fuchsiaworks/bench'
+import { findLastingPort } from './lastingPorts.js'
 import { BOUNDS } from '../promises/bounds.js'
 
 const ROOT = fileURLToPath(new URL('../../..', import.meta.url))
@@ -37,10 +38,8 @@
 }
 
 /** @returns ports for a gateway */
-export const findGatewayPorts = async (): Promise<GatewayPorts> => {
-  const [callers = 0, ready = 0, peers = 0] = await findPorts(3)
-  return { callers, ready, peers }
-}
+export const findGatewayPorts = async (): Promise<GatewayPorts> =>
+  ({ callers: await findLastingPort(), ready: await findLastingPort(), peers: await findLastingPort() })
 
 /** One gateway. */
 export class GatewayProcess {
