--- a/soak/src/main.ts
+++ b/soak/src/main.ts
@@ -57,6 +57,8 @@
 }
 
 setLogLevel('error')
+// Ending by way of `exit` ends the gateways, too.
+for (const signal of ['SIGINT', 'SIGTERM'] as const) process.once(signal, () => { process.exit(1) })
 const { flags } = cli
 const first = flags.seed ?? Date.now() % SEED_RANGE
 const runs = flags.regressions
