Refuse requests that have ended three upstreams

Change: a connection that breaks in the middle of a request, at an upstream that then accepts none within two seconds, counts against the request (its workspace, method, path and body); gateways tell each other. From the third such end on it is refused as not run, for a minute. A request that ran beside it is seldom in three ends, and a broken connection to an upstream that is still reached counts for nothing.

Ruled out: the routers' quarantine, which needs agents that know when an upstream ended and what ran alone.

--- a/packages/gateway/src/peers/peerCodec.ts
+++ b/packages/gateway/src/peers/peerCodec.ts
@@ -5,7 +5,7 @@
 import type { PeerState } from './peerTypes.js'
 
 /** Version of the messages; others are refused. */
-const VERSION = 2
+const VERSION = 3
 
 const packer = new Packr({ useRecords: false })
 
@@ -28,7 +28,8 @@
   [...state.totals].map(([id, totals]) => [id, totals.asked, totals.served]),
   state.avoided.map(({ upstream, remainingMs }) => [upstream, remainingMs]),
   state.addresses,
-  state.parts.map(({ part, upstream }) => [part, upstream])
+  state.parts.map(({ part, upstream }) => [part, upstream]),
+  state.crashes.map(({ print, crash }) => [print, crash])
 ])
 
 const list = (value: unknown, what: string): unknown[] => {
@@ -68,7 +69,7 @@
  * @throws PeerMessageError when it is malformed or of another version
  */
 export const decodePeerState = (bytes: Uint8Array): PeerState => {
-  const [version, peer, address, zone, isLeaving, loads, totals, avoided, addresses, parts] = list(packer.unpack(bytes), 'the message')
+  const [version, peer, address, zone, isLeaving, loads, totals, avoided, addresses, parts, crashes] = list(packer.unpack(bytes), 'the message')
   if (version !== VERSION) throw new PeerMessageError(`version ${String(version)}`)
   return {
     peer: text<PeerId>(peer, 'the peer'),
@@ -85,6 +86,10 @@
     parts: list(parts, 'parts').map(entry => {
       const [part, upstream] = list(entry, 'a part')
       return { part: number(part, 'a part'), upstream: text<UpstreamId>(upstream, 'an upstream') }
+    }),
+    crashes: list(crashes, 'crashes').map(entry => {
+      const [print, crash] = list(entry, 'a crash')
+      return { print: number(print, 'a request'), crash: text(crash, 'a crash') }
     })
   }
 }
--- a/packages/gateway/src/peers/peerMesh.spec.ts
+++ b/packages/gateway/src/peers/peerMesh.spec.ts
@@ -21,7 +21,8 @@
   totals: new Map([[asId<WorkspaceId>('w1'), { asked: 10, served: 5 }]]),
   avoided: [{ upstream: asId<UpstreamId>('u2'), remainingMs: 300 }],
   addresses: ['127.0.0.1:2'],
-  parts: [{ part: 4_000_000_000, upstream: asId<UpstreamId>('u1') }]
+  parts: [{ part: 4_000_000_000, upstream: asId<UpstreamId>('u1') }],
+  crashes: [{ print: 3_000_000_000, crash: 'u1 17' }]
 }
 
 const freePort = async (): Promise<number> => await new Promise(resolve => {
@@ -44,7 +45,7 @@
   })
 
   it('is refused whole when it is malformed or of another version', () => {
-    const wrong = [[1, 'p', 'a', 'z', false, [], [], [], [], []], [2, 5, 'a', 'z', false, [], [], [], [], []], [2, 'p', 'a', 'z', false, [['u', 'many']], [], [], [], []], 'text']
+    const wrong = [[2, 'p', 'a', 'z', false, [], [], [], [], [], []], [3, 5, 'a', 'z', false, [], [], [], [], [], []], [3, 'p', 'a', 'z', false, [['u', 'many']], [], [], [], [], []], 'text']
     for (const message of wrong) {
       const bytes = Buffer.from(JSON.stringify(message))
       expect(() => decodePeerState(bytes)).toThrow()
@@ -59,7 +60,7 @@
   const startMesh = async (port: number, seeds: string[], totals: Map<WorkspaceId, TokenTotals> = new Map()): Promise<{ mesh: PeerMesh, states: PeerState[], lost: PeerId[] }> => {
     const mesh = new PeerMesh(systemClock, { zone: STATE.zone, listen: { host: '127.0.0.1', port }, advertised: undefined, seeds }, {
       read: () => ({ loads: new Map([[asId<UpstreamId>('u1'), LOAD]]), totals, avoided: [] }),
-      takeParts: () => [],
+      takeNews: () => ({ parts: [], crashes: [] }),
       recentParts: () => STATE.parts.slice()
     }, () => false)
     const states: PeerState[] = []
--- a/packages/gateway/src/peers/peerMesh.ts
+++ b/packages/gateway/src/peers/peerMesh.ts
@@ -44,11 +44,14 @@
   readonly avoided: readonly AvoidedUpstream[]
 }
 
+/** What is told once. */
+export type MeshNews = Pick<PeerState, 'parts' | 'crashes'>
+
 /** Reads what this router has to tell. */
 export interface OwnStateSource {
   read: () => OwnState
-  /** Hands over the prompt parts that were sent since the last call. */
-  takeParts: () => PartUse[]
+  /** Hands over what has happened since the last call. */
+  takeNews: () => MeshNews
   /** Prompt parts that were sent of late, for a router that has just come into sight. */
   recentParts: () => PartUse[]
 }
@@ -160,7 +163,7 @@
 
   #dial (address: string): void {
     if (address === this.#address || this.#dialers.has(address)) return
-    this.#dialers.set(address, new PeerDialer(address, this.clock, dialer => { dialer.send(this.#encode(this.own.read().totals, this.own.recentParts())) }))
+    this.#dialers.set(address, new PeerDialer(address, this.clock, dialer => { dialer.send(this.#encode(this.own.read().totals, { parts: this.own.recentParts(), crashes: [] })) }))
   }
 
   #accept (socket: WebSocket): void {
@@ -222,7 +225,7 @@
       return told === undefined || told.asked !== asked || told.served !== served
     }))
     for (const [id, { asked, served }] of changed) this.#totalsTold.set(id, { asked, served })
-    const bytes = this.#encode(changed, this.own.takeParts())
+    const bytes = this.#encode(changed, this.own.takeNews())
     for (const dialer of this.#dialers.values()) dialer.send(bytes)
   }
 
@@ -234,9 +237,9 @@
     return [...this.#peers.values()].filter(peer => peer.inSight).map(peer => peer.address)
   }
 
-  #encode (totals: ReadonlyMap<WorkspaceId, TokenTotals>, parts: readonly PartUse[]): Buffer {
+  #encode (totals: ReadonlyMap<WorkspaceId, TokenTotals>, news: MeshNews): Buffer {
     const { loads, avoided } = this.own.read()
     const addresses = this.#takeAddresses()
-    return encodePeerState({ peer: this.self, address: this.#address, zone: this.place.zone, isLeaving: this.#leaving, loads, totals, avoided, addresses, parts })
+    return encodePeerState({ peer: this.self, address: this.#address, zone: this.place.zone, isLeaving: this.#leaving, loads, totals, avoided, addresses, ...news })
   }
 }
--- a/packages/gateway/src/peers/peerTypes.ts
+++ b/packages/gateway/src/peers/peerTypes.ts
@@ -1,6 +1,6 @@
 /** What routers tell each other. */
 import type { Millis, UpstreamId, WorkspaceId, ZoneId } from '@fuchsiaworks/kernel'
-import type { PartUse, PeerId, TokenTotals, UpstreamLoad } from '@fuchsiaworks/policy'
+import type { CrashReport, PartUse, PeerId, TokenTotals, UpstreamLoad } from '@fuchsiaworks/policy'
 
 /** An upstream that its teller does not send to for a while. */
 export interface AvoidedUpstream {
@@ -23,6 +23,8 @@
   readonly avoided: readonly AvoidedUpstream[]
   /** Prompt parts that the teller has sent to upstreams since its last message. */
   readonly parts: readonly PartUse[]
+  /** Ends of upstreams that the teller has seen since its last message, with the requests that they ran. */
+  readonly crashes: readonly CrashReport[]
   /** Addresses of other routers that the teller knows. */
   readonly addresses: readonly string[]
 }
--- a/packages/gateway/src/process/gateway.spec.ts
+++ b/packages/gateway/src/process/gateway.spec.ts
@@ -193,6 +193,31 @@
   })
 })
 
+describe('a request that ends each upstream that runs it', () => {
+  it('is refused after three, while others are served', async () => {
+    const ended = new Set<string>()
+    let end = (_upstream: string): void => {}
+    const crash: Script = (req, res, body) => {
+      if (body !== 'poison') return answer(req, res, body)
+      const upstream = String(req.headers['upstream'])
+      ended.add(upstream)
+      end(upstream)
+    }
+    await within([crash, crash, crash, crash, crash], async gateway => {
+      end = gateway.endUpstream
+      for (let tries = 0; tries < 8; tries++) {
+        await gateway.ask('/once/x', '', 'poison')
+        // The upstream is tried again, and found gone, once it is no longer avoided.
+        await pause(350)
+        for (let others = 0; others < 8; others++) await gateway.ask('/once/x', '', `good ${tries} ${others}`)
+      }
+      expect(ended.size).toEqual(3)
+      expect(statusOf(await gateway.ask('/once/x', '', 'poison'))).toEqual(503)
+      expect(statusOf(await gateway.ask('/once/x', '', 'other'))).toEqual(200)
+    })
+  })
+})
+
 describe('a request whose caller has left before it was read', () => {
   it('reaches no upstream', async () => {
     await within([answer], async gateway => {
--- a/packages/gateway/src/process/gatewayFixtures.ts
+++ b/packages/gateway/src/process/gatewayFixtures.ts
@@ -72,6 +72,8 @@
   /** Age of the view that the gateway is told. */
   age: Millis
   readonly running: RunningProcess
+  /** Ends an upstream at once, with its connections; it stays in the list. */
+  endUpstream: (id: string) => void
   /** Takes every upstream out of the list. */
   unlistUpstreams: () => void
   /** Sends raw bytes on a new connection and returns all that comes until it ends or is quiet. */
@@ -174,6 +176,13 @@
   }, { fleet, headers: testHeaders, readyPath: '/ready', metrics: undefined })
   return Object.assign(under, {
     running,
+    endUpstream: (id: string) => {
+      for (const { server, upstream } of started) {
+        if (upstream.id !== id) continue
+        server.close()
+        server.closeAllConnections()
+      }
+    },
     unlistUpstreams: () => {
       current = { ...view, upstreams: new Map() }
       source.emit(current)
--- a/packages/gateway/src/process/startGateway.ts
+++ b/packages/gateway/src/process/startGateway.ts
@@ -1,7 +1,7 @@
 /** Starts a gateway: a router that sends requests straight to upstreams. */
 import { randomBytes } from 'node:crypto'
 import { type Clock, createLog, Kernel, type Millis, onEvent, type RunningProcess, type Service, systemClock, type UpstreamId } from '@fuchsiaworks/kernel'
-import { chooseReadingRole, coldPaceDefinition, loadStringHash, placementDefinition, RetryBudget, tokenShareDefinition } from '@fuchsiaworks/policy'
+import { chooseReadingRole, coldPaceDefinition, crasherDefinition, loadStringHash, placementDefinition, RetryBudget, tokenShareDefinition } from '@fuchsiaworks/policy'
 import { CallerServer } from '../callers/callerServer.js'
 import { GatewayMetrics } from '../log/gatewayMetrics.js'
 import { RequestLog } from '../log/requestLog.js'
@@ -34,8 +34,8 @@
 /** Milliseconds between two looks whether the last request has ended. */
 const DRAIN_CHECK_MS = 50
 
-/** Milliseconds between two looks at who reads the platform's lists for whom. */
-const ROLE_CHECK_MS: Millis = 500
+/** Milliseconds between two looks at who reads the platform's lists for whom, and at what can be forgotten. */
+const UPKEEP_MS: Millis = 500
 
 /** Milliseconds in a second. */
 const SECOND_MS = 1000
@@ -76,10 +76,11 @@
   ctx.placement.setRemote(state.peer, state.loads)
   ctx.shares.setRemote(state.peer, state.totals, now)
   for (const use of state.parts) ctx.placement.notePart(use, now)
+  for (const report of state.crashes) ctx.crashers.noteCrash(report, now)
   for (const { upstream, remainingMs } of state.avoided) ctx.placement.avoid(upstream, now + remainingMs)
 }
 
-const createMesh = (clock: Clock, settings: GatewaySettings, { fleet, placement, shares }: Pick<FlowContext, 'fleet' | 'placement' | 'shares'>): PeerMesh => {
+const createMesh = (clock: Clock, settings: GatewaySettings, { fleet, placement, shares, crashers }: Pick<FlowContext, 'fleet' | 'placement' | 'shares' | 'crashers'>): PeerMesh => {
   const { zone, peers: listen, peersAdvertised: advertised, seeds } = settings
   return new PeerMesh(clock, { zone, listen, advertised, seeds }, {
     read: () => {
@@ -91,7 +92,7 @@
         avoided: avoided.map(({ id, avoidUntil }) => ({ upstream: id, remainingMs: Math.round(avoidUntil - now) }))
       }
     },
-    takeParts: () => placement.takePartUses(),
+    takeNews: () => ({ parts: placement.takePartUses(), crashes: crashers.takeUntold() }),
     recentParts: () => placement.recentPartUses(clock.now())
   }, (req, res) => fleet.answerPeer(req, res))
 }
@@ -108,7 +109,8 @@
   const hash = await loadStringHash()
   const placement = placementDefinition.createDb(hash)
   const shares = tokenShareDefinition.createDb({ windowMs: settings.shareWindowSeconds * SECOND_MS })
-  const mesh = createMesh(clock, settings, { fleet: ports.fleet, placement, shares })
+  const crashers = crasherDefinition.createDb()
+  const mesh = createMesh(clock, settings, { fleet: ports.fleet, placement, shares, crashers })
   const ctx: FlowContext = {
     settings,
     clock,
@@ -119,6 +121,7 @@
     clients: new UpstreamClients(),
     placement,
     shares,
+    crashers,
     coldPace: coldPaceDefinition.createDb(),
     retries: new RetryBudget({ budgetPercent: settings.retryRatio * 100 * RETRY_BUDGET_SHARE, floorPerSecond: RETRY_FLOOR_PER_SECOND, burst: RETRY_BURST }),
     mesh,
@@ -140,7 +143,8 @@
     shares.dropPeer(peer)
   })
 
-  const roleTimer = clock.every(ROLE_CHECK_MS, () => {
+  const upkeep = clock.every(UPKEEP_MS, () => {
+    crashers.expire(clock.now())
     ports.fleet.setRole(chooseReadingRole(hash, { self: mesh.self, zone: settings.zone, neighbours: mesh.neighbours() }))
   })
 
@@ -179,7 +183,7 @@
   return {
     drain,
     close: async () => {
-      roleTimer.close()
+      upkeep.close()
       await kernel.close()
     }
   }
--- a/packages/gateway/src/requests/callerExchange.ts
+++ b/packages/gateway/src/requests/callerExchange.ts
@@ -1,7 +1,7 @@
 /** The life of one request: placed, sent, passed on, and sent again where that is allowed. */
 import { asId, type Millis, newId, type Timer, type UpstreamId } from '@fuchsiaworks/kernel'
 import {
-  type AttemptFailure, decideAttempt, type Placement, type RunId, waitLeft, type WaitingCall
+  type AttemptFailure, decideAttempt, type Placement, type RequestHash, type RunId, waitLeft, type WaitingCall
 } from '@fuchsiaworks/policy'
 import type { UpstreamExchange } from '@fuchsiaworks/upstreams'
 import type { HeaderList } from '@fuchsiaworks/wire'
@@ -100,6 +100,8 @@
 
   /** Places and sends the request for the first time. */
   start (): void {
+    const refusedFor = this.#ctx.crashers.isEmpty ? 0 : this.#ctx.crashers.refusedFor(this.#print(), this.#now)
+    if (refusedFor > 0) return this.#refuse({ status: 503, reason: 'crashes-upstreams', returnMs: refusedFor })
     this.#ctx.retries.countFirst(this.#call.service, this.#budgetOwner, this.#now)
     this.#admission.noteAsked()
     this.tryStart()
@@ -312,12 +314,24 @@
 
   #noteUpstream (attempt: Attempt, failure: AttemptFailure): void {
     const { upstream } = attempt
+    this.#noteCrash(upstream.id, failure)
     const avoidMs = avoidanceOf(failure)
     if (avoidMs === 0) return
     this.#ctx.placement.avoid(upstream.id, this.#now + avoidMs)
     this.#ctx.mesh.touch()
   }
 
+  #noteCrash (upstream: UpstreamId, failure: AttemptFailure): void {
+    if (failure.kind === 'uncertain' && failure.reason === 'reset') this.#ctx.crashers.noteBroken(this.#print(), upstream, this.#now)
+    if (failure.kind === 'not-run' && failure.reason === 'unreachable') this.#ctx.crashers.noteUnreachable(upstream, this.#now)
+  }
+
+  /** Names the request by what it asks and for whom. */
+  #print (): RequestHash {
+    const { workspace, method, target, body } = this.#call
+    return this.#ctx.hash(`${workspace ?? 'public'} ${method} ${target} ${body.toString('latin1')}`)
+  }
+
   /** Ends an attempt; a run that may still be going on is cancelled. */
   #close (attempt: Attempt, outcome: string): void {
     if (attempt.isOver) return
