Know requests that end upstreams by lapsed entries, too, and after a restart

An ended upstream was known only by a refused connection; behind a relay, as behind any balancer, the connection opens and breaks. Now an upstream that goes from the list without having left counts too, within six seconds of the break. A router that comes into sight is told all ends that are remembered, so that one that restarts empty does not begin to count anew.

--- a/packages/gateway/src/peers/peerMesh.spec.ts
+++ b/packages/gateway/src/peers/peerMesh.spec.ts
@@ -61,7 +61,7 @@
     const mesh = new PeerMesh(systemClock, { zone: STATE.zone, listen: { host: '127.0.0.1', port }, advertised: undefined, seeds }, {
       read: () => ({ loads: new Map([[asId<UpstreamId>('u1'), LOAD]]), totals, avoided: [] }),
       takeNews: () => ({ parts: [], crashes: [] }),
-      recentParts: () => STATE.parts.slice()
+      recentNews: () => ({ parts: STATE.parts, crashes: STATE.crashes })
     }, () => false)
     const states: PeerState[] = []
     const lost: PeerId[] = []
@@ -82,12 +82,13 @@
     expect(all[2]?.states.at(-1)?.loads.get(asId('u1'))).toEqual(LOAD)
   })
 
-  it('tell one that has just come which parts they have sent of late', async () => {
+  it('tell one that has just come what happened of late', async () => {
     const ports = [await freePort(), await freePort()]
     await startMesh(ports[0]!, [])
     const { states } = await startMesh(ports[1]!, [`127.0.0.1:${ports[0]}`])
     await until(() => states.some(({ parts }) => parts.length > 0))
     expect(states.flatMap(({ parts }) => parts)[0]).toEqual(STATE.parts[0])
+    expect(states.flatMap(({ crashes }) => crashes)[0]).toEqual(STATE.crashes[0])
   })
 
   it('tell a new connection all totals and later only those that changed', async () => {
--- a/packages/gateway/src/peers/peerMesh.ts
+++ b/packages/gateway/src/peers/peerMesh.ts
@@ -1,7 +1,7 @@
 /** Finds the other routers and exchanges states with each of them, directly. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { type Clock, createLog, EventSource, type Millis, newId, type Service, type Timer, toError, type UpstreamId, type WorkspaceId, type ZoneId } from '@fuchsiaworks/kernel'
-import type { Neighbour, PartUse, PeerId, RouterView, TokenTotals, UpstreamLoad } from '@fuchsiaworks/policy'
+import type { Neighbour, PeerId, RouterView, TokenTotals, UpstreamLoad } from '@fuchsiaworks/policy'
 import { type WebSocket, WebSocketServer } from 'ws'
 import type { ListenAddress } from '@fuchsiaworks/settings'
 import { decodePeerState, encodePeerState } from './peerCodec.js'
@@ -52,8 +52,8 @@
   read: () => OwnState
   /** Hands over what has happened since the last call. */
   takeNews: () => MeshNews
-  /** Prompt parts that were sent of late, for a router that has just come into sight. */
-  recentParts: () => PartUse[]
+  /** What happened of late, for a router that has just come into sight. */
+  recentNews: () => MeshNews
 }
 
 interface KnownPeer {
@@ -163,7 +163,7 @@
 
   #dial (address: string): void {
     if (address === this.#address || this.#dialers.has(address)) return
-    this.#dialers.set(address, new PeerDialer(address, this.clock, dialer => { dialer.send(this.#encode(this.own.read().totals, { parts: this.own.recentParts(), crashes: [] })) }))
+    this.#dialers.set(address, new PeerDialer(address, this.clock, dialer => { dialer.send(this.#encode(this.own.read().totals, this.own.recentNews())) }))
   }
 
   #accept (socket: WebSocket): void {
--- a/packages/gateway/src/process/startGateway.ts
+++ b/packages/gateway/src/process/startGateway.ts
@@ -71,6 +71,11 @@
   callers.applyLimits(table)
 }
 
+/** Upstreams that went without having left in an orderly way have ended. */
+const noteUnlisted = (ctx: FlowContext, before: FleetView['upstreams'], now: FleetView['upstreams']): void => {
+  for (const [id, { isDraining }] of before) if (!isDraining && !now.has(id)) ctx.crashers.noteUnlisted(id, ctx.clock.now())
+}
+
 const applyPeer = (ctx: FlowContext, state: PeerState): void => {
   const now = ctx.clock.now()
   ctx.placement.setRemote(state.peer, state.loads)
@@ -93,7 +98,7 @@
       }
     },
     takeNews: () => ({ parts: placement.takePartUses(), crashes: crashers.takeUntold() }),
-    recentParts: () => placement.recentPartUses(clock.now())
+    recentNews: () => ({ parts: placement.recentPartUses(clock.now()), crashes: crashers.reports() })
   }, (req, res) => fleet.answerPeer(req, res))
 }
 
@@ -136,7 +141,12 @@
     const ok = !ending && ports.fleet.view.table !== undefined
     return { status: ok ? 200 : 503, type: 'text/plain', body: ok ? 'ready\n' : 'not ready\n' }
   })
-  onEvent(ports.fleet.changes, log, view => { applyView(ctx, callers, view) })
+  let upstreams: FleetView['upstreams'] = new Map()
+  onEvent(ports.fleet.changes, log, view => {
+    noteUnlisted(ctx, upstreams, view.upstreams)
+    upstreams = view.upstreams
+    applyView(ctx, callers, view)
+  })
   onEvent(mesh.states.stream, log, state => { applyPeer(ctx, state) })
   onEvent(mesh.lost.stream, log, peer => {
     placement.dropPeer(peer)
--- a/packages/policy/src/crasher/crasher.spec.ts
+++ b/packages/policy/src/crasher/crasher.spec.ts
@@ -22,6 +22,15 @@
     expect(db.refusedFor(7, 70_000)).toEqual(0)
   })
 
+  it('is known also where the upstreams only go from the list', () => {
+    const db = new CrasherDb()
+    for (const nth of [1, 2, 3]) {
+      db.noteBroken(7, upstream(nth), nth * 1000)
+      db.noteUnlisted(upstream(nth), nth * 1000 + 3900)
+    }
+    expect(db.refusedFor(7, 7000)).toBeGreaterThan(0)
+  })
+
   it('is told from requests that ran beside it', () => {
     const db = new CrasherDb()
     for (const nth of [1, 2, 3, 4]) crash(db, nth, [7, 100 + nth, 200 + nth], nth * 2000)
@@ -38,6 +47,13 @@
     expect(second.refusedFor(7, 5000)).toBeGreaterThan(0)
     expect(first.takeUntold()).toEqual([])
   })
+
+  it('is known to a router that has just started, from what another one remembers', () => {
+    const [known, fresh] = [new CrasherDb(), new CrasherDb()]
+    for (const nth of [1, 2, 3]) crash(known, nth, [7], nth * 1000)
+    for (const report of known.reports()) fresh.noteCrash(report, 5000)
+    expect(fresh.refusedFor(7, 5000)).toBeGreaterThan(0)
+  })
 })
 
 describe('a broken connection', () => {
--- a/packages/policy/src/crasher/crasherDb.ts
+++ b/packages/policy/src/crasher/crasherDb.ts
@@ -10,8 +10,11 @@
 /** Ends of upstreams from which on a request is refused: the users bear three. */
 const MAX_CRASHES = 3
 
-/** Milliseconds after a broken connection within which the upstream must be found gone for it to count as ended. */
-const CONFIRM_MS: Millis = 2000
+/** Milliseconds after a broken connection within which the upstream must accept no connection for it to count as ended. */
+const UNREACHABLE_MS: Millis = 2000
+
+/** The same for an upstream that goes from the list without having left in an orderly way: its entry lapses after some heartbeats. */
+const UNLISTED_MS: Millis = 6000
 
 /** Milliseconds after the last end for which a request is refused, and its ends are remembered. */
 const KEPT_MS: Millis = 60_000
@@ -46,15 +49,12 @@
 
   /** Notes that an upstream accepts no connection: what broke there just before was its end. */
   noteUnreachable (upstream: UpstreamId, now: Millis): void {
-    const broken = this.#broken.get(upstream)
-    if (broken === undefined) return
-    this.#broken.delete(upstream)
-    for (const { print, at } of broken) {
-      if (now - at > CONFIRM_MS) continue
-      const report: CrashReport = { print, crash: `${upstream} ${Math.floor(at / SAME_CRASH_MS)}` }
-      this.noteCrash(report, now)
-      this.#untold.push(report)
-    }
+    this.#noteEnd(upstream, UNREACHABLE_MS, now)
+  }
+
+  /** Notes that an upstream went from the list without having left in an orderly way. */
+  noteUnlisted (upstream: UpstreamId, now: Millis): void {
+    this.#noteEnd(upstream, UNLISTED_MS, now)
   }
 
   /** Takes the word of another router, or of this one. */
@@ -72,7 +72,7 @@
   /** Forgets what is too old to count. */
   expire (now: Millis): void {
     for (const [print, { lastAt }] of this.#suspects) if (now - lastAt >= KEPT_MS) this.#suspects.delete(print)
-    for (const [upstream, broken] of this.#broken) if (broken.every(({ at }) => now - at > CONFIRM_MS)) this.#broken.delete(upstream)
+    for (const [upstream, broken] of this.#broken) if (broken.every(({ at }) => now - at > UNLISTED_MS)) this.#broken.delete(upstream)
   }
 
   /** @returns milliseconds for which a request is still refused; 0 when it is not */
@@ -82,10 +82,27 @@
     return Math.max(0, suspect.lastAt + KEPT_MS - now)
   }
 
+  /** @returns all that is remembered, for a router that has just come into sight */
+  reports (): CrashReport[] {
+    return [...this.#suspects].flatMap(([print, { crashes }]) => [...crashes].map(crash => ({ print, crash })))
+  }
+
   /** Hands over the reports since the last call, for other routers. */
   takeUntold (): CrashReport[] {
     const reports = this.#untold
     this.#untold = []
     return reports
   }
+
+  #noteEnd (upstream: UpstreamId, withinMs: Millis, now: Millis): void {
+    const broken = this.#broken.get(upstream)
+    if (broken === undefined) return
+    this.#broken.delete(upstream)
+    for (const { print, at } of broken) {
+      if (now - at > withinMs) continue
+      const report: CrashReport = { print, crash: `${upstream} ${Math.floor(at / SAME_CRASH_MS)}` }
+      this.noteCrash(report, now)
+      this.#untold.push(report)
+    }
+  }
 }
--- a/soak/src/callers/load.ts
+++ b/soak/src/callers/load.ts
@@ -5,6 +5,7 @@
 import type { Fleet } from '../world/fleet.js'
 import type { Operator } from '../world/operator.js'
 import { TIMEOUTS } from '../world/routes.js'
+import { POISON } from '../world/servedWork.js'
 import { Caller } from './caller.js'
 
 /** Requests a second for each gateway. */
@@ -20,6 +21,10 @@
 /** Share of requests that are sent with a key that was taken away. */
 const TAKEN_KEY_SHARE = 0.1
 
+/** Milliseconds between two tries of the request that ends its upstreams, at gateways by turns, and its path. */
+const POISON_PERIOD_MS: Millis = 900
+const POISON_PATH = '/once/poison'
+
 /** Milliseconds between two probes of a gateway. */
 const PROBE_PERIOD_MS: Millis = 150
 
@@ -43,9 +48,19 @@
 
   start (): void {
     this.#schedule()
+    this.#timers.push(this.clock.every(POISON_PERIOD_MS, () => { this.#sendPoison() }))
     for (const { index } of this.fleet.gateways) this.#timers.push(this.clock.every(PROBE_PERIOD_MS, () => { this.#probe(index) }))
   }
 
+  /** Sends the request that ends its upstreams, as one caller that always comes back. */
+  #sendPoison (): void {
+    const inService = this.fleet.balancer.inService()
+    const gateway = inService[this.#count % Math.max(1, inService.length)]
+    const holder = this.operator.firstKey()
+    if (gateway === undefined || holder === undefined) return
+    this.#callers[gateway]?.send(this.#note(gateway, 'once', POISON_PATH, undefined, holder, POISON), true, undefined)
+  }
+
   /** Sends no more; open requests go on. */
   stop (): void {
     this.#next?.close()
@@ -82,7 +97,7 @@
     this.#callers[gateway]?.send(sent, false, undefined)
   }
 
-  #note (gateway: number, kind: RequestKind, path: string, revision: number | undefined, holder: { key: string, workspace: string } | undefined): SentRequest {
+  #note (gateway: number, kind: RequestKind, path: string, revision: number | undefined, holder: { key: string, workspace: string } | undefined, body = `body ${this.#count}`): SentRequest {
     this.#count += 1
     const sent: SentRequest = {
       gateway,
@@ -90,7 +105,7 @@
       attempt: `a${this.#count}`,
       kind,
       path,
-      body: `body ${this.#count}`,
+      body,
       key: holder?.key,
       workspace: holder?.workspace,
       sentAt: this.clock.now(),
--- a/soak/src/promises/allChecks.ts
+++ b/soak/src/promises/allChecks.ts
@@ -4,7 +4,7 @@
   closedZonesRest, coldUpstreamsSpared, configurationInForce, leavingUpstreamsRest, oneWayConfiguration, retriesBounded, servesWhenCalm, takenKeysStop
 } from './fleetChecks.js'
 import type { BrokenPromise, Ledger, PromiseCheck } from './ledgerTypes.js'
-import { goneCallers, noDoubleWork, nothingLost, nothingTwice, nothingUnasked } from './runChecks.js'
+import { goneCallers, noDoubleWork, nothingLost, nothingTwice, nothingUnasked, poisonContained } from './runChecks.js'
 
 /** Requests a second that a cold upstream of a soak bears. */
 export const COLD_PER_SECOND = 4
@@ -12,7 +12,7 @@
 /** The checks, in order of weight. */
 export const ALL_CHECKS: readonly PromiseCheck[] = [
   nothingTwice, trueRefusals, ownWholeAnswers, nothingUnasked, takenKeysStop, oneWayConfiguration, configurationInForce, closedZonesRest,
-  leavingUpstreamsRest, coldUpstreamsSpared(COLD_PER_SECOND), noDoubleWork, goneCallers, nothingLost, nothingDenied, finalAnswers, retriesBounded, servesWhenCalm
+  leavingUpstreamsRest, coldUpstreamsSpared(COLD_PER_SECOND), noDoubleWork, poisonContained, goneCallers, nothingLost, nothingDenied, finalAnswers, retriesBounded, servesWhenCalm
 ]
 
 /** @returns the first broken promise; undefined when all are kept */
--- a/soak/src/promises/bounds.ts
+++ b/soak/src/promises/bounds.ts
@@ -20,6 +20,9 @@
   goneRequests: 3,
   /** Answers later than the route's timeout. */
   lateMs: 500,
+  /** Ends of upstreams that a request that causes them may cause, and tries of it that may still reach one later than `contactMs` after. */
+  poisonEnds: 3,
+  poisonRetries: 3,
   /** Retries by first attempts, in one window. */
   retryRatio: 0.2,
   retryWindowMs: 10_000,
--- a/soak/src/promises/fleetChecks.ts
+++ b/soak/src/promises/fleetChecks.ts
@@ -2,6 +2,7 @@
 import type { Millis } from '@fuchsiaworks/kernel'
 import { BOUNDS } from './bounds.js'
 import { partsForStore, wasDisturbed } from './disturbed.js'
+import { POISON } from '../world/servedWork.js'
 import { groupByAttempt } from './groupByAttempt.js'
 import type { Arrival, BrokenPromise, ClosedSpan, Ledger, PromiseCheck, SentRequest } from './ledgerTypes.js'
 
@@ -136,7 +137,7 @@
   promise: 'the fleet serves again once nothing disturbs it',
   find: ledger => {
     const from = (ledger.calmFrom ?? Infinity) + BOUNDS.recoveryMs
-    const judged = ledger.requests.filter(req => req.kind !== 'probe' && req.sentAt >= from && req.end !== undefined && req.end.kind !== 'left' &&
+    const judged = ledger.requests.filter(req => req.kind !== 'probe' && req.body !== POISON && req.sentAt >= from && req.end !== undefined && req.end.kind !== 'left' &&
       !ledger.takenKeys.some(({ key }) => key === req.key))
     if (judged.length < MIN_JUDGED) return undefined
     const failed = judged.filter(({ end }) => end?.kind !== 'answer' || end.status !== 200)
--- a/soak/src/promises/promises.spec.ts
+++ b/soak/src/promises/promises.spec.ts
@@ -1,6 +1,6 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
-import { plainAnswer, sealOf, streamAnswer } from '../world/servedWork.js'
+import { plainAnswer, POISON, sealOf, streamAnswer } from '../world/servedWork.js'
 import { COLD_PER_SECOND, findBroken } from './allChecks.js'
 import { BOUNDS } from './bounds.js'
 import { type Arrival, type ClosedSpan, type Disturbance, emptyLedger, type Ledger, type RequestEnd, type SentRequest } from './ledgerTypes.js'
@@ -120,6 +120,16 @@
     expect(promiseOf({ requests, arrivals: run(10_600) })).toEqual(undefined)
   })
 
+  it('sees a request that ends upstreams sent on and on', () => {
+    const tries = (count: number): Partial<Ledger> => ({
+      requests: many(count, nth => request({ attempt: `p${nth}`, body: POISON, sentAt: 10_000 + nth * 2000, end: broken() })),
+      arrivals: many(count, nth => arrival({ attempt: `p${nth}`, body: POISON, at: 10_001 + nth * 2000, end: 'failed' }))
+    })
+    // Three end upstreams; what follows within four seconds and three more are borne.
+    expect(promiseOf(tries(8))).toEqual(undefined)
+    expect(promiseOf(tries(9))).toEqual('a request that ends upstreams is contained')
+  })
+
   it('sees work for callers that have left', () => {
     const left: RequestEnd = { kind: 'left', at: 10_010 }
     const late = { requests: many(4, nth => request({ attempt: `g${nth}`, end: left })), arrivals: many(4, nth => arrival({ attempt: `g${nth}`, at: 10_600, endedAt: 10_625 })) }
--- a/soak/src/promises/runChecks.ts
+++ b/soak/src/promises/runChecks.ts
@@ -3,6 +3,7 @@
 import { BOUNDS } from './bounds.js'
 import { hadPlannedWork, partsOfArrival, partsOfGateway, wasAnythingUnplanned, wasDisturbed } from './disturbed.js'
 import { groupByAttempt } from './groupByAttempt.js'
+import { POISON } from '../world/servedWork.js'
 import type { Arrival, Ledger, PromiseCheck, SentRequest } from './ledgerTypes.js'
 
 /** Upstreams to which the routes of a soak let a request go. */
@@ -68,6 +69,20 @@
   }
 }
 
+/** A request that ends the upstreams that run it is soon sent to none. */
+export const poisonContained: PromiseCheck = {
+  promise: 'a request that ends upstreams is contained',
+  find: ledger => {
+    const requests = byAttempt(ledger)
+    const runs = ledger.arrivals.filter(({ body, ran }) => ran && body === POISON)
+    const last = runs[BOUNDS.poisonEnds - 1]
+    if (last === undefined) return undefined
+    const late = runs.filter(({ attempt, at }) => at > last.at + BOUNDS.contactMs && !wasDisturbed(ledger, partsOfGateway(requests.get(attempt)?.gateway ?? -1), at, at))
+    if (late.length <= BOUNDS.poisonRetries) return undefined
+    return { promise: poisonContained.promise, what: `it reached upstreams ${late.length} times more`, attempts: late.map(({ attempt }) => attempt) }
+  }
+}
+
 /** Requests of callers that have left, with what still reached upstreams or was still worked on. */
 const leftBehind = (ledger: Ledger, now: Millis): { late: string[], working: string[], couldHaveLasted: number } => {
   const arrivals = groupByAttempt(ledger.arrivals.filter(({ ran }) => ran))
--- a/soak/src/world/operator.ts
+++ b/soak/src/world/operator.ts
@@ -61,6 +61,11 @@
     return from[Math.floor(random() * from.length)]
   }
 
+  /** @returns the key that is never taken away as long as its workspace has no other */
+  firstKey (): HeldKey | undefined {
+    return this.#held.find(({ workspace }) => workspace === 'workspace-0')
+  }
+
   /** Closes a zone for a while. */
   closeZone (zone: string, length: number): void {
     const count = this.#closing.get(zone) ?? 0
--- a/soak/src/world/servedWork.ts
+++ b/soak/src/world/servedWork.ts
@@ -1,5 +1,8 @@
 /** What stand-in upstreams answer, and how a caller recognises it. */
 
+/** Body of the request that ends each upstream that runs it. */
+export const POISON = 'poison'
+
 /** Events of a stream. */
 export const STREAM_EVENTS = 12
 
--- a/soak/src/world/upstreamStandin.ts
+++ b/soak/src/world/upstreamStandin.ts
@@ -4,7 +4,7 @@
 import type { Clock, Millis, Timer } from '@fuchsiaworks/kernel'
 import { HEADER } from '@fuchsiaworks/platform-adapter'
 import type { Arrival, Ledger } from '../promises/ledgerTypes.js'
-import { plainAnswer, sealOf, STREAM_EVENTS, streamEvent } from './servedWork.js'
+import { plainAnswer, POISON, sealOf, STREAM_EVENTS, streamEvent } from './servedWork.js'
 
 /** Milliseconds of work of a plain answer, and between two events of a stream. */
 const PLAIN_MS = 25
@@ -41,8 +41,9 @@
    * @param clock - source of time
    * @param facts - what it is
    * @param ledger - takes what arrives
+   * @param onPoison - called when it runs the request that ends it
    */
-  constructor (readonly clock: Clock, readonly facts: UpstreamFacts, readonly ledger: Ledger) {
+  constructor (readonly clock: Clock, readonly facts: UpstreamFacts, readonly ledger: Ledger, readonly onPoison: () => void) {
     this.#server = createServer({ keepAliveTimeout: 60_000 }, (req, res) => { this.#receive(req, res) })
   }
 
@@ -112,6 +113,7 @@
     const run: Run = { arrival, res, timer: undefined }
     this.#runs.add(run)
     res.on('close', () => { this.#end(run, 'cancelled') })
+    if (arrival.body === POISON) return this.onPoison()
     if (this.fault === 'mute') {
       arrival.end = 'failed'
       return
--- a/soak/src/world/upstreams.ts
+++ b/soak/src/world/upstreams.ts
@@ -18,6 +18,9 @@
 /** Milliseconds from the last word of a crashed upstream to the end of its entry. */
 const LAPSE_MS: Millis = 1500
 
+/** Milliseconds for which an upstream is down after the request that ends it. */
+const POISONED_DOWN_MS: Millis = 1500
+
 /** Milliseconds for which an upstream that leaves goes on serving. */
 const DRAIN_MS: Millis = 4000
 
@@ -57,7 +60,7 @@
   async fill (place: UpstreamPlace, coldMs: Millis = COLD_MS): Promise<void> {
     this.#started += 1
     const { service, zone } = place
-    const standin = new UpstreamStandin(this.clock, { id: `u${this.#started}`, service, zone, slots: SLOTS }, this.ledger)
+    const standin: UpstreamStandin = new UpstreamStandin(this.clock, { id: `u${this.#started}`, service, zone, slots: SLOTS }, this.ledger, () => { this.#onPoison(place, standin.facts.id) })
     await standin.start()
     place.current = { standin, relay: await Relay.to(standin.port) }
     if (coldMs > 0) this.ledger.cold.push({ name: standin.facts.id, from: this.clock.now(), to: this.clock.now() + coldMs })
@@ -79,6 +82,13 @@
     this.#refill(place, downMs)
   }
 
+  /** Ends an upstream that has begun a request which no upstream survives. */
+  #onPoison (place: UpstreamPlace, id: string): void {
+    if (place.current?.standin.facts.id !== id) return
+    this.ledger.disturbances.push({ subject: `upstream ${id}`, from: this.clock.now(), to: undefined, isPlanned: false })
+    this.crash(place, POISONED_DOWN_MS)
+  }
+
   /** Lets the upstream of a place say that it leaves, serve on for a while, and end. */
   leave (place: UpstreamPlace, downMs: Millis): void {
     const { current } = place
