--- a/packages/policy/src/crasher/crasher.spec.ts
+++ b/packages/policy/src/crasher/crasher.spec.ts
@@ -31,6 +31,14 @@
     expect(db.refusedFor(7, 7000)).toBeGreaterThan(0)
   })
 
+  it('is not refused for longer because its ends are told again', () => {
+    const db = new CrasherDb()
+    for (const nth of [1, 2, 3]) crash(db, nth, [7], 0)
+    const reports = db.reports()
+    for (let now = 0; now < 59_000; now += 1000) for (const report of reports) db.noteCrash(report, now)
+    expect(db.refusedFor(7, 61_000)).toEqual(0)
+  })
+
   it('is told from requests that ran beside it', () => {
     const db = new CrasherDb()
     for (const nth of [1, 2, 3, 4]) crash(db, nth, [7, 100 + nth, 200 + nth], nth * 2000)
--- a/packages/policy/src/crasher/crasherDb.ts
+++ b/packages/policy/src/crasher/crasherDb.ts
@@ -61,6 +61,8 @@
   noteCrash ({ print, crash }: CrashReport, now: Millis): void {
     const before = this.#suspects.get(print)
     const suspect = before !== undefined && now - before.lastAt < KEPT_MS ? before : { crashes: new Set<string>(), lastAt: now }
+    // A report that is told again, as to a router that comes into sight, is no news.
+    if (suspect.crashes.has(crash)) return
     suspect.crashes.add(crash)
     suspect.lastAt = now
     this.#suspects.delete(print)
