--- a/packages/gateway/src/callers/callerServer.ts
+++ b/packages/gateway/src/callers/callerServer.ts
@@ -1,7 +1,7 @@
 /** Takes callers' requests over HTTP, routes and authenticates them, and opens them in the flow. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { createLog, type Millis, type Service, toError, type WorkspaceId } from '@fuchsiaworks/kernel'
-import { mayHonourKeys } from '@fuchsiaworks/policy'
+import { mayHonourKeys, type ReadingSample } from '@fuchsiaworks/policy'
 import { endToEndHeaders, pairHeaders } from '@fuchsiaworks/wire'
 import type { CallerHead } from '../port/headerPort.js'
 import { drawService, findGatewayRoute } from '../routing/findRoute.js'
@@ -41,6 +41,8 @@
 /** The port for callers. */
 export class CallerServer implements Service {
   readonly #server: Server
+  /** Requests that were read, and those whose callers had left before, since the last look. */
+  #sample = { read: 0, abandoned: 0 }
   #refusing = false
   #closing = false
 
@@ -75,6 +77,13 @@
     this.#server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS
   }
 
+  /** Hands over how many requests were read since the last call. */
+  takeSample (): ReadingSample {
+    const sample = this.#sample
+    this.#sample = { read: 0, abandoned: 0 }
+    return sample
+  }
+
   /** From now on each answer is the last of its connection. */
   startClosing (): void {
     this.#closing = true
@@ -139,6 +148,7 @@
     if (result.kind === 'cut') return
     if (result.kind === 'too-long') return this.#reject(req, res, { status: 413, reason: 'body-too-long' })
     await nextPoll()
+    this.#sample.read += 1
     // A process that was busy or has just started reads requests whose callers have given up; their close is read after them.
     if (req.socket.readableEnded || req.socket.destroyed) return this.#noteCallerGone(head)
     // A body may take long; what was admitted by its headers may not be allowed any more.
@@ -162,6 +172,7 @@
   }
 
   #noteCallerGone (head: CallerHead): void {
+    this.#sample.abandoned += 1
     this.ctx.metrics.requests.inc({ service: 'none', outcome: 'caller-gone' })
     this.ctx.requestLog.write('a request was dropped: its caller had closed the connection before it was read', { request: head.attempt })
   }
--- a/packages/gateway/src/peers/peerCodec.ts
+++ b/packages/gateway/src/peers/peerCodec.ts
@@ -5,7 +5,7 @@
 import type { PeerState } from './peerTypes.js'
 
 /** Version of the messages; others are refused. */
-const VERSION = 3
+const VERSION = 4
 
 const packer = new Packr({ useRecords: false })
 
@@ -24,6 +24,7 @@
   state.address,
   state.zone,
   state.isLeaving,
+  state.isOut,
   [...state.loads].map(([id, load]) => [id, load.open, load.waitingTokens, load.heldTokens]),
   [...state.totals].map(([id, totals]) => [id, totals.asked, totals.served]),
   state.avoided.map(({ upstream, remainingMs }) => [upstream, remainingMs]),
@@ -69,13 +70,14 @@
  * @throws PeerMessageError when it is malformed or of another version
  */
 export const decodePeerState = (bytes: Uint8Array): PeerState => {
-  const [version, peer, address, zone, isLeaving, loads, totals, avoided, addresses, parts, crashes] = list(packer.unpack(bytes), 'the message')
+  const [version, peer, address, zone, isLeaving, isOut, loads, totals, avoided, addresses, parts, crashes] = list(packer.unpack(bytes), 'the message')
   if (version !== VERSION) throw new PeerMessageError(`version ${String(version)}`)
   return {
     peer: text<PeerId>(peer, 'the peer'),
     address: text(address, 'the address'),
     zone: text<ZoneId>(zone, 'the zone'),
     isLeaving: isLeaving === true,
+    isOut: isOut === true,
     loads: new Map(list(loads, 'loads').map(decodeLoad)),
     totals: new Map(list(totals, 'totals').map(decodeTotals)),
     avoided: list(avoided, 'avoided').map(entry => {
--- a/packages/gateway/src/peers/peerMesh.spec.ts
+++ b/packages/gateway/src/peers/peerMesh.spec.ts
@@ -17,6 +17,7 @@
   address: '127.0.0.1:1',
   zone: asId<ZoneId>('east'),
   isLeaving: false,
+  isOut: true,
   loads: new Map([[asId<UpstreamId>('u1'), LOAD]]),
   totals: new Map([[asId<WorkspaceId>('w1'), { asked: 10, served: 5 }]]),
   avoided: [{ upstream: asId<UpstreamId>('u2'), remainingMs: 300 }],
@@ -45,7 +46,7 @@
   })
 
   it('is refused whole when it is malformed or of another version', () => {
-    const wrong = [[2, 'p', 'a', 'z', false, [], [], [], [], [], []], [3, 5, 'a', 'z', false, [], [], [], [], [], []], [3, 'p', 'a', 'z', false, [['u', 'many']], [], [], [], [], []], 'text']
+    const wrong = [[3, 'p', 'a', 'z', false, false, [], [], [], [], [], []], [4, 5, 'a', 'z', false, false, [], [], [], [], [], []], [4, 'p', 'a', 'z', false, false, [['u', 'many']], [], [], [], [], []], 'text']
     for (const message of wrong) {
       const bytes = Buffer.from(JSON.stringify(message))
       expect(() => decodePeerState(bytes)).toThrow()
--- a/packages/gateway/src/peers/peerMesh.ts
+++ b/packages/gateway/src/peers/peerMesh.ts
@@ -61,6 +61,7 @@
   inSight: boolean
   address: string
   zone: ZoneId
+  isOut: boolean
 }
 
 /** Where a router is found. */
@@ -96,6 +97,8 @@
   #addressesToldAt: Millis = -Infinity
   #leaving = false
   #totalsTold = new Map<WorkspaceId, TokenTotals>()
+  /** True while this router has taken itself out of the balancer's choice. */
+  isOut = false
 
   /**
    * @param clock - source of time
@@ -158,7 +161,7 @@
 
   /** @returns the routers in sight, with where they are */
   neighbours (): Neighbour[] {
-    return [...this.#peers].filter(([, { inSight }]) => inSight).map(([id, { zone, address }]) => ({ id, zone, address }))
+    return [...this.#peers].filter(([, { inSight }]) => inSight).map(([id, { zone, address, isOut }]) => ({ id, zone, address, isOut }))
   }
 
   #dial (address: string): void {
@@ -190,7 +193,7 @@
     for (const address of state.addresses) this.#dial(address)
     this.states.emit(state)
     if (state.isLeaving) this.#forget(state.peer)
-    else this.#peers.set(state.peer, { heardAt: this.clock.now(), inSight: true, address: state.address, zone: state.zone })
+    else this.#peers.set(state.peer, { heardAt: this.clock.now(), inSight: true, address: state.address, zone: state.zone, isOut: state.isOut })
   }
 
   /** Ends the record of a router that left, or whose successor listens on its address. */
@@ -240,6 +243,6 @@
   #encode (totals: ReadonlyMap<WorkspaceId, TokenTotals>, news: MeshNews): Buffer {
     const { loads, avoided } = this.own.read()
     const addresses = this.#takeAddresses()
-    return encodePeerState({ peer: this.self, address: this.#address, zone: this.place.zone, isLeaving: this.#leaving, loads, totals, avoided, addresses, ...news })
+    return encodePeerState({ peer: this.self, address: this.#address, zone: this.place.zone, isLeaving: this.#leaving, isOut: this.isOut, loads, totals, avoided, addresses, ...news })
   }
 }
--- a/packages/gateway/src/process/startGateway.ts
+++ b/packages/gateway/src/process/startGateway.ts
@@ -12,6 +12,7 @@
 import { RequestFlow } from '../requests/requestFlow.js'
 import { UpstreamClients } from '../upstreams/upstreamClients.js'
 import { PlainPage } from './plainPage.js'
+import { SelfCheck } from './selfCheck.js'
 import { applyPeer, applyView, createMesh, noteUnlisted } from './wiring.js'
 
 /** Share of the fleet's retry budget that is used, so that two counts of one window stay below it. */
@@ -84,9 +85,10 @@
   }
   const flow = new RequestFlow(ctx)
   const callers = new CallerServer(ctx, flow)
+  const selfCheck = new SelfCheck(clock, settings.zone, callers, mesh)
   let ending = false
   const ready = new PlainPage({ ...settings.ready, path: ports.readyPath }, () => {
-    const ok = !ending && ports.fleet.view.table !== undefined
+    const ok = !ending && !selfCheck.isOut && ports.fleet.view.table !== undefined
     return { status: ok ? 200 : 503, type: 'text/plain', body: ok ? 'ready\n' : 'not ready\n' }
   })
   let upstreams: FleetView['upstreams'] = new Map()
@@ -113,6 +115,7 @@
   register('mesh', mesh)
   register('flow', flow)
   register('callers', callers)
+  register('self-check', selfCheck)
   register('ready', ready)
   if (ports.metrics !== undefined) {
     register('metrics', new PlainPage({ host: settings.callers.host, ...ports.metrics }, async () => {
