Read the gateway's state once for each message; share what the soak's checks read; no change of behaviour

Cause: a reading of the whole change. Each state told to the other gateways, ten and more a second, was put together twice, once for its totals and once for the rest; the search for an engine to copy from summed the load of every engine, also of those that keep nothing.

Change: the state is read once and handed on; loads are summed only for engines that can give something. `isOut` stands with the mesh, which knows it, not with the choice of readers, which does not ask.

Assertions and bounds are as they were.

--- a/packages/gateway/src/peers/peerMesh.ts
+++ b/packages/gateway/src/peers/peerMesh.ts
@@ -64,6 +64,12 @@
   isOut: boolean
 }
 
+/** A router in sight. */
+export interface SeenRouter extends Neighbour {
+  /** True when it has taken itself out of the balancer's choice. */
+  readonly isOut: boolean
+}
+
 /** Where a router is found. */
 export interface MeshPlace {
   readonly zone: ZoneId
@@ -160,13 +166,13 @@
   }
 
   /** @returns the routers in sight, with where they are */
-  neighbours (): Neighbour[] {
+  neighbours (): SeenRouter[] {
     return [...this.#peers].filter(([, { inSight }]) => inSight).map(([id, { zone, address, isOut }]) => ({ id, zone, address, isOut }))
   }
 
   #dial (address: string): void {
     if (address === this.#address || this.#dialers.has(address)) return
-    this.#dialers.set(address, new PeerDialer(address, this.clock, dialer => { dialer.send(this.#encode(this.own.read().totals, this.own.recentNews())) }))
+    this.#dialers.set(address, new PeerDialer(address, this.clock, dialer => { dialer.send(this.#encode(this.own.read(), this.own.recentNews())) }))
   }
 
   #accept (socket: WebSocket): void {
@@ -222,13 +228,13 @@
     this.#changeTimer?.close()
     this.#changeTimer = undefined
     if (this.#dialers.size === 0) return
-    const { totals } = this.own.read()
-    const changed = new Map([...totals].filter(([id, { asked, served }]) => {
+    const own = this.own.read()
+    const changed = new Map([...own.totals].filter(([id, { asked, served }]) => {
       const told = this.#totalsTold.get(id)
       return told === undefined || told.asked !== asked || told.served !== served
     }))
     for (const [id, { asked, served }] of changed) this.#totalsTold.set(id, { asked, served })
-    const bytes = this.#encode(changed, this.own.takeNews())
+    const bytes = this.#encode({ ...own, totals: changed }, this.own.takeNews())
     for (const dialer of this.#dialers.values()) dialer.send(bytes)
   }
 
@@ -240,9 +246,8 @@
     return [...this.#peers.values()].filter(peer => peer.inSight).map(peer => peer.address)
   }
 
-  #encode (totals: ReadonlyMap<WorkspaceId, TokenTotals>, news: MeshNews): Buffer {
-    const { loads, avoided } = this.own.read()
+  #encode (own: OwnState, news: MeshNews): Buffer {
     const addresses = this.#takeAddresses()
-    return encodePeerState({ peer: this.self, address: this.#address, zone: this.place.zone, isLeaving: this.#leaving, isOut: this.isOut, loads, totals, avoided, addresses, ...news })
+    return encodePeerState({ peer: this.self, address: this.#address, zone: this.place.zone, isLeaving: this.#leaving, isOut: this.isOut, addresses, ...own, ...news })
   }
 }
--- a/packages/policy/src/placement/placement.ts
+++ b/packages/policy/src/placement/placement.ts
@@ -76,8 +76,9 @@
     if (record.facts.copyMsPerKToken === undefined || record.avoidUntil > now) continue
     const missing = parts.findIndex(({ hash }) => !record.canGivePart(hash, now))
     const count = missing === -1 ? parts.length : missing
+    if (count === 0 || count < (best?.parts ?? 0)) continue
     const waiting = record.totalLoad.waitingTokens
-    if (count > 0 && (best === undefined || count > best.parts || (count === best.parts && waiting < best.waiting))) best = { id: record.id, parts: count, waiting }
+    if (best === undefined || count > best.parts || waiting < best.waiting) best = { id: record.id, parts: count, waiting }
   }
   return best
 }
--- a/packages/policy/src/reader/reader.spec.ts
+++ b/packages/policy/src/reader/reader.spec.ts
@@ -10,7 +10,7 @@
 const ZONES = ['east', 'west', 'north'].map(zone => asId<ZoneId>(zone))
 
 const routers = (count: number): Neighbour[] => Array.from({ length: count }, (_, at) =>
-  ({ id: asId<PeerId>(`r${at}`), zone: ZONES[at % ZONES.length]!, address: `10.0.0.${at}:80`, isOut: false }))
+  ({ id: asId<PeerId>(`r${at}`), zone: ZONES[at % ZONES.length]!, address: `10.0.0.${at}:80` }))
 
 const rolesOf = (all: readonly Neighbour[]): ReadingRole[] => all.map(({ id, zone }) =>
   chooseReadingRole(hash, { self: id, zone, neighbours: all.filter(one => one.id !== id) }))
--- a/packages/policy/src/reader/readerTypes.ts
+++ b/packages/policy/src/reader/readerTypes.ts
@@ -8,8 +8,6 @@
   readonly zone: ZoneId
   /** Address as `ip:port` at which it listens for other routers. */
   readonly address: string
-  /** True when it has taken itself out of the balancer's choice. */
-  readonly isOut: boolean
 }
 
 /** What a router knows of the fleet. */
--- a/soak/src/promises/answerChecks.ts
+++ b/soak/src/promises/answerChecks.ts
@@ -1,8 +1,8 @@
 /** Promises about single answers. */
 import { plainAnswer, sealOf, streamAnswer } from '../world/servedWork.js'
 import { BOUNDS } from './bounds.js'
+import { runsByAttempt } from './byAttempt.js'
 import { partsOfGateway, wasDisturbed } from './disturbed.js'
-import { groupByAttempt } from './groupByAttempt.js'
 import type { Ledger, PromiseCheck, SentRequest } from './ledgerTypes.js'
 
 /** Statuses by which a gateway promises that a request has not run and never will. */
@@ -39,7 +39,7 @@
 export const trueRefusals: PromiseCheck = {
   promise: 'a refusal that says "not run" is true',
   find: ledger => {
-    const ran = groupByAttempt(ledger.arrivals.filter(arrival => arrival.ran))
+    const ran = runsByAttempt(ledger)
     for (const { attempt, end } of ledger.requests) {
       if (end?.kind !== 'answer' || !NOT_RUN_STATUSES.includes(end.status) || !ran.has(attempt)) continue
       return { promise: trueRefusals.promise, what: `a request that ran was answered ${end.status}`, attempts: [attempt] }
--- a/soak/src/promises/fleetChecks.ts
+++ b/soak/src/promises/fleetChecks.ts
@@ -1,9 +1,9 @@
 /** Promises that hold over all gateways: configuration, keys, zones, leaving and cold upstreams, retries, service. */
 import type { Millis } from '@fuchsiaworks/kernel'
+import { POISON } from '../world/servedWork.js'
 import { BOUNDS } from './bounds.js'
+import { groupByAttempt, requestByAttempt, runsByAttempt } from './byAttempt.js'
 import { partsForStore, wasDisturbed } from './disturbed.js'
-import { POISON } from '../world/servedWork.js'
-import { groupByAttempt } from './groupByAttempt.js'
 import type { Arrival, BrokenPromise, ClosedSpan, Ledger, PromiseCheck, SentRequest } from './ledgerTypes.js'
 
 /** Requests from which a share is judged. */
@@ -60,7 +60,7 @@
 export const takenKeysStop: PromiseCheck = {
   promise: 'a key that was taken away stops working',
   find: ledger => {
-    const ran = groupByAttempt(ledger.arrivals.filter(arrival => arrival.ran))
+    const ran = runsByAttempt(ledger)
     for (const { key, attempt, sentAt } of ledger.requests) {
       const taken = ledger.takenKeys.find(one => one.key === key)
       if (taken === undefined || sentAt <= taken.at + BOUNDS.revokeMs || !ran.has(attempt)) continue
@@ -71,7 +71,7 @@
 }
 
 const findUse = (ledger: Ledger, promise: string, spans: readonly ClosedSpan[], nameOf: (arrival: Arrival) => string, boundMs: Millis): BrokenPromise | undefined => {
-  const requests = new Map(ledger.requests.map(req => [req.attempt, req]))
+  const requests = requestByAttempt(ledger)
   for (const { name, from, to } of spans) {
     for (const arrival of ledger.arrivals) {
       const req = requests.get(arrival.attempt)
--- a/soak/src/promises/runChecks.ts
+++ b/soak/src/promises/runChecks.ts
@@ -1,9 +1,9 @@
 /** Promises about what upstreams run. */
 import type { Millis } from '@fuchsiaworks/kernel'
+import { POISON } from '../world/servedWork.js'
 import { BOUNDS } from './bounds.js'
+import { requestByAttempt, runsByAttempt } from './byAttempt.js'
 import { hadPlannedWork, partsOfArrival, partsOfGateway, wasAnythingUnplanned, wasDisturbed } from './disturbed.js'
-import { groupByAttempt } from './groupByAttempt.js'
-import { POISON } from '../world/servedWork.js'
 import type { Arrival, Ledger, PromiseCheck, SentRequest } from './ledgerTypes.js'
 
 /** Upstreams to which the routes of a soak let a request go. */
@@ -15,13 +15,11 @@
 /** Broken connections that are borne where nothing was disturbed or planned: those of chance. */
 const BORNE_LOSSES = 3
 
-const byAttempt = ({ requests }: Ledger): Map<string, SentRequest> => new Map(requests.map(req => [req.attempt, req]))
-
 /** Nothing that must not repeat runs twice. */
 export const nothingTwice: PromiseCheck = {
   promise: 'nothing that must not repeat runs twice',
   find: ledger => {
-    const runs = groupByAttempt(ledger.arrivals.filter(({ ran }) => ran))
+    const runs = runsByAttempt(ledger)
     for (const { attempt, kind } of ledger.requests) {
       const count = runs.get(attempt)?.length ?? 0
       if (count > (kind === 'once' ? 1 : MAX_ATTEMPTS)) {
@@ -43,7 +41,7 @@
 export const nothingUnasked: PromiseCheck = {
   promise: 'upstreams get what callers sent, in the name of their workspace',
   find: ledger => {
-    const requests = byAttempt(ledger)
+    const requests = requestByAttempt(ledger)
     for (const arrival of ledger.arrivals) {
       const what = faultOfArrival(arrival, requests.get(arrival.attempt))
       if (what !== undefined) return { promise: nothingUnasked.promise, what, attempts: [arrival.attempt] }
@@ -56,8 +54,8 @@
 export const noDoubleWork: PromiseCheck = {
   promise: 'a stream that goes on elsewhere is not worked on where it was',
   find: (ledger, now) => {
-    const requests = byAttempt(ledger)
-    for (const [attempt, [first, second]] of groupByAttempt(ledger.arrivals.filter(({ ran }) => ran))) {
+    const requests = requestByAttempt(ledger)
+    for (const [attempt, [first, second]] of runsByAttempt(ledger)) {
       if (first === undefined || second === undefined) continue
       const limit = second.at + HANDED_OVER_MS
       if ((first.endedAt ?? now) <= limit) continue
@@ -73,7 +71,7 @@
 export const poisonContained: PromiseCheck = {
   promise: 'a request that ends upstreams is contained',
   find: ledger => {
-    const requests = byAttempt(ledger)
+    const requests = requestByAttempt(ledger)
     const runs = ledger.arrivals.filter(({ body, ran }) => ran && body === POISON)
     const last = runs[BOUNDS.poisonEnds - 1]
     if (last === undefined) return undefined
@@ -85,7 +83,7 @@
 
 /** Requests of callers that have left, with what still reached upstreams or was still worked on. */
 const leftBehind = (ledger: Ledger, now: Millis): { late: string[], working: string[], couldHaveLasted: number } => {
-  const arrivals = groupByAttempt(ledger.arrivals.filter(({ ran }) => ran))
+  const arrivals = runsByAttempt(ledger)
   const late: string[] = []
   const working: string[] = []
   let couldHaveLasted = 0
@@ -116,7 +114,7 @@
 
 /** Requests whose connection ended without a whole answer although an upstream was at work on them and nothing excuses it. */
 const lostRequests = (ledger: Ledger, isPlanned: boolean): string[] => {
-  const arrivals = groupByAttempt(ledger.arrivals.filter(({ ran }) => ran))
+  const arrivals = runsByAttempt(ledger)
   return ledger.requests.filter(({ attempt, end, gateway, sentAt, timeoutMs }) => {
     if (end?.kind !== 'broken' || end.at >= sentAt + timeoutMs) return false
     const runs = arrivals.get(attempt) ?? []
--- a/soak/src/world/operator.ts
+++ b/soak/src/world/operator.ts
@@ -39,7 +39,7 @@
       routes: routesOf(this.revision),
       services: new Map(Object.values(SERVICES).map(name => [asId<ServiceId>(name), { id: asId<ServiceId>(name), maxConnections: 64, coldPerSecond: COLD_PER_SECOND, engine: undefined }])),
       workspaceByKey: new Map(this.#held.map(({ key, workspace }) => [key, asId<WorkspaceId>(workspace)])),
-      limits: { headerBytes: 0, bodyBytes: 0, headerTimeoutMs: 0, idleTimeoutMs: 0, tokensPerSecond: undefined }
+      limits: { headerBytes: 16_384, bodyBytes: 1_048_576, headerTimeoutMs: 3000, idleTimeoutMs: 15_000, tokensPerSecond: undefined }
     })
     this.ledger.publications.push({ revision: this.revision, at: this.clock.now() })
   }
--- a/soak/src/world/strike.ts
+++ b/soak/src/world/strike.ts
@@ -1,7 +1,7 @@
 /** Brings the faults of a schedule about, and notes in the ledger what was disturbed and for how long. */
 import { assertNever, type Clock, createLog, type Millis, toError } from '@fuchsiaworks/kernel'
 import type { Disturbance, Ledger } from '../promises/ledgerTypes.js'
-import type { FaultKind, GATEWAY_FAULTS, LINK_FAULTS, OPERATOR_ACTS, ScheduledFault, STORE_FAULTS, UPSTREAM_FAULTS } from '../schedule/faultTypes.js'
+import type { GATEWAY_FAULTS, LINK_FAULTS, OPERATOR_ACTS, ScheduledFault, STORE_FAULTS, UPSTREAM_FAULTS } from '../schedule/faultTypes.js'
 import { type Fleet, ZONES } from './fleet.js'
 import { type GatewayProcess, LEAP_SIGNAL } from './gatewayProcess.js'
 import type { Operator } from './operator.js'
@@ -54,9 +54,13 @@
       case 'all-gateways':
         for (const gateway of fleet.gateways) this.#strikeGateway(gateway, kind.act, length)
         return
-      case 'store-link': return this.#strikeLink(fleet.storeLinks, kind, length)
-      case 'peer-link': return this.#strikeLink(fleet.peerLinks, kind, length)
-      case 'upstream-link': return this.#strikeUpstreamLink(at(upstreams.places, kind.index), kind.act, length)
+      case 'store-link': return this.#strikeLink(at(fleet.storeLinks, kind.index), `store-link ${kind.index % fleet.storeLinks.length}`, kind.act, length)
+      case 'peer-link': return this.#strikeLink(at(fleet.peerLinks, kind.index), `peer-link ${kind.index % fleet.peerLinks.length}`, kind.act, length)
+      case 'upstream-link': {
+        const { current } = at(upstreams.places, kind.index)
+        if (current !== undefined) this.#strikeLink(current.relay, `upstream-link ${current.standin.facts.id}`, kind.act, length)
+        return
+      }
       case 'store': return this.#strikeStore(kind.act, length)
       case 'upstream': return this.#strikeUpstream(at(upstreams.places, kind.index), kind.act, length)
       case 'operator': return this.#operate(kind.index, kind.act, length)
@@ -111,16 +115,9 @@
     ended.then(() => { this.clock.after(act === 'kill' ? length : 0, startAgain) }, err => { log.error('a gateway could not be ended', { reason: toError(err).message }) })
   }
 
-  #strikeLink (links: readonly Relay[], { subject, index, act }: Extract<FaultKind, { subject: 'peer-link' | 'store-link' }>, length: Millis): void {
-    const nth = index % links.length
-    at(links, index).disturb(this.clock, act, length)
-    this.#note(`${subject} ${nth}`, act === 'silence' || act === 'one-way' ? Math.max(length, SILENCE_FOUND_MS) : length)
-  }
-
-  #strikeUpstreamLink ({ current }: UpstreamPlace, act: typeof LINK_FAULTS[number], length: Millis): void {
-    if (current === undefined) return
-    current.relay.disturb(this.clock, act, length)
-    this.#note(`upstream-link ${current.standin.facts.id}`, act === 'silence' || act === 'one-way' ? Math.max(length, SILENCE_FOUND_MS) : length)
+  #strikeLink (link: Relay, subject: string, act: typeof LINK_FAULTS[number], length: Millis): void {
+    link.disturb(this.clock, act, length)
+    this.#note(subject, act === 'silence' || act === 'one-way' ? Math.max(length, SILENCE_FOUND_MS) : length)
   }
 
   #strikeStore (act: typeof STORE_FAULTS[number], length: Millis): void {
