Report the load of the event loop and the wait in the listen queue

Node.js cannot read the length of the listen queue, so the gateway connects to its own listening socket each second; its connection is accepted after those that were queued before it.

--- a/packages/gateway/src/callers/callerServer.ts
+++ b/packages/gateway/src/callers/callerServer.ts
@@ -1,5 +1,6 @@
 /** HTTP server for callers: routes and authenticates requests, reads their bodies and passes them to the request flow. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 import { createLog, type Millis, type Service, toError, type WorkspaceId } from '@fuchsiaworks/kernel'
 import { mayAcceptApiKeys, type AbandonmentSample } from '@fuchsiaworks/policy'
 import { endToEndHeaders, pairHeaders } from '@fuchsiaworks/wire'
@@ -41,6 +42,7 @@
 /** Accepts requests of callers. */
 export class CallerServer implements Service {
   readonly #server: Server
+  readonly #sockets = new Set<Socket>()
   /** Requests read since the last sample, and how many of them their callers had abandoned by then. */
   #sample = { read: 0, abandoned: 0 }
   #isStopping = false
@@ -49,20 +51,27 @@
   /**
    * @param ctx - services of the process
    * @param flow - processes the admitted requests
+   * @param onConnection - called with each accepted connection; returns false when it is not a caller's
    */
-  constructor (readonly ctx: FlowContext, readonly flow: RequestFlow) {
+  constructor (readonly ctx: FlowContext, readonly flow: RequestFlow, readonly onConnection: (socket: Socket) => boolean) {
     this.#server = createServer({
       maxHeaderSize: MAX_PARSED_HEADER_BYTES,
       connectionsCheckingInterval: HEADERS_TIMEOUT_CHECK_INTERVAL_MS,
       requestTimeout: 0,
       noDelay: true
     }, (req, res) => { this.#receive(req, res) })
+    this.#server.on('connection', (socket: Socket) => { if (this.onConnection(socket)) this.#track(socket) })
     this.#server.on('checkContinue', (req, res) => {
       res.writeContinue()
       this.#receive(req, res)
     })
   }
 
+  /** Open connections of callers. */
+  get connections (): number {
+    return this.#sockets.size
+  }
+
   async start (): Promise<void> {
     const { host, port } = this.ctx.settings.callers
     await new Promise<void>((resolve, reject) => {
@@ -105,6 +114,11 @@
     this.#server.closeAllConnections()
   }
 
+  #track (socket: Socket): void {
+    this.#sockets.add(socket)
+    socket.on('close', () => { this.#sockets.delete(socket) })
+  }
+
   #receive (req: IncomingMessage, res: ServerResponse): void {
     const arrivedAt = this.ctx.clock.now()
     if (this.#keepAliveDisabled) res.setHeader('connection', 'close')
--- a/packages/gateway/src/log/gatewayMetrics.ts
+++ b/packages/gateway/src/log/gatewayMetrics.ts
@@ -12,6 +12,11 @@
   readonly firstByte = new Histogram({ name: 'fuchsiaworks_first_byte_seconds', help: 'Time to the first byte of an answer', labelNames: ['service'], buckets: LATENCY_BUCKETS_S, registers: [this.registry] })
   readonly open = new Gauge({ name: 'fuchsiaworks_open_requests', help: 'Requests that have not ended', registers: [this.registry] })
   readonly peers = new Gauge({ name: 'fuchsiaworks_peers', help: 'Other routers in sight', registers: [this.registry] })
+  readonly accepted = new Counter({ name: 'fuchsiaworks_connections_accepted_total', help: 'Accepted connections of callers', registers: [this.registry] })
+  readonly connections = new Gauge({ name: 'fuchsiaworks_connections', help: 'Open connections of callers', registers: [this.registry] })
+  readonly eventLoopUtilization = new Gauge({ name: 'fuchsiaworks_event_loop_utilization', help: 'Share of the last second in which the event loop was busy', registers: [this.registry] })
+  readonly eventLoopDelay = new Gauge({ name: 'fuchsiaworks_event_loop_delay_seconds', help: 'Largest delay of a timer in the last second', registers: [this.registry] })
+  readonly listenQueueWait = new Gauge({ name: 'fuchsiaworks_listen_queue_wait_seconds', help: 'Time for which a new connection waited to be accepted, measured each second', registers: [this.registry] })
   readonly revision = new Gauge({ name: 'fuchsiaworks_configuration_revision', help: 'Revision of the configuration in force', registers: [this.registry] })
   readonly upstreams = new Gauge({ name: 'fuchsiaworks_upstreams', help: 'Registered upstreams that are not leaving', registers: [this.registry] })
 }
--- a/packages/gateway/src/process/startGateway.ts
+++ b/packages/gateway/src/process/startGateway.ts
@@ -1,6 +1,6 @@
 /** Starts a gateway: a proxy without queues that sends requests straight to upstreams. */
 import { randomBytes } from 'node:crypto'
-import { createLog, Kernel, type Millis, onEvent, type RunningProcess, type Service, systemClock } from '@fuchsiaworks/kernel'
+import { createLog, Kernel, ListenQueueProbe, type Millis, onEvent, type RunningProcess, type Service, systemClock } from '@fuchsiaworks/kernel'
 import { chooseStoreWatchRole, coldPaceDefinition, crashSuspectDefinition, loadStringHash, placementDefinition, RetryBudget, tokenShareDefinition } from '@fuchsiaworks/policy'
 import { CallerServer } from '../callers/callerServer.js'
 import { GatewayMetrics } from '../log/gatewayMetrics.js'
@@ -11,6 +11,7 @@
 import type { FlowContext } from '../requests/flowContext.js'
 import { RequestFlow } from '../requests/requestFlow.js'
 import { UpstreamClients } from '../upstreams/upstreamClients.js'
+import { LoadMonitor } from './loadMonitor.js'
 import { PageServer } from './pageServer.js'
 import { SelfCheck } from './selfCheck.js'
 import { applyPeerState, applyFleetView, createPeerMesh, recordUnlistedUpstreams } from './wiring.js'
@@ -82,7 +83,13 @@
     requestLog: new RequestLog(clock)
   }
   const flow = new RequestFlow(ctx)
-  const callerServer = new CallerServer(ctx, flow)
+  const listenQueueProbe = new ListenQueueProbe(clock, settings.callers)
+  const loadMonitor = new LoadMonitor(clock, ctx.metrics, listenQueueProbe, () => ({ connections: callerServer.connections, requests: flow.size }))
+  const callerServer = new CallerServer(ctx, flow, socket => {
+    if (listenQueueProbe.acceptConnection(socket)) return false
+    loadMonitor.recordAccepted()
+    return true
+  })
   const selfCheck = new SelfCheck(clock, settings.zone, callerServer, mesh)
   let isDraining = false
   const readyServer = new PageServer({ ...settings.ready, path: ports.readyPath }, () => {
@@ -114,6 +121,7 @@
   register('flow', flow)
   register('callers', callerServer)
   register('self-check', selfCheck)
+  register('load', loadMonitor)
   register('ready', readyServer)
   if (ports.metrics !== undefined) {
     register('metrics', new PageServer({ host: settings.callers.host, ...ports.metrics }, async () => {
