Wait for the response in the spec of forwarded responses

Its fixture read for 40 ms from the request on, and a process that has just started took longer. The checks are the same.

--- a/packages/gateway/src/requests/responseRelay.spec.ts
+++ b/packages/gateway/src/requests/responseRelay.spec.ts
@@ -4,16 +4,26 @@
 import { expect } from 'earl'
 import { ResponseRelay } from './responseRelay.js'
 
+/** Time without further bytes after which a response counts as received, and the longest wait for its first byte. */
+const QUIET_MS = 40
+const FIRST_BYTE_TIMEOUT_MS = 5000
+
 /** Responds to one raw request through a relay and returns the bytes that the caller receives. */
 const respond = async (isStream: boolean, act: (relay: ResponseRelay, res: ServerResponse) => void): Promise<string> => {
   const server = createServer((_req, res) => { act(new ResponseRelay(res, isStream, undefined), res) })
   await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
   const socket = connect((server.address() as AddressInfo).port, '127.0.0.1')
   let bytes = ''
-  socket.on('data', chunk => { bytes += chunk.toString() })
   socket.on('error', () => {})
   socket.write('GET / HTTP/1.1\r\nHost: a\r\n\r\n')
-  await new Promise(resolve => { setTimeout(resolve, 40) })
+  await new Promise<void>(resolve => {
+    let timer = setTimeout(resolve, FIRST_BYTE_TIMEOUT_MS)
+    socket.on('data', chunk => {
+      bytes += chunk.toString()
+      clearTimeout(timer)
+      timer = setTimeout(resolve, QUIET_MS)
+    })
+  })
   socket.destroy()
   server.closeAllConnections()
   server.close()
