--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -2,3 +2,4 @@
 export { Child } from './processes/child.js'
 export { findPorts } from './processes/ports.js'
 export { drawInterval, pickWeighted, type Random, seededRandom } from './load/random.js'
+export { readProcess } from './measures/processUsage.js'
--- a/soak/src/world/fleet.ts
+++ b/soak/src/world/fleet.ts
@@ -5,7 +5,7 @@
 import type { Clock } from '@fuchsiaworks/kernel'
 import { StoreStandin } from '@fuchsiaworks/platform-adapter/standins'
 import { LoadBalancer } from './loadBalancer.js'
-import { findGatewayPorts, GatewayProcess } from './gatewayProcess.js'
+import { BUNDLED_PROGRAM, findGatewayPorts, GatewayProcess } from './gatewayProcess.js'
 import { Relay } from './relay.js'
 
 /** Availability zones. */
@@ -31,8 +31,9 @@
  *
  * @param clock - source of time
  * @param size - number of gateways
+ * @param program - script that the gateways run
  */
-export const buildFleet = async (clock: Clock, size: number): Promise<Fleet> => {
+export const buildFleet = async (clock: Clock, size: number, program = BUNDLED_PROGRAM): Promise<Fleet> => {
   const folder = mkdtempSync(join(tmpdir(), 'fuchsiaworks-soak-'))
   const store = new StoreStandin()
   await store.start()
@@ -45,7 +46,7 @@
     storeAddress: storeLinks[index]?.address ?? '',
     advertisedAddress: peerLinks[index]?.address ?? '',
     seedAddresses: peerLinks.slice(0, SEED_COUNT).map(({ address }) => address)
-  }))
+  }, program))
   const balancer = new LoadBalancer(clock, ports.map(({ ready }) => ready))
   return {
     store,
--- a/soak/src/world/gatewayProcess.ts
+++ b/soak/src/world/gatewayProcess.ts
@@ -9,7 +9,10 @@
 const ROOT = fileURLToPath(new URL('../../..', import.meta.url))
 
 /** The bundled program; `scripts/bundle.mjs` writes it. */
-const PROGRAM = join(ROOT, 'target/fuchsiaworks.js')
+export const BUNDLED_PROGRAM = join(ROOT, 'target/fuchsiaworks.js')
+
+/** The program as compiled, for specs that run before there is a bundle. */
+export const COMPILED_PROGRAM = join(ROOT, 'platform/dist/main.js')
 
 /** Preloaded module that makes the wall clock of the process jump on a signal. */
 const CLOCK_JUMP_MODULE = fileURLToPath(new URL('./clockJump.js', import.meta.url))
@@ -57,8 +60,9 @@
    * @param zone - availability zone
    * @param ports - ports to listen on
    * @param addresses - addresses of the store and of peers
+   * @param program - script to run
    */
-  constructor (folder: string, readonly index: number, zone: string, readonly ports: GatewayPorts, addresses: GatewayAddresses) {
+  constructor (folder: string, readonly index: number, zone: string, readonly ports: GatewayPorts, addresses: GatewayAddresses, readonly program: string) {
     this.#settingsFile = join(folder, `gateway-${index}.jsonc`)
     const loopbackAddress = (port: number): string => `127.0.0.1:${port}`
     writeFileSync(this.#settingsFile, JSON.stringify({
@@ -81,6 +85,11 @@
     return this.#child?.alive === true
   }
 
+  /** Id of the running process; 0 before the first start. */
+  get pid (): number {
+    return this.#child?.pid ?? 0
+  }
+
   /** Output lines of all incarnations, oldest first. */
   get output (): readonly string[] {
     return [...this.#earlierOutput, ...this.#child?.lines ?? []]
@@ -89,7 +98,7 @@
   start (): void {
     this.#saveOutput()
     this.incarnation += 1
-    const child = new Child(`gateway ${this.index}`, ['--import', CLOCK_JUMP_MODULE, PROGRAM, 'gateway', '--settings', this.#settingsFile], MAX_OUTPUT_LINES)
+    const child = new Child(`gateway ${this.index}`, ['--import', CLOCK_JUMP_MODULE, this.program, 'gateway', '--settings', this.#settingsFile], MAX_OUTPUT_LINES)
     this.#child = child
     const { incarnation } = this
     child.ended.then(code => {
