Give the connections that a pressed gateway cannot serve to its peers

Cause: Node.js 20 accepts one connection in each iteration of its event loop, so a saturated gateway accepts what its running requests leave time for. Nothing bounded what it took on, and nothing could move work to a peer.

Ruled out: a long stall (the largest timer delay in 28 saturated seconds of a gateway was 286 ms), memory (57 of 250 MB), links.

Change: a gateway whose event loop is busy gives new connections to peers with time. Their bytes travel over one WebSocket for each peer, with flow control for each connection; the peer serves them like its own. Responses of a busy gateway close their connections, so that kept ones come back as new ones. Where nobody has time, it refuses at once.

--- a/packages/gateway/src/callers/callerServer.ts
+++ b/packages/gateway/src/callers/callerServer.ts
@@ -1,12 +1,14 @@
 /** HTTP server for callers: routes and authenticates requests, reads their bodies and passes them to the request flow. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
+import type { Duplex } from 'node:stream'
 import { createLog, type Millis, type Service, toError, type WorkspaceId } from '@fuchsiaworks/kernel'
 import { mayAcceptApiKeys, type AbandonmentSample } from '@fuchsiaworks/policy'
 import { endToEndHeaders, pairHeaders } from '@fuchsiaworks/wire'
 import type { CallerHead } from '../port/headerPort.js'
 import { pickServiceByWeight, findGatewayRoute } from '../routing/findRoute.js'
 import type { GatewayRoute, RoutingTable } from '../routing/routingTypes.js'
+import { OffloadedSocket } from '../offload/offloadedSocket.js'
 import type { FlowContext } from '../requests/flowContext.js'
 import { type Refusal, sendRefusal } from '../requests/refusals.js'
 import type { RequestFlow } from '../requests/requestFlow.js'
@@ -31,6 +33,16 @@
   await new Promise<void>(resolve => { setImmediate(() => { setImmediate(resolve) }) })
 }
 
+/** Keeps the socket's state of its requests up to date, and sends the end of a response without delay. */
+const trackOffloadedRequest = (req: IncomingMessage, res: ServerResponse, socket: OffloadedSocket): void => {
+  socket.openRequests += 1
+  res.on('finish', () => { socket.flushSoon() })
+  res.on('close', () => {
+    socket.openRequests -= 1
+    if (!req.complete) socket.isMidRequest = true
+  })
+}
+
 /** A request that was admitted by its headers, before its body is read. */
 interface AdmittedRequest {
   readonly table: RoutingTable
@@ -39,9 +51,20 @@
   readonly workspace: WorkspaceId | undefined
 }
 
+type ConnectionListener = (socket: Duplex) => void
+
+/** Decides on the connections of callers. */
+export interface ConnectionGate {
+  /** Returns false when the connection has been taken and is not to be served here. */
+  readonly admit: (socket: Socket) => boolean
+  /** Returns whether a response is to close its connection. */
+  readonly shouldClose: () => boolean
+}
+
 /** Accepts requests of callers. */
 export class CallerServer implements Service {
   readonly #server: Server
+  readonly #listeners: readonly ConnectionListener[]
   readonly #sockets = new Set<Socket>()
   /** Requests read since the last sample, and how many of them their callers had abandoned by then. */
   #sample = { read: 0, abandoned: 0 }
@@ -51,23 +74,26 @@
   /**
    * @param ctx - services of the process
    * @param flow - processes the admitted requests
-   * @param onConnection - called with each accepted connection; returns false when it is not a caller's
+   * @param gate - takes or returns each accepted connection
    */
-  constructor (readonly ctx: FlowContext, readonly flow: RequestFlow, readonly onConnection: (socket: Socket) => boolean) {
+  constructor (readonly ctx: FlowContext, readonly flow: RequestFlow, readonly gate: ConnectionGate) {
     this.#server = createServer({
       maxHeaderSize: MAX_PARSED_HEADER_BYTES,
       connectionsCheckingInterval: HEADERS_TIMEOUT_CHECK_INTERVAL_MS,
       requestTimeout: 0,
       noDelay: true
     }, (req, res) => { this.#receive(req, res) })
-    this.#server.on('connection', (socket: Socket) => { if (this.onConnection(socket)) this.#track(socket) })
+    // The server's own listener, which starts to parse requests, is called only for connections that are served here.
+    this.#listeners = this.#server.listeners('connection') as ConnectionListener[]
+    this.#server.removeAllListeners('connection')
+    this.#server.on('connection', (socket: Socket) => { this.#accept(socket) })
     this.#server.on('checkContinue', (req, res) => {
       res.writeContinue()
       this.#receive(req, res)
     })
   }
 
-  /** Open connections of callers. */
+  /** Open connections that this process has accepted. */
   get connections (): number {
     return this.#sockets.size
   }
@@ -86,6 +112,11 @@
     this.#server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS
   }
 
+  /** Serves a connection, also one that a peer gateway has accepted. */
+  serve (socket: Duplex): void {
+    for (const listener of this.#listeners) listener.call(this.#server, socket)
+  }
+
   /** Returns the sample and starts a new one. */
   takeSample (): AbandonmentSample {
     const sample = this.#sample
@@ -114,14 +145,16 @@
     this.#server.closeAllConnections()
   }
 
-  #track (socket: Socket): void {
+  #accept (socket: Socket): void {
     this.#sockets.add(socket)
     socket.on('close', () => { this.#sockets.delete(socket) })
+    if (this.gate.admit(socket)) this.serve(socket)
   }
 
   #receive (req: IncomingMessage, res: ServerResponse): void {
     const arrivedAt = this.ctx.clock.now()
-    if (this.#keepAliveDisabled) res.setHeader('connection', 'close')
+    if (this.#mustClose(req.socket)) res.setHeader('connection', 'close')
+    if (req.socket instanceof OffloadedSocket) trackOffloadedRequest(req, res, req.socket)
     const admitted = this.#admit(req)
     if ('status' in admitted) return this.#reject(req, res, admitted)
     this.#read(admitted, req, res, arrivedAt).catch(err => {
@@ -130,6 +163,11 @@
     })
   }
 
+  #mustClose (socket: Duplex): boolean {
+    if (this.#keepAliveDisabled) return true
+    return socket instanceof OffloadedSocket ? !socket.isKeepAliveAllowed : this.gate.shouldClose()
+  }
+
   #admit (req: IncomingMessage): AdmittedRequest | Refusal {
     const { table } = this.ctx.fleet.view
     if (table === undefined) return { status: 503, reason: 'no-configuration', retryAfterMs: NOT_READY_RETRY_AFTER_MS }
--- /dev/null
+++ b/packages/gateway/src/offload/connectionOffloader.ts
@@ -0,0 +1,162 @@
+/** Gives connections of callers to peer gateways and passes their bytes on; keeps the links to those peers. */
+import type { Socket } from 'node:net'
+import { assertNever, type Clock, createLog, type Millis, type Service, type Timer } from '@fuchsiaworks/kernel'
+import type { PeerId } from '@fuchsiaworks/policy'
+import WebSocket from 'ws'
+import type { ReachablePeer } from '../peers/peerMesh.js'
+import type { HeaderPort } from '../port/headerPort.js'
+import { OffloadedCaller } from './offloadedCaller.js'
+import { OffloadLink } from './offloadLink.js'
+import { type ConnectionNumber, OFFLOAD_PATH, type OffloadFrame } from './offloadTypes.js'
+
+/** Time for which parts of requests are collected. */
+const BATCH_MS: Millis = 1
+
+const CONNECT_TIMEOUT_MS = 1000
+
+/** Links that are kept at the same time; more peers than that are not needed at once. */
+const MAX_LINKS = 8
+
+/** Time without connections after which a link is closed, while there are more than the given number. */
+const IDLE_LINK_MS: Millis = 15_000
+const KEPT_LINKS = 2
+
+const IDLE_CHECK_INTERVAL_MS: Millis = 5000
+
+const log = createLog('offload')
+
+/** Connection to one peer. */
+interface PeerLink {
+  readonly address: string
+  /** Undefined until the link is open. */
+  link: OffloadLink | undefined
+  readonly callers: Map<ConnectionNumber, OffloadedCaller>
+  lastUsedAt: Millis
+}
+
+/** Offloads connections. */
+export class ConnectionOffloader implements Service {
+  readonly #clock: Clock
+  readonly #headers: HeaderPort
+  readonly #links = new Map<PeerId, PeerLink>()
+  #nextConnection: ConnectionNumber = 1
+  #idleTimer: Timer | undefined
+  #isKeepAliveAllowed = true
+
+  /**
+   * @param clock - source of time
+   * @param headers - encodes refusals
+   */
+  constructor (clock: Clock, headers: HeaderPort) {
+    this.#clock = clock
+    this.#headers = headers
+  }
+
+  /** Connections that peers serve for this gateway. */
+  get size (): number {
+    return [...this.#links.values()].reduce((sum, { callers }) => sum + callers.size, 0)
+  }
+
+  /** Links that are open or being opened. */
+  get links (): number {
+    return this.#links.size
+  }
+
+  start (): void {
+    this.#idleTimer = this.#clock.every(IDLE_CHECK_INTERVAL_MS, () => { this.#closeIdleLinks() })
+  }
+
+  /** Opens links to peers, the first ones first, so that connections can be given to them later. */
+  prepare (peers: readonly ReachablePeer[]): void {
+    for (const { id, address } of peers) {
+      if (this.#links.size >= MAX_LINKS) return
+      if (!this.#links.has(id)) this.#dial(id, address)
+    }
+  }
+
+  /** True when a connection can be given to the peer now. */
+  isLinked (peer: PeerId): boolean {
+    return this.#links.get(peer)?.link !== undefined
+  }
+
+  /**
+   * Gives a connection to a peer.
+   *
+   * @returns false when there is no open link to it
+   */
+  offload (socket: Socket, peer: PeerId): boolean {
+    const entry = this.#links.get(peer)
+    if (entry?.link === undefined) return false
+    const connection = this.#nextConnection++
+    entry.lastUsedAt = this.#clock.now()
+    entry.callers.set(connection, new OffloadedCaller(socket, entry.link, connection, this.#headers, () => { entry.callers.delete(connection) }))
+    return true
+  }
+
+  /** Sets whether further responses leave their connections open. */
+  allowKeepAlive (isAllowed: boolean): void {
+    if (isAllowed === this.#isKeepAliveAllowed) return
+    this.#isKeepAliveAllowed = isAllowed
+    this.#broadcast({ kind: 'keep-alive', isAllowed })
+  }
+
+  /** Closes connections without a request; the others end with their responses. */
+  closeIdleConnections (): void {
+    this.#broadcast({ kind: 'close-idle' })
+  }
+
+  close (): void {
+    this.#idleTimer?.close()
+    for (const { link } of this.#links.values()) link?.close()
+  }
+
+  #broadcast (frame: OffloadFrame): void {
+    for (const { link } of this.#links.values()) link?.send(frame)
+  }
+
+  #dial (peer: PeerId, address: string): void {
+    const entry: PeerLink = { address, link: undefined, callers: new Map(), lastUsedAt: this.#clock.now() }
+    this.#links.set(peer, entry)
+    // Masking protects intermediaries that don't know WebSockets; between two gateways there are none, and it costs time for each byte.
+    const socket = new WebSocket(`ws://${address}${OFFLOAD_PATH}`, { handshakeTimeout: CONNECT_TIMEOUT_MS, perMessageDeflate: false, generateMask: mask => { mask.fill(0) } })
+    socket.on('open', () => {
+      entry.link = new OffloadLink(this.#clock, socket, BATCH_MS, {
+        onFrame: frame => { this.#receive(entry, frame) },
+        isInUse: () => entry.callers.size > 0,
+        onClose: () => { this.#onClose(peer, entry) }
+      })
+      if (!this.#isKeepAliveAllowed) entry.link.send({ kind: 'keep-alive', isAllowed: false })
+      log.info('offload link open', { peer, address })
+    })
+    socket.on('error', err => {
+      log.warn('offload link failed', { peer, address, reason: err.message })
+      if (entry.link === undefined) this.#links.delete(peer)
+    })
+  }
+
+  #onClose (peer: PeerId, entry: PeerLink): void {
+    this.#links.delete(peer)
+    entry.link = undefined
+    log.info('offload link closed', { peer, address: entry.address, connections: entry.callers.size })
+    for (const caller of entry.callers.values()) caller.fail()
+  }
+
+  #receive ({ callers }: PeerLink, frame: OffloadFrame): void {
+    switch (frame.kind) {
+      case 'data': return callers.get(frame.connection)?.receive(frame.bytes)
+      case 'end': return callers.get(frame.connection)?.receiveEnd()
+      case 'close': return callers.get(frame.connection)?.receiveClose(frame.isIdle)
+      case 'credit': return callers.get(frame.connection)?.receiveCredit(frame.bytes)
+      case 'open':
+      case 'keep-alive':
+      case 'close-idle': return
+      default: assertNever(frame)
+    }
+  }
+
+  #closeIdleLinks (): void {
+    const now = this.#clock.now()
+    const idle = [...this.#links.values()].filter(({ callers, lastUsedAt }) => callers.size === 0 && now - lastUsedAt > IDLE_LINK_MS)
+    for (const { link } of idle.slice(0, Math.max(0, this.#links.size - KEPT_LINKS))) link?.close()
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/offload/offloadLink.ts
@@ -0,0 +1,134 @@
+/** A WebSocket between two gateways that carries the bytes of many connections; frames are sent in batches. */
+import { type Clock, createLog, type Millis, type Timer, toError } from '@fuchsiaworks/kernel'
+import type { WebSocket } from 'ws'
+import { decodeOffloadFrames, encodeOffloadFrames } from './offloadCodec.js'
+import type { ConnectionNumber, OffloadFrame } from './offloadTypes.js'
+
+/** Interval at which it is checked whether the other side is alive. */
+const CHECK_INTERVAL_MS: Millis = 500
+
+/** Time without any message after which the other side is pinged, by whether connections depend on the link. */
+const PING_AFTER_MS = { inUse: 450, idle: 3000 } as const
+
+/** Time without an answer to a ping after which the link counts as dead. */
+const PONG_TIMEOUT_MS: Millis = 1200
+
+const log = createLog('offload')
+
+/** What happens on a link. */
+export interface OffloadLinkHandler {
+  readonly onFrame: (frame: OffloadFrame) => void
+  /** True while connections depend on the link. */
+  readonly isInUse: () => boolean
+  /** Called once, when the link has ended. */
+  readonly onClose: () => void
+}
+
+/** One open link. */
+export class OffloadLink {
+  readonly #clock: Clock
+  readonly #socket: WebSocket
+  readonly #batchMs: Millis
+  readonly #handler: OffloadLinkHandler
+  readonly #checkTimer: Timer
+  #pending: OffloadFrame[] = []
+  /** Position in `#pending` of the data to which further data of the same connection is added. */
+  readonly #pendingData = new Map<ConnectionNumber, number>()
+  #batchTimer: Timer | undefined
+  #lastReceivedAt: Millis
+  /** Time of a ping after which nothing was received; undefined when there is none. */
+  #pingedAt: Millis | undefined
+
+  /**
+   * @param clock - source of time
+   * @param socket - open WebSocket
+   * @param batchMs - time for which frames are collected into one message
+   * @param handler - receives the frames
+   */
+  constructor (clock: Clock, socket: WebSocket, batchMs: Millis, handler: OffloadLinkHandler) {
+    this.#clock = clock
+    this.#socket = socket
+    this.#batchMs = batchMs
+    this.#handler = handler
+    this.#lastReceivedAt = clock.now()
+    this.#checkTimer = clock.every(CHECK_INTERVAL_MS, () => { this.#checkAlive() })
+    socket.on('message', data => { this.#receive(data as Buffer) })
+    socket.on('pong', () => { this.#recordReceived() })
+    socket.on('ping', () => { this.#recordReceived() })
+    socket.on('error', err => { log.debug('offload link failed', { reason: err.message }) })
+    socket.on('close', () => {
+      this.#stopTimers()
+      handler.onClose()
+    })
+  }
+
+  /** Sends a frame with the next batch. */
+  send (frame: OffloadFrame): void {
+    if (frame.kind === 'data') this.#addData(frame.connection, frame.bytes)
+    else this.#pending.push(frame)
+    this.#batchTimer ??= this.#clock.after(this.#batchMs, () => { this.flush() })
+  }
+
+  /** Sends the collected frames now. */
+  flush (): void {
+    this.#batchTimer?.close()
+    this.#batchTimer = undefined
+    if (this.#pending.length === 0 || this.#socket.readyState !== this.#socket.OPEN) return
+    const message = encodeOffloadFrames(this.#pending)
+    this.#pending = []
+    this.#pendingData.clear()
+    this.#socket.send(message)
+  }
+
+  /** Closes the link at once; its connections end. */
+  close (): void {
+    this.#stopTimers()
+    this.#socket.terminate()
+  }
+
+  /** Data of one connection becomes one frame of the batch, so that the receiver passes it on with one write. */
+  #addData (connection: ConnectionNumber, bytes: Buffer): void {
+    const position = this.#pendingData.get(connection)
+    const earlier = position === undefined ? undefined : this.#pending[position]
+    if (position !== undefined && earlier?.kind === 'data') {
+      this.#pending[position] = { kind: 'data', connection, bytes: Buffer.concat([earlier.bytes, bytes]) }
+      return
+    }
+    this.#pendingData.set(connection, this.#pending.length)
+    this.#pending.push({ kind: 'data', connection, bytes })
+  }
+
+  #receive (message: Buffer): void {
+    this.#recordReceived()
+    try {
+      for (const frame of decodeOffloadFrames(message)) this.#handler.onFrame(frame)
+    } catch (err) {
+      log.warn('message on an offload link rejected', { reason: toError(err).message })
+      this.#socket.terminate()
+    }
+  }
+
+  #recordReceived (): void {
+    this.#lastReceivedAt = this.#clock.now()
+    this.#pingedAt = undefined
+  }
+
+  #checkAlive (): void {
+    const now = this.#clock.now()
+    if (this.#pingedAt !== undefined) {
+      if (now - this.#pingedAt < PONG_TIMEOUT_MS) return
+      log.warn('offload link is silent', { silenceMs: Math.round(now - this.#lastReceivedAt) })
+      return this.#socket.terminate()
+    }
+    const pingAfterMs = this.#handler.isInUse() ? PING_AFTER_MS.inUse : PING_AFTER_MS.idle
+    if (now - this.#lastReceivedAt < pingAfterMs) return
+    this.#pingedAt = now
+    this.#socket.ping()
+  }
+
+  #stopTimers (): void {
+    this.#checkTimer.close()
+    this.#batchTimer?.close()
+    this.#batchTimer = undefined
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/offload/offloadedCaller.ts
@@ -0,0 +1,98 @@
+/** A caller's connection that this gateway accepted and a peer gateway serves: passes the bytes on in both directions. */
+import type { Socket } from 'node:net'
+import { type Refusal, rawRefusal } from '../requests/refusals.js'
+import type { HeaderPort } from '../port/headerPort.js'
+import { ReceiveCredit, SendCredit } from './creditWindow.js'
+import type { OffloadLink } from './offloadLink.js'
+import type { ConnectionNumber } from './offloadTypes.js'
+
+/** The peer was lost before it responded; whether it has run the request is not known. */
+const PEER_LOST: Refusal = { status: 502, reason: 'peer-lost' }
+
+/** The peer closed the connection, as it does when one is idle, before it read the request. */
+const NOT_READ: Refusal = { status: 503, reason: 'connection-closed', retryAfterMs: 0 }
+
+/** One connection. */
+export class OffloadedCaller {
+  readonly #socket: Socket
+  readonly #link: OffloadLink
+  readonly #connection: ConnectionNumber
+  readonly #headers: HeaderPort
+  readonly #sendCredit = new SendCredit()
+  readonly #receiveCredit = new ReceiveCredit()
+  /** True from the first bytes of a request to the first bytes of its response. */
+  #awaitsResponse = false
+  #isClosed = false
+
+  /**
+   * @param socket - connection of the caller
+   * @param link - link to the peer that serves it
+   * @param connection - number of the connection on the link
+   * @param headers - encodes refusals
+   * @param onClose - called once, when the connection has ended
+   */
+  constructor (socket: Socket, link: OffloadLink, connection: ConnectionNumber, headers: HeaderPort, onClose: () => void) {
+    this.#socket = socket
+    this.#headers = headers
+    this.#link = link
+    this.#connection = connection
+    link.send({ kind: 'open', connection })
+    socket.on('data', (bytes: Buffer) => { this.#passOn(bytes) })
+    socket.on('end', () => { link.send({ kind: 'end', connection }) })
+    socket.on('error', () => {})
+    socket.on('close', () => {
+      if (!this.#isClosed) link.send({ kind: 'close', connection, isIdle: false })
+      this.#isClosed = true
+      onClose()
+    })
+  }
+
+  /** Passes on bytes of a response. */
+  receive (bytes: Buffer): void {
+    this.#awaitsResponse = false
+    if (this.#socket.write(bytes)) return this.#returnCredit(bytes.length)
+    this.#socket.once('drain', () => { this.#returnCredit(bytes.length) })
+  }
+
+  /** The peer sends nothing more. */
+  receiveEnd (): void {
+    this.#socket.end()
+  }
+
+  /** The peer has closed the connection. */
+  receiveClose (isIdle: boolean): void {
+    this.#isClosed = true
+    if (isIdle && this.#awaitsResponse) this.#refuse(NOT_READ)
+    else this.#socket.destroySoon()
+  }
+
+  /** The peer has read bytes of requests. */
+  receiveCredit (bytes: number): void {
+    this.#sendCredit.restore(bytes)
+    if (!this.#sendCredit.isExhausted) this.#socket.resume()
+  }
+
+  /** Ends the connection, as the link to the peer is lost. */
+  fail (): void {
+    this.#isClosed = true
+    if (this.#awaitsResponse) this.#refuse(PEER_LOST)
+    else this.#socket.destroy()
+  }
+
+  #refuse (refusal: Refusal): void {
+    this.#socket.end(rawRefusal(this.#headers, refusal))
+    this.#socket.destroySoon()
+  }
+
+  #passOn (bytes: Buffer): void {
+    this.#awaitsResponse = true
+    this.#link.send({ kind: 'data', connection: this.#connection, bytes })
+    this.#sendCredit.consume(bytes.length)
+    if (this.#sendCredit.isExhausted) this.#socket.pause()
+  }
+
+  #returnCredit (bytes: number): void {
+    const credit = this.#receiveCredit.release(bytes)
+    if (credit > 0 && !this.#isClosed) this.#link.send({ kind: 'credit', connection: this.#connection, bytes: credit })
+  }
+}
--- a/packages/gateway/src/peers/peerCodec.ts
+++ b/packages/gateway/src/peers/peerCodec.ts
@@ -7,6 +7,8 @@
 /** Version of the message format; messages of other versions are rejected. */
 const MESSAGE_VERSION = 4
 
+const PERCENT = 100
+
 const packer = new Packr({ useRecords: false })
 
 /** A message of a peer gateway is malformed or has an unsupported version. */
@@ -30,7 +32,9 @@
   state.avoided.map(({ upstream, remainingMs }) => [upstream, remainingMs]),
   state.addresses,
   state.parts.map(({ part, upstream }) => [part, upstream]),
-  state.crashes.map(({ fingerprint, crash }) => [fingerprint, crash])
+  state.crashes.map(({ fingerprint, crash }) => [fingerprint, crash]),
+  state.utilization === undefined ? null : Math.round(state.utilization * PERCENT),
+  state.revision
 ])
 
 const expectArray = (value: unknown, field: string): unknown[] => {
@@ -68,7 +72,7 @@
  * @throws PeerMessageError when it is malformed or of another version
  */
 export const decodePeerState = (bytes: Uint8Array): PeerState => {
-  const [version, peer, address, zone, isLeaving, isOutOfRotation, loads, totals, avoided, addresses, parts, crashes] = expectArray(packer.unpack(bytes), 'the message')
+  const [version, peer, address, zone, isLeaving, isOutOfRotation, loads, totals, avoided, addresses, parts, crashes, utilizationPercent, revision] = expectArray(packer.unpack(bytes), 'the message')
   if (version !== MESSAGE_VERSION) throw new PeerMessageError(`unsupported version ${String(version)}`)
   return {
     peer: expectString<PeerId>(peer, 'the peer'),
@@ -90,6 +94,9 @@
     crashes: expectArray(crashes, 'crashes').map(entry => {
       const [fingerprint, crash] = expectArray(entry, 'a crash')
       return { fingerprint: expectNumber(fingerprint, 'a request fingerprint'), crash: expectString(crash, 'a crash') }
-    })
+    }),
+    // Gateways of earlier builds send none of these.
+    utilization: typeof utilizationPercent === 'number' ? utilizationPercent / PERCENT : undefined,
+    revision: typeof revision === 'number' ? revision : -1
   }
 }
--- a/packages/gateway/src/peers/peerMesh.spec.ts
+++ b/packages/gateway/src/peers/peerMesh.spec.ts
@@ -3,6 +3,7 @@
 import { asId, onEvent, createLog, setLogLevel, systemClock, type UpstreamId, type WorkspaceId, type ZoneId } from '@fuchsiaworks/kernel'
 import type { PeerId, TokenTotals, UpstreamLoad } from '@fuchsiaworks/policy'
 import { expect } from 'earl'
+import { Packr } from 'msgpackr'
 import { WebSocket } from 'ws'
 import { decodePeerState, encodePeerState, PeerMessageError } from './peerCodec.js'
 import { PeerMesh } from './peerMesh.js'
@@ -23,7 +24,9 @@
   avoided: [{ upstream: asId<UpstreamId>('u2'), remainingMs: 300 }],
   addresses: ['127.0.0.1:2'],
   parts: [{ part: 4_000_000_000, upstream: asId<UpstreamId>('u1') }],
-  crashes: [{ fingerprint: 3_000_000_000, crash: 'u1 17' }]
+  crashes: [{ fingerprint: 3_000_000_000, crash: 'u1 17' }],
+  utilization: 0.37,
+  revision: 12
 }
 
 const freePort = async (): Promise<number> => await new Promise(resolve => {
@@ -45,6 +48,12 @@
     expect(decodePeerState(encodePeerState(STATE))).toEqual(STATE)
   })
 
+  it('of an earlier build, without load and revision, is accepted', () => {
+    const bytes = new Packr({ useRecords: false }).pack([4, 'p1', '127.0.0.1:1', 'east', false, false, [], [], [], [], [], []])
+    const { utilization, revision, peer } = decodePeerState(bytes)
+    expect([utilization, revision, String(peer)]).toEqual([undefined, -1, 'p1'])
+  })
+
   it('is rejected as a whole when it is malformed or has another version', () => {
     const invalidMessages = [[3, 'p', 'a', 'z', false, false, [], [], [], [], [], []], [4, 5, 'a', 'z', false, false, [], [], [], [], [], []], [4, 'p', 'a', 'z', false, false, [['u', 'many']], [], [], [], [], []], 'text']
     for (const message of invalidMessages) {
@@ -60,10 +69,11 @@
 
   const startMesh = async (port: number, seeds: string[], totals: Map<WorkspaceId, TokenTotals> = new Map()): Promise<{ mesh: PeerMesh, states: PeerState[], lost: PeerId[] }> => {
     const mesh = new PeerMesh(systemClock, { zone: STATE.zone, listen: { host: '127.0.0.1', port }, advertised: undefined, seeds }, {
-      read: () => ({ loads: new Map([[asId<UpstreamId>('u1'), LOAD]]), totals, avoided: [] }),
+      read: () => ({ loads: new Map([[asId<UpstreamId>('u1'), LOAD]]), totals, avoided: [], revision: 1 }),
+      utilization: () => 0.2,
       takePendingEvents: () => ({ parts: [], crashes: [] }),
       recentEvents: () => ({ parts: STATE.parts, crashes: STATE.crashes })
-    }, () => false)
+    }, { onRequest: () => false, webSockets: new Map() })
     const states: PeerState[] = []
     const lost: PeerId[] = []
     onEvent(mesh.states.stream, log, state => { states.push(state) })
--- a/packages/gateway/src/peers/peerMesh.ts
+++ b/packages/gateway/src/peers/peerMesh.ts
@@ -42,6 +42,8 @@
   readonly loads: ReadonlyMap<UpstreamId, UpstreamLoad>
   readonly totals: ReadonlyMap<WorkspaceId, TokenTotals>
   readonly avoided: readonly AvoidedUpstream[]
+  /** Revision of the configuration; -1 for none. */
+  readonly revision: number
 }
 
 /** Events that are sent once, with the next update. */
@@ -50,24 +52,20 @@
 /** Supplies the state and events to send to peers. */
 export interface LocalStateSource {
   read: () => LocalState
+  /** Returns the share of the time for which the event loop is busy. */
+  utilization: () => number
   /** Returns the events since the last call and clears them. */
   takePendingEvents: () => PeerEvents
   /** Returns recent events, for a peer to which a connection was just opened. */
   recentEvents: () => PeerEvents
 }
 
-interface KnownPeer {
-  lastReceivedAt: Millis
-  isReachable: boolean
-  address: string
-  zone: ZoneId
-  isOutOfRotation: boolean
-}
+/** A peer gateway from which updates arrive, with what its last one said. */
+export interface ReachablePeer extends ReachableGateway, Pick<PeerState, 'isOutOfRotation' | 'utilization' | 'revision'> {}
 
-/** A peer gateway from which updates arrive. */
-export interface ReachablePeer extends ReachableGateway {
-  /** True while it reports itself as not ready to the load balancer because it is overloaded. */
-  readonly isOutOfRotation: boolean
+interface KnownPeer extends Omit<ReachablePeer, 'id'> {
+  readonly lastReceivedAt: Millis
+  isReachable: boolean
 }
 
 /** Addresses of a gateway and of its peers. */
@@ -81,8 +79,13 @@
   readonly seeds: readonly string[]
 }
 
-/** Handles plain HTTP requests of peer gateways on the mesh port; returns false for an unknown request. */
-export type PeerRequestHandler = (req: IncomingMessage, res: ServerResponse) => boolean
+/** Handles what peer gateways open on the mesh port besides the connections of the mesh. */
+export interface PeerPortHandlers {
+  /** Handles a plain HTTP request; returns false for an unknown one. */
+  readonly onRequest: (req: IncomingMessage, res: ServerResponse) => boolean
+  /** Takes the WebSockets opened with these paths. */
+  readonly webSockets: ReadonlyMap<string, (socket: WebSocket) => void>
+}
 
 /** Connections between this gateway and its peers, and the membership derived from them. */
 export class PeerMesh implements Service {
@@ -110,13 +113,17 @@
    * @param clock - source of time
    * @param options - own addresses and those for discovery
    * @param localState - supplies what is sent to peers
-   * @param handleRequest - handles HTTP requests that are not WebSocket upgrades
+   * @param handlers - handle what is not for the mesh
    */
-  constructor (readonly clock: Clock, readonly options: MeshOptions, readonly localState: LocalStateSource, handleRequest: PeerRequestHandler) {
+  constructor (readonly clock: Clock, readonly options: MeshOptions, readonly localState: LocalStateSource, handlers: PeerPortHandlers) {
     this.#startedAt = clock.now()
-    this.#server = createServer((req, res) => { if (!handleRequest(req, res)) res.writeHead(426).end() })
+    this.#server = createServer((req, res) => { if (!handlers.onRequest(req, res)) res.writeHead(426).end() })
     this.#sockets = new WebSocketServer({ server: this.#server, maxPayload: MAX_MESSAGE_BYTES, perMessageDeflate: false })
-    this.#sockets.on('connection', socket => { this.#accept(socket) })
+    this.#sockets.on('connection', (socket, req) => {
+      const take = handlers.webSockets.get(req.url ?? '')
+      if (take === undefined) this.#accept(socket)
+      else take(socket)
+    })
   }
 
   get #address (): string {
@@ -167,7 +174,7 @@
 
   /** Reachable peers with their zones and addresses. */
   reachablePeers (): ReachablePeer[] {
-    return [...this.#peers].filter(([, { isReachable }]) => isReachable).map(([id, { zone, address, isOutOfRotation }]) => ({ id, zone, address, isOutOfRotation }))
+    return [...this.#peers].filter(([, { isReachable }]) => isReachable).map(([id, { zone, address, isOutOfRotation, utilization, revision }]) => ({ id, zone, address, isOutOfRotation, utilization, revision }))
   }
 
   #dial (address: string): void {
@@ -198,8 +205,9 @@
     this.#dial(state.address)
     for (const address of state.addresses) this.#dial(address)
     this.states.emit(state)
-    if (state.isLeaving) this.#removePeer(state.peer)
-    else this.#peers.set(state.peer, { lastReceivedAt: this.clock.now(), isReachable: true, address: state.address, zone: state.zone, isOutOfRotation: state.isOutOfRotation })
+    if (state.isLeaving) return this.#removePeer(state.peer)
+    const { address, zone, isOutOfRotation, utilization, revision } = state
+    this.#peers.set(state.peer, { lastReceivedAt: this.clock.now(), isReachable: true, address, zone, isOutOfRotation, utilization, revision })
   }
 
   /** Removes a peer that left, or whose address is now used by a new process. */
@@ -248,6 +256,6 @@
 
   #encode (state: LocalState, events: PeerEvents): Buffer {
     const addresses = this.#dueAddresses()
-    return encodePeerState({ peer: this.self, address: this.#address, zone: this.options.zone, isLeaving: this.#leaving, isOutOfRotation: this.isOutOfRotation, addresses, ...state, ...events })
+    return encodePeerState({ peer: this.self, address: this.#address, zone: this.options.zone, isLeaving: this.#leaving, isOutOfRotation: this.isOutOfRotation, utilization: this.localState.utilization(), addresses, ...state, ...events })
   }
 }
--- a/packages/gateway/src/peers/peerTypes.ts
+++ b/packages/gateway/src/peers/peerTypes.ts
@@ -21,6 +21,10 @@
   readonly isLeaving: boolean
   /** True while the sender reports itself as not ready to the load balancer because it is overloaded. */
   readonly isOutOfRotation: boolean
+  /** Share of its time for which the sender's event loop is busy; undefined from a gateway that does not serve connections of its peers. */
+  readonly utilization: number | undefined
+  /** Revision of the sender's configuration; -1 for none. */
+  readonly revision: number
   /** Open requests of the sender by upstream; it has none at upstreams that are not listed. */
   readonly loads: ReadonlyMap<UpstreamId, UpstreamLoad>
   /** Token totals by workspace since the sender started; workspaces that are not listed have not changed. */
--- a/packages/gateway/src/process/startGateway.ts
+++ b/packages/gateway/src/process/startGateway.ts
@@ -1,6 +1,6 @@
 /** Starts a gateway: a proxy without queues that sends requests straight to upstreams. */
 import { randomBytes } from 'node:crypto'
-import { createLog, Kernel, ListenQueueProbe, type Millis, onEvent, type RunningProcess, type Service, systemClock } from '@fuchsiaworks/kernel'
+import { createLog, EventLoopMonitor, Kernel, ListenQueueProbe, type Millis, onEvent, type RunningProcess, type Service, systemClock } from '@fuchsiaworks/kernel'
 import { chooseStoreWatchRole, coldPaceDefinition, crashSuspectDefinition, loadStringHash, placementDefinition, RetryBudget, tokenShareDefinition } from '@fuchsiaworks/policy'
 import { CallerServer } from '../callers/callerServer.js'
 import { GatewayMetrics } from '../log/gatewayMetrics.js'
@@ -11,6 +11,10 @@
 import type { FlowContext } from '../requests/flowContext.js'
 import { RequestFlow } from '../requests/requestFlow.js'
 import { UpstreamClients } from '../upstreams/upstreamClients.js'
+import { ConnectionDispatcher } from '../offload/connectionDispatcher.js'
+import { ConnectionOffloader } from '../offload/connectionOffloader.js'
+import { OffloadReceiver } from '../offload/offloadReceiver.js'
+import { OFFLOAD_PATH } from '../offload/offloadTypes.js'
 import { LoadMonitor } from './loadMonitor.js'
 import { PageServer } from './pageServer.js'
 import { SelfCheck } from './selfCheck.js'
@@ -63,7 +67,12 @@
   const placement = placementDefinition.createDb(hash)
   const shares = tokenShareDefinition.createDb({ windowMs: settings.shareWindowSeconds * SECOND_MS })
   const crashSuspects = crashSuspectDefinition.createDb()
-  const mesh = createPeerMesh(clock, settings, { fleet: ports.fleet, placement, shares, crashSuspects })
+  const eventLoop = new EventLoopMonitor(clock, () => { dispatcher.refresh() })
+  const receiver = new OffloadReceiver(clock, socket => { callerServer.serve(socket) })
+  const mesh = createPeerMesh(clock, settings, { fleet: ports.fleet, placement, shares, crashSuspects, eventLoop }, {
+    onRequest: (req, res) => ports.fleet.handlePeerRequest(req, res),
+    webSockets: new Map([[OFFLOAD_PATH, socket => { receiver.accept(socket) }]])
+  })
   const ctx: FlowContext = {
     settings,
     clock,
@@ -83,13 +92,21 @@
     requestLog: new RequestLog(clock)
   }
   const flow = new RequestFlow(ctx)
-  const listenQueueProbe = new ListenQueueProbe(clock, settings.callers)
-  const loadMonitor = new LoadMonitor(clock, ctx.metrics, listenQueueProbe, () => ({ connections: callerServer.connections, requests: flow.size }))
-  const callerServer = new CallerServer(ctx, flow, socket => {
-    if (listenQueueProbe.acceptConnection(socket)) return false
-    loadMonitor.recordAccepted()
-    return true
+  const probe = new ListenQueueProbe(clock, settings.callers)
+  const offloader = new ConnectionOffloader(clock, ports.headers)
+  const dispatcher: ConnectionDispatcher = new ConnectionDispatcher({
+    clock, zone: settings.zone, random: ctx.random, eventLoop, probe, mesh, offloader, headers: ports.headers, revision: () => ports.fleet.view.table?.revision ?? -1
+  })
+  const callerServer: CallerServer = new CallerServer(ctx, flow, {
+    admit: socket => {
+      if (probe.acceptConnection(socket)) return false
+      const { kind } = dispatcher.dispatch(socket)
+      loadMonitor.recordAccepted(kind)
+      return kind === 'serve'
+    },
+    shouldClose: () => dispatcher.shouldClose()
   })
+  const loadMonitor = new LoadMonitor(clock, ctx.metrics, eventLoop, probe, () => ({ connections: callerServer.connections, offloaded: offloader.size, received: receiver.size, requests: flow.size }))
   const selfCheck = new SelfCheck(clock, settings.zone, callerServer, mesh)
   let isDraining = false
   const readyServer = new PageServer({ ...settings.ready, path: ports.readyPath }, () => {
@@ -119,6 +136,8 @@
   register('fleet', ports.fleet)
   register('mesh', mesh)
   register('flow', flow)
+  register('offload-receiver', receiver)
+  register('offloader', offloader)
   register('callers', callerServer)
   register('self-check', selfCheck)
   register('load', loadMonitor)
@@ -136,16 +155,18 @@
     const startedAt = clock.now()
     isDraining = true
     callerServer.disableKeepAlive()
+    dispatcher.disableKeepAlive()
     mesh.broadcastLeaving()
     log.info('draining', { open: flow.size })
     await new Promise<void>(resolve => { clock.after(DRAIN_NOTICE_MS, resolve) })
     callerServer.stopAccepting()
     const endAt = startedAt + settings.graceSeconds * SECOND_MS - GRACE_MARGIN_MS
-    while (flow.size > 0 && clock.now() < endAt) {
+    while (flow.size + offloader.size > 0 && clock.now() < endAt) {
       await new Promise<void>(resolve => { clock.after(DRAIN_CHECK_INTERVAL_MS, resolve) })
       callerServer.closeIdleConnections()
+      offloader.closeIdleConnections()
     }
-    log.info('drained', { open: flow.size, ms: Math.round(clock.now() - startedAt) })
+    log.info('drained', { open: flow.size, offloaded: offloader.size, ms: Math.round(clock.now() - startedAt) })
   }
   return {
     drain,
--- a/packages/gateway/src/process/wiring.ts
+++ b/packages/gateway/src/process/wiring.ts
@@ -1,8 +1,8 @@
 /** Applies changes of the platform's lists and updates from peer gateways to the state of a gateway. */
-import type { Clock, UpstreamId } from '@fuchsiaworks/kernel'
+import type { Clock, EventLoopMonitor, UpstreamId } from '@fuchsiaworks/kernel'
 import type { GatewaySettings } from '@fuchsiaworks/settings'
 import type { CallerServer } from '../callers/callerServer.js'
-import { PeerMesh } from '../peers/peerMesh.js'
+import { PeerMesh, type PeerPortHandlers } from '../peers/peerMesh.js'
 import type { PeerState } from '../peers/peerTypes.js'
 import type { FleetView } from '../port/fleetPort.js'
 import type { FlowContext } from '../requests/flowContext.js'
@@ -42,8 +42,13 @@
   for (const { upstream, remainingMs } of state.avoided) ctx.placement.avoid(upstream, now + remainingMs)
 }
 
-/** Creates the mesh of peer gateways, which sends the state of this gateway's placement, shares and crash records. */
-export const createPeerMesh = (clock: Clock, settings: GatewaySettings, { fleet, placement, shares, crashSuspects }: Pick<FlowContext, 'fleet' | 'placement' | 'shares' | 'crashSuspects'>): PeerMesh => {
+/** Parts of a gateway whose state the mesh sends. */
+export interface MeshSources extends Pick<FlowContext, 'fleet' | 'placement' | 'shares' | 'crashSuspects'> {
+  readonly eventLoop: EventLoopMonitor
+}
+
+/** Creates the mesh of peer gateways, which sends the state of this gateway's placement, shares, crash records and load. */
+export const createPeerMesh = (clock: Clock, settings: GatewaySettings, { fleet, placement, shares, crashSuspects, eventLoop }: MeshSources, handlers: PeerPortHandlers): PeerMesh => {
   const { zone, peers: listen, peersAdvertised: advertised, seeds } = settings
   return new PeerMesh(clock, { zone, listen, advertised, seeds }, {
     read: () => {
@@ -52,10 +57,12 @@
       return {
         loads: placement.ownLoads(),
         totals: shares.ownTotals(),
-        avoided: avoided.map(({ id, avoidUntil }) => ({ upstream: id, remainingMs: Math.round(avoidUntil - now) }))
+        avoided: avoided.map(({ id, avoidUntil }) => ({ upstream: id, remainingMs: Math.round(avoidUntil - now) })),
+        revision: fleet.view.table?.revision ?? -1
       }
     },
+    utilization: () => eventLoop.recentUtilization,
     takePendingEvents: () => ({ parts: placement.takeUnsentPartUses(), crashes: crashSuspects.takeUnsentReports() }),
     recentEvents: () => ({ parts: placement.recentPartUses(clock.now()), crashes: crashSuspects.reports() })
-  }, (req, res) => fleet.handlePeerRequest(req, res))
+  }, handlers)
 }
--- a/packages/gateway/src/requests/refusals.ts
+++ b/packages/gateway/src/requests/refusals.ts
@@ -1,6 +1,7 @@
 /** Error responses that the gateway sends itself. */
-import type { ServerResponse } from 'node:http'
+import { type ServerResponse, STATUS_CODES } from 'node:http'
 import type { Millis } from '@fuchsiaworks/kernel'
+import type { HeaderList } from '@fuchsiaworks/wire'
 import type { HeaderPort } from '../port/headerPort.js'
 
 /** Error response to a caller. */
@@ -12,6 +13,24 @@
   readonly retryAfterMs?: Millis
 }
 
+const encodeRefusal = (port: HeaderPort, { reason, retryAfterMs }: Refusal): { body: string, headers: HeaderList } => {
+  const body = JSON.stringify({ error: reason })
+  const retryAfter = retryAfterMs === undefined ? [] : port.encodeRetryAfter(retryAfterMs)
+  return { body, headers: [...retryAfter, ['content-type', 'application/json'], ['content-length', String(Buffer.byteLength(body))]] }
+}
+
+/**
+ * Encodes a refusal as the bytes of a response that closes its connection, for a connection that no HTTP server serves.
+ *
+ * @param port - encodes the retry delay
+ * @param refusal - status and reason
+ */
+export const rawRefusal = (port: HeaderPort, refusal: Refusal): string => {
+  const { body, headers } = encodeRefusal(port, refusal)
+  const lines = [...headers, ['connection', 'close']].map(([name, value]) => `${name}: ${value}\r\n`).join('')
+  return `HTTP/1.1 ${refusal.status} ${STATUS_CODES[refusal.status] ?? ''}\r\n${lines}\r\n${body}`
+}
+
 /**
  * Sends a refusal, or closes the connection when a part of a response has been sent.
  *
@@ -25,9 +44,8 @@
     res.destroy()
     return
   }
-  const body = JSON.stringify({ error: refusal.reason })
-  const headers = refusal.retryAfterMs === undefined ? [] : port.encodeRetryAfter(refusal.retryAfterMs)
+  const { body, headers } = encodeRefusal(port, refusal)
   for (const [name, value] of headers) res.setHeader(name, value)
-  res.writeHead(refusal.status, { 'content-type': 'application/json', 'content-length': String(Buffer.byteLength(body)) })
+  res.writeHead(refusal.status)
   res.end(body)
 }
--- a/packages/kernel/src/process/eventLoopMonitor.ts
+++ b/packages/kernel/src/process/eventLoopMonitor.ts
@@ -2,8 +2,11 @@
 import { performance } from 'node:perf_hooks'
 import type { Clock, Millis, Timer } from '../clock/clock.js'
 
-/** Interval of the timer whose lateness is measured. */
-const LATENESS_CHECK_INTERVAL_MS: Millis = 100
+/** Interval of the measurements; a timer that fires later than this is late by the difference. */
+const TICK_MS: Millis = 100
+
+/** Weight of the newest measurement in the smoothed utilization: load that rises is to be answered at once. */
+const SMOOTHING = { rise: 0.8, fall: 0.3 } as const
 
 /** Load of the event loop between two samples. */
 export interface EventLoopLoad {
@@ -17,22 +20,35 @@
 export class EventLoopMonitor {
   readonly #clock: Clock
   readonly #timer: Timer
-  #last = performance.eventLoopUtilization()
+  #sampleStart = performance.eventLoopUtilization()
+  #tickStart = this.#sampleStart
   #expectedAt: Millis
   #maxDelayMs: Millis = 0
+  #recentUtilization = 0
 
-  /** @param clock - source of time */
-  constructor (clock: Clock) {
+  /**
+   * @param clock - source of time
+   * @param onTick - called after each measurement, ten times a second unless the loop is late
+   */
+  constructor (clock: Clock, onTick: () => void = () => {}) {
     this.#clock = clock
-    this.#expectedAt = clock.now() + LATENESS_CHECK_INTERVAL_MS
-    this.#timer = clock.every(LATENESS_CHECK_INTERVAL_MS, () => { this.#checkLateness() })
+    this.#expectedAt = clock.now() + TICK_MS
+    this.#timer = clock.every(TICK_MS, () => {
+      this.#tick()
+      onTick()
+    })
+  }
+
+  /** Utilization over the last few tenths of a second. */
+  get recentUtilization (): number {
+    return this.#recentUtilization
   }
 
   /** Returns the load since the last sample and starts a new one. */
   takeSample (): EventLoopLoad {
     const current = performance.eventLoopUtilization()
-    const { utilization } = performance.eventLoopUtilization(current, this.#last)
-    this.#last = current
+    const { utilization } = performance.eventLoopUtilization(current, this.#sampleStart)
+    this.#sampleStart = current
     const sample = { utilization, maxDelayMs: Math.max(this.#maxDelayMs, this.#clock.now() - this.#expectedAt, 0) }
     this.#maxDelayMs = 0
     return sample
@@ -42,9 +58,14 @@
     this.#timer.close()
   }
 
-  #checkLateness (): void {
+  #tick (): void {
     const now = this.#clock.now()
     this.#maxDelayMs = Math.max(this.#maxDelayMs, now - this.#expectedAt)
-    this.#expectedAt = now + LATENESS_CHECK_INTERVAL_MS
+    this.#expectedAt = now + TICK_MS
+    const current = performance.eventLoopUtilization()
+    const { utilization } = performance.eventLoopUtilization(current, this.#tickStart)
+    this.#tickStart = current
+    const change = utilization - this.#recentUtilization
+    this.#recentUtilization += change * (change > 0 ? SMOOTHING.rise : SMOOTHING.fall)
   }
 }
--- /dev/null
+++ b/packages/policy/src/offload/offload.ts
@@ -0,0 +1,68 @@
+/**
+ * Decides where a new connection of a caller is served: here, by a peer gateway with more time, or nowhere. The load balancer
+ * sends all connections of a caller to one gateway. When they ask for more than its processor can serve, connections would wait in
+ * its listen queue for longer than their callers do, and its time would go to callers that have left, while its peers idle. To pass
+ * the bytes of a connection on takes about a fifth of the time that it takes to serve it.
+ */
+import type { Millis } from '@fuchsiaworks/kernel'
+import type { ConnectionDecision, OffloadInputs, OffloadPeer } from './offloadTypes.js'
+
+/** Utilization from which connections are offloaded, and from which all are. */
+const OFFLOAD_UTILIZATION = { from: 0.75, all: 0.92 } as const
+
+/** Utilization from which a peer is given no connections. */
+const MAX_PEER_UTILIZATION = 0.7
+
+/** How much less than this gateway a peer must be utilized, so that equally busy gateways don't exchange connections. */
+const MIN_UTILIZATION_DIFFERENCE = 0.15
+
+/** Headroom below which the peers of the own zone are not enough, and those of other zones are used, too. */
+const MIN_ZONE_HEADROOM = 0.1
+
+/** Wait in the listen queue from which a connection is refused that no peer has time for, and from which it is refused in any case. */
+const REFUSAL_WAIT_MS = { withoutPeer: 200, always: 1000 } as const
+
+/** Retry delay of a refused connection: short, as the caller's next connection reaches another gateway. */
+const RETRY_AFTER_MS: Millis = 100
+
+/**
+ * Share of connections that a gateway gives away, from 0 to 1.
+ *
+ * @param utilization - utilization of its event loop
+ */
+export const offloadShare = (utilization: number): number => {
+  const { from, all } = OFFLOAD_UTILIZATION
+  return Math.min(1, Math.max(0, (utilization - from) / (all - from)))
+}
+
+const headroomOf = ({ utilization }: OffloadPeer): number => MAX_PEER_UTILIZATION - utilization
+
+/** @returns peers with time to spare: those of the own zone, and those of all zones when the former are busy */
+const findCandidates = ({ zone, utilization, revision, peers }: OffloadInputs): OffloadPeer[] => {
+  const idle = peers.filter(peer => headroomOf(peer) > 0 && peer.utilization + MIN_UTILIZATION_DIFFERENCE < utilization && peer.revision >= revision)
+  const inZone = idle.filter(peer => peer.zone === zone)
+  return inZone.some(peer => headroomOf(peer) >= MIN_ZONE_HEADROOM) ? inZone : idle
+}
+
+/** Picks a peer with a probability that grows with its headroom, so that gateways that see the same loads spread their connections. */
+const pickByHeadroom = (candidates: readonly OffloadPeer[], random: () => number): OffloadPeer | undefined => {
+  const weights = candidates.map(peer => headroomOf(peer) ** 2)
+  let left = random() * weights.reduce((sum, weight) => sum + weight, 0)
+  return candidates.find((_, index) => (left -= weights[index] ?? 0) < 0) ?? candidates.at(-1)
+}
+
+/**
+ * Decides where a new connection is served.
+ *
+ * @param inputs - load of this gateway and its peers
+ * @param random - returns numbers from 0 to below 1
+ */
+export const decideConnection = (inputs: OffloadInputs, random: () => number): ConnectionDecision => {
+  const { utilization, listenQueueWaitMs } = inputs
+  if (listenQueueWaitMs >= REFUSAL_WAIT_MS.always) return { kind: 'refuse', retryAfterMs: RETRY_AFTER_MS }
+  const share = offloadShare(utilization)
+  if (share === 0 || random() >= share) return { kind: 'serve' }
+  const peer = pickByHeadroom(findCandidates(inputs), random)
+  if (peer !== undefined) return { kind: 'offload', peer: peer.id }
+  return listenQueueWaitMs >= REFUSAL_WAIT_MS.withoutPeer ? { kind: 'refuse', retryAfterMs: RETRY_AFTER_MS } : { kind: 'serve' }
+}
