Return to rotation when the load is gone, not after a fixed time

Cause: the readiness check of an earlier mend counted requests whose callers had left, and ended after 2.5, 5, 10 or 20 s whatever had become of the load. It did not end the cause (connections that wait longer than their callers), it moved it: to the next small gateway on leaving, and back on returning.

Change: a gateway leaves when its listen queue stands for half a second although it gives connections away, and returns when no gateway of its zone accepts connections at the rate that it left or is saturated itself; gateways tell each other their rate. While out it still serves connections of its peers.

--- a/packages/gateway/src/callers/callerServer.ts
+++ b/packages/gateway/src/callers/callerServer.ts
@@ -3,7 +3,7 @@
 import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
 import { createLog, type Millis, type Service, toError, type WorkspaceId } from '@fuchsiaworks/kernel'
-import { mayAcceptApiKeys, type AbandonmentSample } from '@fuchsiaworks/policy'
+import { mayAcceptApiKeys, type OverloadSample } from '@fuchsiaworks/policy'
 import { endToEndHeaders, pairHeaders } from '@fuchsiaworks/wire'
 import type { CallerHead } from '../port/headerPort.js'
 import { pickServiceByWeight, findGatewayRoute } from '../routing/findRoute.js'
@@ -118,7 +118,7 @@
   }
 
   /** Returns the sample and starts a new one. */
-  takeSample (): AbandonmentSample {
+  takeSample (): Pick<OverloadSample, 'read' | 'abandoned'> {
     const sample = this.#sample
     this.#sample = { read: 0, abandoned: 0 }
     return sample
--- a/packages/gateway/src/peers/peerCodec.ts
+++ b/packages/gateway/src/peers/peerCodec.ts
@@ -34,7 +34,8 @@
   state.parts.map(({ part, upstream }) => [part, upstream]),
   state.crashes.map(({ fingerprint, crash }) => [fingerprint, crash]),
   state.utilization === undefined ? null : Math.round(state.utilization * PERCENT),
-  state.revision
+  state.revision,
+  state.acceptedPerSecond
 ])
 
 const expectArray = (value: unknown, field: string): unknown[] => {
@@ -72,7 +73,7 @@
  * @throws PeerMessageError when it is malformed or of another version
  */
 export const decodePeerState = (bytes: Uint8Array): PeerState => {
-  const [version, peer, address, zone, isLeaving, isOutOfRotation, loads, totals, avoided, addresses, parts, crashes, utilizationPercent, revision] = expectArray(packer.unpack(bytes), 'the message')
+  const [version, peer, address, zone, isLeaving, isOutOfRotation, loads, totals, avoided, addresses, parts, crashes, utilizationPercent, revision, acceptedPerSecond] = expectArray(packer.unpack(bytes), 'the message')
   if (version !== MESSAGE_VERSION) throw new PeerMessageError(`unsupported version ${String(version)}`)
   return {
     peer: expectString<PeerId>(peer, 'the peer'),
@@ -97,6 +98,7 @@
     }),
     // Gateways of earlier builds send none of these.
     utilization: typeof utilizationPercent === 'number' ? utilizationPercent / PERCENT : undefined,
-    revision: typeof revision === 'number' ? revision : -1
+    revision: typeof revision === 'number' ? revision : -1,
+    acceptedPerSecond: typeof acceptedPerSecond === 'number' ? acceptedPerSecond : 0
   }
 }
--- a/packages/gateway/src/peers/peerMesh.spec.ts
+++ b/packages/gateway/src/peers/peerMesh.spec.ts
@@ -26,7 +26,8 @@
   parts: [{ part: 4_000_000_000, upstream: asId<UpstreamId>('u1') }],
   crashes: [{ fingerprint: 3_000_000_000, crash: 'u1 17' }],
   utilization: 0.37,
-  revision: 12
+  revision: 12,
+  acceptedPerSecond: 40
 }
 
 const freePort = async (): Promise<number> => await new Promise(resolve => {
@@ -50,8 +51,8 @@
 
   it('of an earlier build, without load and revision, is accepted', () => {
     const bytes = new Packr({ useRecords: false }).pack([4, 'p1', '127.0.0.1:1', 'east', false, false, [], [], [], [], [], []])
-    const { utilization, revision, peer } = decodePeerState(bytes)
-    expect([utilization, revision, String(peer)]).toEqual([undefined, -1, 'p1'])
+    const { utilization, revision, acceptedPerSecond, peer } = decodePeerState(bytes)
+    expect([utilization, revision, acceptedPerSecond, String(peer)]).toEqual([undefined, -1, 0, 'p1'])
   })
 
   it('is rejected as a whole when it is malformed or has another version', () => {
--- a/packages/gateway/src/peers/peerMesh.ts
+++ b/packages/gateway/src/peers/peerMesh.ts
@@ -61,7 +61,7 @@
 }
 
 /** A peer gateway from which updates arrive, with what its last one said. */
-export interface ReachablePeer extends ReachableGateway, Pick<PeerState, 'isOutOfRotation' | 'utilization' | 'revision'> {}
+export interface ReachablePeer extends ReachableGateway, Pick<PeerState, 'isOutOfRotation' | 'utilization' | 'revision' | 'acceptedPerSecond'> {}
 
 interface KnownPeer extends Omit<ReachablePeer, 'id'> {
   readonly lastReceivedAt: Millis
@@ -108,6 +108,8 @@
   #sentTotals = new Map<WorkspaceId, TokenTotals>()
   /** True while this gateway reports itself as not ready to the load balancer because it is overloaded. */
   isOutOfRotation = false
+  /** Rate at which this gateway accepts connections of callers. */
+  acceptedPerSecond = 0
 
   /**
    * @param clock - source of time
@@ -174,7 +176,7 @@
 
   /** Reachable peers with their zones and addresses. */
   reachablePeers (): ReachablePeer[] {
-    return [...this.#peers].filter(([, { isReachable }]) => isReachable).map(([id, { zone, address, isOutOfRotation, utilization, revision }]) => ({ id, zone, address, isOutOfRotation, utilization, revision }))
+    return [...this.#peers].filter(([, { isReachable }]) => isReachable).map(([id, { zone, address, isOutOfRotation, utilization, revision, acceptedPerSecond }]) => ({ id, zone, address, isOutOfRotation, utilization, revision, acceptedPerSecond }))
   }
 
   #dial (address: string): void {
@@ -206,8 +208,8 @@
     for (const address of state.addresses) this.#dial(address)
     this.states.emit(state)
     if (state.isLeaving) return this.#removePeer(state.peer)
-    const { address, zone, isOutOfRotation, utilization, revision } = state
-    this.#peers.set(state.peer, { lastReceivedAt: this.clock.now(), isReachable: true, address, zone, isOutOfRotation, utilization, revision })
+    const { address, zone, isOutOfRotation, utilization, revision, acceptedPerSecond } = state
+    this.#peers.set(state.peer, { lastReceivedAt: this.clock.now(), isReachable: true, address, zone, isOutOfRotation, utilization, revision, acceptedPerSecond })
   }
 
   /** Removes a peer that left, or whose address is now used by a new process. */
@@ -256,6 +258,6 @@
 
   #encode (state: LocalState, events: PeerEvents): Buffer {
     const addresses = this.#dueAddresses()
-    return encodePeerState({ peer: this.self, address: this.#address, zone: this.options.zone, isLeaving: this.#leaving, isOutOfRotation: this.isOutOfRotation, utilization: this.localState.utilization(), addresses, ...state, ...events })
+    return encodePeerState({ peer: this.self, address: this.#address, zone: this.options.zone, isLeaving: this.#leaving, isOutOfRotation: this.isOutOfRotation, acceptedPerSecond: this.acceptedPerSecond, utilization: this.localState.utilization(), addresses, ...state, ...events })
   }
 }
--- a/packages/gateway/src/peers/peerTypes.ts
+++ b/packages/gateway/src/peers/peerTypes.ts
@@ -25,6 +25,8 @@
   readonly utilization: number | undefined
   /** Revision of the sender's configuration; -1 for none. */
   readonly revision: number
+  /** Rate at which the sender accepts connections of callers. */
+  readonly acceptedPerSecond: number
   /** Open requests of the sender by upstream; it has none at upstreams that are not listed. */
   readonly loads: ReadonlyMap<UpstreamId, UpstreamLoad>
   /** Token totals by workspace since the sender started; workspaces that are not listed have not changed. */
--- a/packages/gateway/src/process/loadMonitor.ts
+++ b/packages/gateway/src/process/loadMonitor.ts
@@ -3,7 +3,9 @@
 import type { ConnectionDecision } from '@fuchsiaworks/policy'
 import type { GatewayMetrics } from '../log/gatewayMetrics.js'
 
-const REPORT_INTERVAL_MS: Millis = 1000
+const SAMPLE_INTERVAL_MS: Millis = 500
+
+const SAMPLES_PER_REPORT = 2
 
 const SECOND_MS = 1000
 
@@ -31,11 +33,20 @@
   refuse: number
 }
 
+/** Load since the last sample. */
+export interface LoadSample {
+  readonly listenQueueWaitMs: Millis
+  /** Rate at which connections of callers were accepted. */
+  readonly acceptedPerSecond: number
+}
+
 /** Samples the load until closed. */
 export class LoadMonitor implements Service {
   #timer: Timer | undefined
   #isSaturated = false
   #accepted: Accepted = { serve: 0, offload: 0, refuse: 0 }
+  #acceptedInSample = 0
+  #samples = 0
 
   /**
    * @param clock - source of time
@@ -43,19 +54,21 @@
    * @param eventLoop - measures the event loop
    * @param probe - measures the wait in the listen queue of callers
    * @param openCounts - reads what is open
+   * @param onSample - called twice a second
    */
   constructor (
     readonly clock: Clock, readonly metrics: GatewayMetrics, readonly eventLoop: EventLoopMonitor, readonly probe: ListenQueueProbe,
-    readonly openCounts: () => OpenCounts
+    readonly openCounts: () => OpenCounts, readonly onSample: (sample: LoadSample) => void
   ) {}
 
   start (): void {
-    this.#timer = this.clock.every(REPORT_INTERVAL_MS, () => { this.#report() })
+    this.#timer = this.clock.every(SAMPLE_INTERVAL_MS, () => { this.#sample() })
   }
 
   /** Counts an accepted connection of a caller by what is done with it. */
   recordAccepted (decision: ConnectionDecision['kind']): void {
     this.#accepted[decision] += 1
+    this.#acceptedInSample += 1
     this.metrics.accepted.inc({ decision })
   }
 
@@ -65,6 +78,13 @@
     this.probe.close()
   }
 
+  #sample (): void {
+    this.onSample({ listenQueueWaitMs: this.probe.waitMs, acceptedPerSecond: this.#acceptedInSample * SECOND_MS / SAMPLE_INTERVAL_MS })
+    this.#acceptedInSample = 0
+    this.#samples += 1
+    if (this.#samples % SAMPLES_PER_REPORT === 0) this.#report()
+  }
+
   #report (): void {
     const { utilization, maxDelayMs } = this.eventLoop.takeSample()
     const open = this.openCounts()
--- a/packages/gateway/src/process/selfCheck.ts
+++ b/packages/gateway/src/process/selfCheck.ts
@@ -1,17 +1,15 @@
 /** Detects overload of the process and takes it out of the load balancer's rotation for a while. */
-import { type Clock, createLog, type Millis, type Service, type Timer, type ZoneId } from '@fuchsiaworks/kernel'
+import { type Clock, createLog, type ZoneId } from '@fuchsiaworks/kernel'
 import { decideOverload, initialOverloadState, type OverloadState } from '@fuchsiaworks/policy'
 import type { CallerServer } from '../callers/callerServer.js'
 import type { PeerMesh } from '../peers/peerMesh.js'
-
-const CHECK_INTERVAL_MS: Millis = 1000
+import type { LoadSample } from './loadMonitor.js'
 
 const log = createLog('self-check')
 
-/** Checks periodically whether the process is overloaded. */
-export class SelfCheck implements Service {
+/** Decides from samples of the load whether the process is overloaded. */
+export class SelfCheck {
   #overload: OverloadState
-  #timer: Timer | undefined
 
   /**
    * @param clock - source of time
@@ -25,26 +23,25 @@
 
   /** True while the load balancer should send new callers to other gateways. */
   get isOutOfRotation (): boolean {
-    return this.#overload.outUntil > 0
-  }
-
-  start (): void {
-    this.#timer = this.clock.every(CHECK_INTERVAL_MS, () => { this.#check() })
-  }
-
-  close (): void {
-    this.#timer?.close()
+    return this.#overload.outSince !== undefined
   }
 
-  #check (): void {
+  /** Applies a sample. */
+  check ({ listenQueueWaitMs, acceptedPerSecond }: LoadSample): void {
     const wasOutOfRotation = this.isOutOfRotation
-    const sample = this.callerServer.takeSample()
+    const sample = { listenQueueWaitMs: Math.round(listenQueueWaitMs), acceptedPerSecond, ...this.callerServer.takeSample() }
     const peersInZone = this.mesh.reachablePeers().filter(({ zone }) => zone === this.zone)
-    const zoneReadiness = { inSight: peersInZone.length, out: peersInZone.filter(({ isOutOfRotation }) => isOutOfRotation).length }
+    const zoneReadiness = {
+      inSight: peersInZone.length,
+      out: peersInZone.filter(({ isOutOfRotation }) => isOutOfRotation).length,
+      maxAccepted: Math.max(0, ...peersInZone.map(peer => peer.acceptedPerSecond)),
+      maxUtilization: Math.max(0, ...peersInZone.map(({ utilization }) => utilization ?? 0))
+    }
     this.#overload = decideOverload(this.#overload, sample, zoneReadiness, this.clock.now())
+    this.mesh.acceptedPerSecond = acceptedPerSecond
     this.mesh.isOutOfRotation = this.isOutOfRotation
     if (this.isOutOfRotation === wasOutOfRotation) return
-    log.warn(this.isOutOfRotation ? 'overloaded: reporting not ready, as most callers disconnect before their requests are read' : 'overload ended: reporting ready', { ...sample, ...zoneReadiness, outMs: this.#overload.nextOutMs })
+    log.warn(this.isOutOfRotation ? 'overloaded: reporting not ready, as callers give up before they are served' : 'overload ended: reporting ready', { ...sample, ...zoneReadiness })
     this.mesh.scheduleUpdate()
   }
 }
--- a/packages/gateway/src/process/startGateway.ts
+++ b/packages/gateway/src/process/startGateway.ts
@@ -106,7 +106,7 @@
     },
     shouldClose: () => dispatcher.shouldClose()
   })
-  const loadMonitor = new LoadMonitor(clock, ctx.metrics, eventLoop, probe, () => ({ connections: callerServer.connections, offloaded: offloader.size, received: receiver.size, requests: flow.size }))
+  const loadMonitor = new LoadMonitor(clock, ctx.metrics, eventLoop, probe, () => ({ connections: callerServer.connections, offloaded: offloader.size, received: receiver.size, requests: flow.size }), sample => { selfCheck.check(sample) })
   const selfCheck = new SelfCheck(clock, settings.zone, callerServer, mesh)
   let isDraining = false
   const readyServer = new PageServer({ ...settings.ready, path: ports.readyPath }, () => {
@@ -139,7 +139,6 @@
   register('offload-receiver', receiver)
   register('offloader', offloader)
   register('callers', callerServer)
-  register('self-check', selfCheck)
   register('load', loadMonitor)
   register('ready', readyServer)
   if (ports.metrics !== undefined) {
--- a/packages/policy/src/overload/overloadTypes.ts
+++ b/packages/policy/src/overload/overloadTypes.ts
@@ -1,11 +1,15 @@
 /** Inputs and state of the overload policy, by which a gateway takes itself out of the load balancer's rotation. */
 import type { Millis } from '@fuchsiaworks/kernel'
 
-/** Requests that a gateway has read since the previous sample. */
-export interface AbandonmentSample {
-  /** Number of requests read. */
+/** What a gateway has seen since the previous sample, half a second ago. */
+export interface OverloadSample {
+  /** Time for which new connections wait until they are accepted. */
+  readonly listenQueueWaitMs: Millis
+  /** Rate at which connections were accepted. */
+  readonly acceptedPerSecond: number
+  /** Requests read. */
   readonly read: number
-  /** Number of requests among them whose callers had disconnected before they were read. */
+  /** Requests among them whose callers had disconnected before they were read. */
   readonly abandoned: number
 }
 
@@ -15,6 +19,10 @@
   readonly inSight: number
   /** Number of reachable gateways that are out of rotation. */
   readonly out: number
+  /** Highest rate at which one of them accepts connections, per second; one that has just left still accepts for a while. */
+  readonly maxAccepted: number
+  /** Highest utilization of the event loop of one of them, from 0 to 1. */
+  readonly maxUtilization: number
 }
 
 /** State between two samples. */
@@ -23,10 +31,8 @@
   readonly startedAt: Millis
   /** Consecutive bad samples. */
   readonly badSamples: number
-  /** Monotonic time until which the gateway is out of rotation; 0 while it is in rotation. */
-  readonly outUntil: Millis
-  /** Milliseconds out of rotation: of the current period while out, otherwise of the next one. */
-  readonly nextOutMs: Millis
-  /** Monotonic time of the last return to rotation. */
-  readonly returnedAt: Millis
+  /** Monotonic time of leaving rotation; undefined while the gateway is in rotation. */
+  readonly outSince: Millis | undefined
+  /** Rate at which it accepted connections before it left, per second; what came was more than it can bear. */
+  readonly unbearable: number
 }
