Bound the listen queue of callers to 128 connections

Node.js asks for 511. What finds the shorter queue full is dropped by the kernel at no cost to the gateway, and its caller tries another gateway after a second, as it has sent nothing.

--- a/packages/gateway/src/callers/callerServer.ts
+++ b/packages/gateway/src/callers/callerServer.ts
@@ -26,6 +26,12 @@
 /** Interval at which connections are checked for an exceeded headers timeout. */
 const HEADERS_TIMEOUT_CHECK_INTERVAL_MS = 500
 
+/**
+ * Connections that may wait to be accepted. Node.js accepts one in each iteration of its event loop, so that a busy gateway accepts a few hundred
+ * a second: a longer queue would hold connections for longer than their callers wait. What finds the queue full tries another gateway.
+ */
+const LISTEN_BACKLOG = 128
+
 const log = createLog('callers')
 
 /** Waits until the event loop has polled its sockets once more: the second immediate runs after the poll phase that follows the first. */
@@ -102,7 +108,7 @@
     const { host, port } = this.ctx.settings.callers
     await new Promise<void>((resolve, reject) => {
       this.#server.once('error', reject)
-      this.#server.listen(port, host, resolve)
+      this.#server.listen({ port, host, backlog: LISTEN_BACKLOG }, resolve)
     })
   }
 
