Draw random numbers for choices in batches

Each call of randomBytes is a system call; with two choices for each connection it took 4 % of the time of a gateway that passes 200 connections a second on (profile).

--- a/packages/gateway/src/process/startGateway.ts
+++ b/packages/gateway/src/process/startGateway.ts
@@ -1,5 +1,4 @@
 /** Starts a gateway: a proxy without queues that sends requests straight to upstreams. */
-import { randomBytes } from 'node:crypto'
 import { createLog, EventLoopMonitor, Kernel, ListenQueueProbe, type Millis, onEvent, type RunningProcess, type Service, systemClock } from '@fuchsiaworks/kernel'
 import { chooseStoreWatchRole, coldPaceDefinition, crashSuspectDefinition, loadStringHash, placementDefinition, RetryBudget, tokenShareDefinition } from '@fuchsiaworks/policy'
 import { CallerServer } from '../callers/callerServer.js'
@@ -17,6 +16,7 @@
 import { OFFLOAD_PATH } from '../offload/offloadTypes.js'
 import { LoadMonitor } from './loadMonitor.js'
 import { PageServer } from './pageServer.js'
+import { createRandom } from './random.js'
 import { SelfCheck } from './selfCheck.js'
 import { applyPeerState, applyFleetView, createPeerMesh, recordUnlistedUpstreams } from './wiring.js'
 
@@ -76,7 +76,7 @@
   const ctx: FlowContext = {
     settings,
     clock,
-    random: () => randomBytes(4).readUInt32LE() / 2 ** 32,
+    random: createRandom(),
     hash,
     fleet: ports.fleet,
     headers: ports.headers,
