Close connections after their responses when callers hold half of the descriptors

One workspace opens a connection for each request and leaves it open for the idle timeout. A process without descriptors accepts nothing and cannot connect to upstreams.

The limit comes from the platform's settings of the host. The spec fails without the change.

--- a/packages/gateway/src/offload/connectionDispatcher.ts
+++ b/packages/gateway/src/offload/connectionDispatcher.ts
@@ -31,6 +31,9 @@
   readonly mesh: PeerMesh
   readonly offloader: ConnectionOffloader
   readonly headers: HeaderPort
+  /** Open connections that this gateway has accepted, and the number of them from which responses close their connections. */
+  readonly connections: () => number
+  readonly maxConnections: number
   /** Revision of the own configuration; -1 for none. */
   readonly revision: () => number
 }
@@ -44,6 +47,7 @@
   readonly #parts: DispatcherParts
   #peers: readonly UsablePeer[] = []
   #probedAt: Millis = -Infinity
+  #isKeepAliveDisabled = false
 
   /** @param parts - parts of the gateway */
   constructor (parts: DispatcherParts) {
@@ -52,12 +56,14 @@
 
   /** From now on, every response closes its connection. */
   disableKeepAlive (): void {
+    this.#isKeepAliveDisabled = true
     this.#parts.offloader.allowKeepAlive(false)
   }
 
-  /** True when the connection of a response should be closed, so that the caller's next connection can be given to a peer. */
+  /** True when the connection of a response should be closed: there are too many, or the caller's next connection can be given to a peer. */
   shouldClose (): boolean {
     const { eventLoop, random } = this.#parts
+    if (this.#hasTooManyConnections) return true
     const share = offloadShare(eventLoop.recentUtilization)
     return share > 0 && this.#peers.length > 0 && random() < share
   }
@@ -67,6 +73,7 @@
     const { eventLoop, probe, mesh, offloader, zone } = this.#parts
     const utilization = eventLoop.recentUtilization
     if (utilization >= PROBE_UTILIZATION || probe.waitMs >= PROBE_WAIT_MS) this.#probe()
+    offloader.allowKeepAlive(!this.#isKeepAliveDisabled && !this.#hasTooManyConnections)
     const isPressed = utilization >= MORE_LINKS_UTILIZATION
     if (!isPressed && offloader.links >= WARM_LINKS) return
     const usable = mesh.reachablePeers().filter(isUsable)
@@ -92,6 +99,10 @@
     }
   }
 
+  get #hasTooManyConnections (): boolean {
+    return this.#parts.connections() >= this.#parts.maxConnections
+  }
+
   #probe (): void {
     const now = this.#parts.clock.now()
     if (now - this.#probedAt < PROBE_INTERVAL_MS) return
--- a/packages/gateway/src/process/gateway.spec.ts
+++ b/packages/gateway/src/process/gateway.spec.ts
@@ -1,7 +1,7 @@
 import { describe, it } from 'node:test'
 import { setLogLevel } from '@fuchsiaworks/kernel'
 import { expect } from 'earl'
-import { type GatewayUnderTest, type Script, startUnderTest } from './gatewayFixtures.js'
+import { type GatewayUnderTest, type Script, startUnderTest, startWithSettings } from './gatewayFixtures.js'
 
 setLogLevel('error')
 
@@ -116,6 +116,20 @@
     })
   })
 
+  it('closes connections after their responses once idle ones hold half of its file descriptors', async () => {
+    const gateway = await startWithSettings({ maxDescriptors: 8 }, respond)
+    const keepOpen = async (): Promise<string> => await gateway.sendRaw('POST /safe/x HTTP/1.1\r\nHost: a.example\r\nTry: t1\r\n\r\n', 400)
+    try {
+      const responses = await Promise.all(Array.from({ length: 3 }, keepOpen))
+      for (const response of responses) expect(response).toMatchRegex(/connection: keep-alive/i)
+      const more = await Promise.all(Array.from({ length: 8 }, keepOpen))
+      expect(more.filter(response => /connection: close/i.test(response)).length).toBeGreaterThanOrEqual(4)
+      expect(more.every(response => statusOf(response) === 200)).toEqual(true)
+    } finally {
+      await gateway.close()
+    }
+  })
+
   it('never forwards a response with another attempt id, a success without a seal or an encoded body', async () => {
     const invalidResponses: Script[] = [
       (_req, res) => { res.writeHead(200, { seal: 's', try: 'other' }).end('other') },
--- a/packages/gateway/src/process/gatewayFixtures.ts
+++ b/packages/gateway/src/process/gatewayFixtures.ts
@@ -2,6 +2,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { connect, type AddressInfo, createServer as createNetServer } from 'node:net'
 import { asId, EventSource, type Millis, type RunningProcess, type ServiceId, type UpstreamId, type WorkspaceId, type ZoneId } from '@fuchsiaworks/kernel'
+import type { GatewaySettings } from '@fuchsiaworks/settings'
 import type { HeaderList } from '@fuchsiaworks/wire'
 import type { FleetPort, FleetView } from '../port/fleetPort.js'
 import type { HeaderPort } from '../port/headerPort.js'
@@ -130,7 +131,10 @@
  *
  * @param scripts - one per upstream
  */
-export const startUnderTest = async (...scripts: Script[]): Promise<GatewayUnderTest> => {
+export const startUnderTest = async (...scripts: Script[]): Promise<GatewayUnderTest> => await startWithSettings({}, ...scripts)
+
+/** As `startUnderTest`, with settings of its own. */
+export const startWithSettings = async (ownSettings: Partial<GatewaySettings>, ...scripts: Script[]): Promise<GatewayUnderTest> => {
   const arrivals: Arrival[] = []
   const started = await Promise.all(scripts.map(async (script, at) => await startUpstream(`u${at}`, script, arrivals)))
   const view: FleetView = {
@@ -171,7 +175,9 @@
     revokeMs: 5000,
     retryRatio: 0.2,
     shareWindowSeconds: 4,
-    logLevel: 'error'
+    maxDescriptors: 4096,
+    logLevel: 'error',
+    ...ownSettings
   }, { fleet, headers: testHeaders, readyPath: '/ready', metrics: undefined })
   return Object.assign(state, {
     running,
--- a/packages/gateway/src/process/startGateway.ts
+++ b/packages/gateway/src/process/startGateway.ts
@@ -41,6 +41,9 @@
 /** Interval at which expired crash records are removed and the role in reading the platform's lists is chosen again. */
 const MAINTENANCE_INTERVAL_MS: Millis = 500
 
+/** Share of the file descriptors that callers may hold before their connections are closed after each response; the rest is for upstreams and peers. */
+const CALLER_DESCRIPTOR_SHARE = 0.5
+
 const SECOND_MS = 1000
 
 const log = createLog('gateway')
@@ -95,7 +98,7 @@
   const probe = new ListenQueueProbe(clock, settings.callers)
   const offloader = new ConnectionOffloader(clock, ports.headers)
   const dispatcher: ConnectionDispatcher = new ConnectionDispatcher({
-    clock, zone: settings.zone, random: ctx.random, eventLoop, probe, mesh, offloader, headers: ports.headers, revision: () => ports.fleet.view.table?.revision ?? -1
+    clock, zone: settings.zone, maxConnections: settings.maxDescriptors * CALLER_DESCRIPTOR_SHARE, random: ctx.random, eventLoop, probe, mesh, offloader, headers: ports.headers, connections: () => callerServer.connections, revision: () => ports.fleet.view.table?.revision ?? -1
   })
   const callerServer: CallerServer = new CallerServer(ctx, flow, {
     admit: socket => {
