Soak: callers that press on a gateway, and checks of what they get

Two checks are new: a ready gateway takes new connections (the users' rule), and callers are served or refused before they give up.

A peer serves what a pressed gateway gives away, so the checks count an unplanned disturbance of a peer for requests at a gateway that was pressed before. Planned stops of peers excuse nothing.

The same traces led to two changes of the gateway: a silent link is found within about 1.2 s instead of 2.2 (a link is not judged right after a pause of the own process), and connections that peers serve are brought back with their responses once the gateway has time, so that callers depend on a peer no longer than needed.

--- a/packages/gateway/src/offload/connectionDispatcher.ts
+++ b/packages/gateway/src/offload/connectionDispatcher.ts
@@ -11,6 +11,9 @@
 const WARM_LINKS = 2
 const MORE_LINKS_UTILIZATION = 0.7
 
+/** Utilization below which connections that peers serve are brought back. */
+const BRING_BACK_UTILIZATION = 0.5
+
 /** Utilization from which the listen queue is probed again and again. */
 const PROBE_UTILIZATION = 0.85
 
@@ -73,7 +76,7 @@
     const { eventLoop, probe, mesh, offloader, zone } = this.#parts
     const utilization = eventLoop.recentUtilization
     if (utilization >= PROBE_UTILIZATION || probe.waitMs >= PROBE_WAIT_MS) this.#probe()
-    offloader.allowKeepAlive(!this.#isKeepAliveDisabled && !this.#hasTooManyConnections)
+    offloader.allowKeepAlive(this.#allowsKeepAlive(utilization))
     const isPressed = utilization >= MORE_LINKS_UTILIZATION
     if (!isPressed && offloader.links >= WARM_LINKS) return
     const usable = mesh.reachablePeers().filter(isUsable)
@@ -99,6 +102,11 @@
     }
   }
 
+  /** Connections that peers serve are brought back, one response after the other, once this gateway has time for them. */
+  #allowsKeepAlive (utilization: number): boolean {
+    return !this.#isKeepAliveDisabled && !this.#hasTooManyConnections && utilization >= BRING_BACK_UTILIZATION
+  }
+
   get #hasTooManyConnections (): boolean {
     return this.#parts.connections() >= this.#parts.maxConnections
   }
--- a/packages/gateway/src/offload/offloadLink.ts
+++ b/packages/gateway/src/offload/offloadLink.ts
@@ -5,13 +5,16 @@
 import type { ConnectionNumber, OffloadFrame } from './offloadTypes.js'
 
 /** Interval at which it is checked whether the other side is alive. */
-const CHECK_INTERVAL_MS: Millis = 500
+const CHECK_INTERVAL_MS: Millis = 250
+
+/** Time between two checks, as a multiple of their interval, from which this process has been paused. */
+const MAX_CHECK_LATENESS = 2
 
 /** Time without any message after which the other side is pinged, by whether connections depend on the link. */
-const PING_AFTER_MS = { inUse: 450, idle: 3000 } as const
+const PING_AFTER_MS = { inUse: 300, idle: 3000 } as const
 
 /** Time without an answer to a ping after which the link counts as dead. */
-const PONG_TIMEOUT_MS: Millis = 1200
+const PONG_TIMEOUT_MS: Millis = 700
 
 const log = createLog('offload')
 
@@ -36,6 +39,7 @@
   readonly #pendingData = new Map<ConnectionNumber, number>()
   #batchTimer: Timer | undefined
   #lastReceivedAt: Millis
+  #checkedAt: Millis
   /** Time of a ping after which nothing was received; undefined when there is none. */
   #pingedAt: Millis | undefined
 
@@ -51,6 +55,7 @@
     this.#batchMs = batchMs
     this.#handler = handler
     this.#lastReceivedAt = clock.now()
+    this.#checkedAt = clock.now()
     this.#checkTimer = clock.every(CHECK_INTERVAL_MS, () => { this.#checkAlive() })
     socket.on('message', data => { this.#receive(data as Buffer) })
     socket.on('pong', () => { this.#recordReceived() })
@@ -115,6 +120,10 @@
 
   #checkAlive (): void {
     const now = this.#clock.now()
+    const sinceCheckMs = now - this.#checkedAt
+    this.#checkedAt = now
+    // After a pause of this process, messages that have arrived meanwhile are read only after its timers have run.
+    if (sinceCheckMs > MAX_CHECK_LATENESS * CHECK_INTERVAL_MS) this.#pingedAt = undefined
     if (this.#pingedAt !== undefined) {
       if (now - this.#pingedAt < PONG_TIMEOUT_MS) return
       log.warn('offload link is silent', { silenceMs: Math.round(now - this.#lastReceivedAt) })
--- a/soak/src/callers/caller.ts
+++ b/soak/src/callers/caller.ts
@@ -13,6 +13,18 @@
   return typeof value === 'string' ? value : undefined
 }
 
+/** How a caller behaves, beyond waiting for its response. */
+export interface CallerBehaviour {
+  /** Whether it opens a new connection for the request. */
+  readonly isNewConnection: boolean
+  /** Time after which it disconnects early; undefined for never. */
+  readonly disconnectAfterMs?: Millis | undefined
+  /** Time within which the response has to start; undefined for no limit of its own. */
+  readonly patienceMs?: Millis
+  /** Called once, when the request has ended. */
+  readonly onEnd?: () => void
+}
+
 /** HTTP client of one gateway with connection reuse. */
 export class Caller {
   readonly #agent = new Agent({ keepAlive: true })
@@ -27,17 +39,18 @@
    * Sends a request and records in it how it ended.
    *
    * @param sent - the request
-   * @param isNewConnection - whether to open a new connection for it
-   * @param disconnectAfterMs - time after which the caller disconnects early; undefined for never
+   * @param behaviour - how the caller behaves
    */
-  send (sent: SentRequest, isNewConnection: boolean, disconnectAfterMs: Millis | undefined): void {
+  send (sent: SentRequest, { isNewConnection, disconnectAfterMs, patienceMs, onEnd }: CallerBehaviour): void {
     let body = ''
     let status: number | undefined
     const recordEnd = (end: NonNullable<SentRequest['end']>): void => {
       if (sent.end !== undefined) return
       sent.end = end
       disconnectTimer?.close()
+      patienceTimer?.close()
       timeoutTimer.close()
+      onEnd?.()
     }
     const recordBroken = (reason: string): void => { recordEnd({ kind: 'broken', at: this.clock.now(), status, body, reason }) }
     const req = request({
@@ -55,6 +68,7 @@
       }
     }, res => {
       status = res.statusCode
+      patienceTimer?.close()
       res.setEncoding('utf8')
       res.on('data', text => { body += String(text) })
       res.on('error', err => { recordBroken(err.message) })
@@ -69,6 +83,7 @@
       req.destroy()
     }
     const disconnectTimer = disconnectAfterMs === undefined ? undefined : this.clock.after(disconnectAfterMs, disconnect)
+    const patienceTimer = patienceMs === undefined ? undefined : this.clock.after(patienceMs, disconnect)
     const timeoutTimer = this.clock.after(sent.timeoutMs + CLIENT_TIMEOUT_MARGIN_MS, disconnect)
     req.on('error', err => { recordBroken(err.message) })
     req.end(sent.body)
--- a/soak/src/callers/loadGenerator.ts
+++ b/soak/src/callers/loadGenerator.ts
@@ -58,7 +58,7 @@
     const gateway = healthyGateways[this.#requestCount % Math.max(1, healthyGateways.length)]
     const apiKey = this.operator.keyOfFirstWorkspace()
     if (gateway === undefined || apiKey === undefined) return
-    this.#callers[gateway]?.send(this.#recordRequest(gateway, 'once', CRASH_REQUEST_PATH, undefined, apiKey, CRASH_REQUEST_BODY), true, undefined)
+    this.#callers[gateway]?.send(this.#recordRequest(gateway, 'once', CRASH_REQUEST_PATH, undefined, apiKey, CRASH_REQUEST_BODY), { isNewConnection: true })
   }
 
   /** Stops sending; open requests continue. */
@@ -88,13 +88,13 @@
     const apiKey = this.operator.drawApiKey(this.random, this.random() < REVOKED_KEY_SHARE)
     const sent = this.#recordRequest(gateway, kind, `/${kind}/x?n=${this.#requestCount}`, undefined, apiKey)
     const disconnectAfterMs = this.random() < DISCONNECT_SHARE ? this.random() * MAX_DISCONNECT_DELAY_MS : undefined
-    this.#callers[gateway]?.send(sent, this.random() < NEW_CONNECTION_SHARE, disconnectAfterMs)
+    this.#callers[gateway]?.send(sent, { isNewConnection: this.random() < NEW_CONNECTION_SHARE, disconnectAfterMs })
   }
 
   #probe (gateway: number): void {
     const { revision } = this.operator
     const sent = this.#recordRequest(gateway, 'probe', `/probe-${revision}/x`, revision, undefined)
-    this.#callers[gateway]?.send(sent, false, undefined)
+    this.#callers[gateway]?.send(sent, { isNewConnection: false })
   }
 
   #recordRequest (gateway: number, kind: RequestKind, path: string, revision: number | undefined, apiKey: { key: string, workspace: string } | undefined, body = `body ${this.#requestCount}`): SentRequest {
--- a/soak/src/callers/surge.ts
+++ b/soak/src/callers/surge.ts
@@ -1,41 +1,46 @@
-/** A surge: callers that each open a connection of their own to one gateway, leave when they get no response in time, and come back once. */
-import { request } from 'node:http'
+/** A surge: callers of one gateway that each open a connection of their own, leave when the response does not start in time, and come back once. */
 import type { Clock, Millis, Timer } from '@fuchsiaworks/kernel'
-import { HEADER } from '@fuchsiaworks/platform-adapter'
-import { HOST } from '../world/routes.js'
+import type { Observations, SentRequest } from '../invariants/observationTypes.js'
+import type { Fleet } from '../world/fleet.js'
+import { ROUTE_TIMEOUTS_MS } from '../world/routes.js'
+import { Caller } from './caller.js'
 
-/** Time for which a caller waits for the start of a response, and for its end. */
-const PATIENCE_MS = { start: 1500, end: 6000 } as const
+/** Time for which a caller waits for the start of a response. */
+const PATIENCE_MS: Millis = 1500
 
 /** Time between two checks of how many callers are due. */
 const TICK_MS: Millis = 10
 
-/** One connection of a caller. */
-export interface SurgeAttempt {
-  readonly attempt: string
-  readonly sentAt: Millis
-  /** True when the caller left before and has come back. */
-  readonly isRetry: boolean
-  /** `served`: a complete success; undefined while open. */
-  outcome: 'served' | 'refused' | 'failed' | 'left' | undefined
-  endedAt: Millis | undefined
+/** What a surge is about. */
+export interface SurgeOptions {
+  /** Index of the gateway; while it is out of the load balancer's rotation, the callers reach the next one that is in. */
+  readonly gateway: number
+  /** Callers that start in a second, without those that come back. */
+  readonly perSecond: number
+  /** Key that the callers send. */
+  readonly apiKey: { readonly key: string, readonly workspace: string }
+  /** Prefix of the attempts' ids. */
+  readonly name: string
 }
 
-/** Callers of one gateway, at a constant rate. */
+/** Callers at a constant rate. */
 export class Surge {
-  readonly attempts: SurgeAttempt[] = []
+  /** Requests of callers that have not come back. */
+  readonly firstRequests: SentRequest[] = []
+  /** Requests of callers that have come back. */
+  readonly retries: SentRequest[] = []
+  readonly #callers: readonly Caller[]
   readonly #timer: Timer
   readonly #startedAt: Millis
-  #started = 0
 
   /**
    * @param clock - source of time
-   * @param port - port of the gateway
-   * @param apiKey - key that the callers send
-   * @param perSecond - callers that start in a second, without those that come back
-   * @param name - prefix of the attempts' ids
+   * @param fleet - gateways to send to
+   * @param observations - receives the requests
+   * @param options - rate and target
    */
-  constructor (readonly clock: Clock, readonly port: number, readonly apiKey: string, readonly perSecond: number, readonly name: string) {
+  constructor (readonly clock: Clock, readonly fleet: Fleet, readonly observations: Observations, readonly options: SurgeOptions) {
+    this.#callers = fleet.gateways.map(({ ports }) => new Caller(clock, ports.callers))
     this.#startedAt = clock.now()
     this.#timer = clock.every(TICK_MS, () => { this.#startDue() })
   }
@@ -46,39 +51,42 @@
   }
 
   #startDue (): void {
-    const due = (this.clock.now() - this.#startedAt) / 1000 * this.perSecond
-    for (; this.#started < due; this.#started++) this.#send(false)
+    const due = (this.clock.now() - this.#startedAt) / 1000 * this.options.perSecond
+    while (this.firstRequests.length < due) this.#send(this.firstRequests)
   }
 
-  #send (isRetry: boolean): void {
-    const record: SurgeAttempt = { attempt: `${this.name}-${this.attempts.length}`, sentAt: this.clock.now(), isRetry, outcome: undefined, endedAt: undefined }
-    this.attempts.push(record)
-    const end = (outcome: NonNullable<SurgeAttempt['outcome']>): void => {
-      if (record.outcome !== undefined) return
-      record.outcome = outcome
-      record.endedAt = this.clock.now()
-      startTimer.close()
-      endTimer.close()
-      req.destroy()
-      if (outcome !== 'served' && !isRetry) this.#send(true)
-    }
-    const startTimer = this.clock.after(PATIENCE_MS.start, () => { end('left') })
-    const endTimer = this.clock.after(PATIENCE_MS.end, () => { end('left') })
-    const req = request({
-      host: '127.0.0.1',
-      port: this.port,
-      method: 'POST',
+  /** Gateway that the load balancer chooses for these callers. */
+  #target (): number {
+    const healthy = this.fleet.loadBalancer.healthyGateways()
+    const { gateway } = this.options
+    return healthy.find(index => index >= gateway) ?? healthy[0] ?? gateway
+  }
+
+  #send (requests: SentRequest[]): void {
+    const gateway = this.#target()
+    const { name, apiKey: { key, workspace } } = this.options
+    const sent: SentRequest = {
+      gateway,
+      incarnation: this.fleet.gateways[gateway]?.incarnation ?? 0,
+      attempt: `${name}-${this.firstRequests.length + this.retries.length}`,
+      kind: 'stream',
       path: '/stream/surge',
-      agent: false,
-      headers: { host: HOST, authorization: `Bearer ${this.apiKey}`, [HEADER.attemptId]: record.attempt, [HEADER.deadlineMs]: String(PATIENCE_MS.end) }
-    }, res => {
-      startTimer.close()
-      res.resume()
-      res.on('error', () => { end('failed') })
-      res.on('end', () => { end(res.complete && res.statusCode === 200 ? 'served' : res.statusCode === 503 ? 'refused' : 'failed') })
-      res.on('close', () => { end('failed') })
+      body: '',
+      key,
+      workspace,
+      sentAt: this.clock.now(),
+      timeoutMs: ROUTE_TIMEOUTS_MS.stream,
+      revision: undefined,
+      isSurge: true,
+      end: undefined
+    }
+    requests.push(sent)
+    this.observations.requests.push(sent)
+    const isServed = (): boolean => sent.end?.kind === 'response' && sent.end.status === 200
+    this.#callers[gateway]?.send(sent, {
+      isNewConnection: true,
+      patienceMs: PATIENCE_MS,
+      onEnd: () => { if (requests === this.firstRequests && !isServed()) this.#send(this.retries) }
     })
-    req.on('error', () => { end('failed') })
-    req.end(record.attempt)
   }
 }
--- a/soak/src/invariants/bounds.ts
+++ b/soak/src/invariants/bounds.ts
@@ -31,6 +31,12 @@
   coldRateFactor: 1.5,
   coldRateSlack: 5,
   coldWindowMs: 1000,
+  /** Time within which a ready gateway responds to one of several callers that open connections. */
+  newConnectionMs: 4000,
+  /** Callers that have to try in that time. */
+  newConnectionCallers: 7,
+  /** Share of the callers of a surge that may leave because their response does not start in time; a peer gateway that serves them may be paused. */
+  unansweredSurgeShare: 0.25,
   /** From the end of the last fault until the fleet serves requests normally. */
   faultRecoveryMs: 6000,
   /** Share of requests that a fleet far below its capacity serves without faults. */
--- a/soak/src/invariants/invariants.spec.ts
+++ b/soak/src/invariants/invariants.spec.ts
@@ -173,4 +173,31 @@
     expect(violatedInvariant({ requests: requests.slice(1), faultFreeFrom: 10_000 })).toEqual(undefined)
     expect(violatedInvariant({ requests, faultFreeFrom: 15_000 })).toEqual(undefined)
   })
+
+  it('find a ready gateway that takes no new connection, and accept one that takes few or was disturbed', () => {
+    const surge = (answered: readonly number[], spacingMs = 400): SentRequest[] => repeat(14, nth => request({
+      attempt: `s${nth}`,
+      kind: 'stream',
+      path: '/stream/surge',
+      sentAt: 10_000 + nth * spacingMs,
+      isSurge: true,
+      end: answered.includes(nth) ? response({ status: 503, seal: undefined, body: '' }) : { kind: 'left', at: 11_500 + nth * spacingMs }
+    }))
+    const invariant = 'a ready gateway takes new connections'
+    expect(violatedInvariant({ requests: surge([]) })).toEqual(invariant)
+    expect(violatedInvariant({ requests: surge([0]) })).toEqual(invariant)
+    expect(violatedInvariant({ requests: surge([7]) })).toEqual(undefined)
+    expect(violatedInvariant({ requests: surge([], 100) })).toEqual(undefined)
+    expect(violatedInvariant({ requests: surge([], 2500) })).toEqual(undefined)
+    expect(violatedInvariant({ requests: surge([]), disturbances: [disturbance('gateway 0', 9000, 9500)] })).toEqual(undefined)
+  })
+
+  it('find callers of a surge that mostly leave without a response', () => {
+    const surge = (leaving: number): SentRequest[] => repeat(60, nth => request({
+      attempt: `s${nth}`, kind: 'stream', path: '/stream/surge', sentAt: 10_000 + nth * 10, isSurge: true, end: nth % 10 < leaving ? { kind: 'left', at: 11_600 + nth * 10 } : response({ status: 503, seal: undefined, body: '' })
+    }))
+    expect(violatedInvariant({ requests: surge(4) })).toEqual('callers that press on a gateway are served or refused in time')
+    expect(violatedInvariant({ requests: surge(2) })).toEqual(undefined)
+    expect(violatedInvariant({ requests: surge(4), disturbances: [disturbance('gateway 0', 9000, 9500)] })).toEqual(undefined)
+  })
 })
--- a/soak/src/invariants/observationTypes.ts
+++ b/soak/src/invariants/observationTypes.ts
@@ -42,6 +42,8 @@
   readonly timeoutMs: Millis
   /** Revision that a probe checks for; undefined for other kinds. */
   readonly revision: number | undefined
+  /** True for a request of a surge: sent on a connection of its own, by a caller that leaves when the response does not start in time. */
+  readonly isSurge?: boolean
   end: RequestEnd | undefined
 }
 
@@ -102,6 +104,8 @@
   readonly excludedZones: NamedSpan[]
   /** Upstreams that drain or have been removed. */
   readonly leaving: NamedSpan[]
+  /** Starts of presses: callers ask a gateway on a small host for more than it can serve. */
+  readonly presses: Array<{ readonly gateway: number, readonly from: Millis }>
   /** Upstreams in cold start. */
   readonly cold: NamedSpan[]
   /** Time from which there are no faults; undefined before. */
@@ -123,5 +127,5 @@
 }
 
 export const emptyObservations = (): Observations => ({
-  requests: [], arrivals: [], disturbances: [], publications: [], revokedKeys: [], excludedZones: [], leaving: [], cold: [], faultFreeFrom: undefined
+  requests: [], arrivals: [], disturbances: [], publications: [], revokedKeys: [], excludedZones: [], leaving: [], presses: [], cold: [], faultFreeFrom: undefined
 })
--- a/soak/src/regressions.ts
+++ b/soak/src/regressions.ts
@@ -9,5 +9,8 @@
 export const REGRESSIONS: readonly Regression[] = [
   { seed: 1001, seconds: 24, gateways: 4, cause: 'a second SIGTERM during the drain of a gateway aborted its open requests' },
   { seed: 1002, seconds: 24, gateways: 4, cause: 'fault of the soak itself: an outgoing connection took the port of a stopped gateway' },
-  { seed: 9, seconds: 24, gateways: 4, cause: 'a crash-causing request was still sent upstream where the crashes showed only by the entries of the upstreams' }
+  { seed: 9, seconds: 24, gateways: 4, cause: 'a crash-causing request was still sent upstream where the crashes showed only by the entries of the upstreams' },
+  { seed: 2, seconds: 24, gateways: 4, cause: 'callers that pressed on a gateway waited in its listen queue until they left' },
+  { seed: 3, seconds: 24, gateways: 4, cause: 'as seed 2' },
+  { seed: 5, seconds: 24, gateways: 4, cause: 'as seed 2' }
 ]
--- a/soak/src/schedule/faultSchedule.ts
+++ b/soak/src/schedule/faultSchedule.ts
@@ -21,6 +21,13 @@
 /** Indexes of targets are drawn below this and taken modulo the number of targets. */
 const INDEX_RANGE = 60
 
+/** A press lasts this long, and there is one for each span of this length, at least one. */
+const PRESS_MS = { min: 2500, max: 5000 } as const
+const PRESS_SPAN_MS: Millis = 15_000
+
+/** Added to the seed for presses, which are drawn apart from the other faults: the faults of a seed that has failed stay the same. */
+const PRESS_SEED_OFFSET = 500_009
+
 const pickUniform = <T>(random: Random, items: readonly T[]): T => pickWeighted(random, items.map(item => [item, 1] as const))
 
 const drawKind = (random: Random): FaultKind => {
@@ -41,6 +48,18 @@
 const drawDuration = (random: Random, remainingMs: Millis): Millis =>
   Math.round(Math.min(remainingMs, DURATION_MS.min + (DURATION_MS.max - DURATION_MS.min) * random() ** 2))
 
+const createRandom = (seed: number): Random => {
+  const random = seededRandom(seed)
+  for (let nth = 0; nth < SKIPPED_DRAWS; nth++) random()
+  return random
+}
+
+const drawPresses = (random: Random, endMs: Millis): ScheduledFault[] => Array.from({ length: Math.max(1, Math.floor(endMs / PRESS_SPAN_MS)) }, () => {
+  const durationMs = Math.round(Math.min(endMs, PRESS_MS.min + (PRESS_MS.max - PRESS_MS.min) * random()))
+  const startMs = Math.round((endMs - durationMs) * random())
+  return { startMs, durationMs, kind: { target: 'callers', index: Math.floor(random() * INDEX_RANGE), action: 'press' } }
+})
+
 /**
  * Draws a fault schedule.
  *
@@ -49,9 +68,8 @@
  * @returns the faults, ordered by start
  */
 export const drawSchedule = (seed: number, endMs: Millis): ScheduledFault[] => {
-  const random = seededRandom(seed)
-  for (let nth = 0; nth < SKIPPED_DRAWS; nth++) random()
-  const faults: ScheduledFault[] = []
+  const random = createRandom(seed)
+  const faults = drawPresses(createRandom(seed + PRESS_SEED_OFFSET), endMs)
   for (let seriesStartMs = drawInterval(random, MEAN_INTERVAL_MS); seriesStartMs < endMs; seriesStartMs += drawInterval(random, MEAN_INTERVAL_MS)) {
     const kind = drawKind(random)
     const count = random() < SERIES_SHARE ? 2 + Math.floor(random() * (SERIES.max - 1)) : 1
--- a/soak/src/schedule/faultTypes.ts
+++ b/soak/src/schedule/faultTypes.ts
@@ -24,6 +24,8 @@
   | { readonly target: 'upstream-link', readonly index: number, readonly action: typeof LINK_FAULTS[number] }
   | { readonly target: 'store', readonly action: typeof STORE_FAULTS[number] }
   | { readonly target: 'upstream', readonly index: number, readonly action: typeof UPSTREAM_FAULTS[number] }
+  /** Callers ask one gateway on a small host for more than it can serve. */
+  | { readonly target: 'callers', readonly index: number, readonly action: 'press' }
   | { readonly target: 'operator', readonly index: number, readonly action: typeof OPERATOR_ACTIONS[number] }
 
 /** A fault in a schedule. */
--- a/soak/src/world/faultInjector.ts
+++ b/soak/src/world/faultInjector.ts
@@ -1,11 +1,13 @@
 /** Injects the faults of a schedule, and records which component was disturbed and for how long. */
 import { assertNever, type Clock, createLog, type Millis, toError } from '@fuchsiaworks/kernel'
+import { Surge } from '../callers/surge.js'
 import type { Disturbance, Observations } from '../invariants/observationTypes.js'
 import type { GATEWAY_FAULTS, LINK_FAULTS, OPERATOR_ACTIONS, ScheduledFault, STORE_FAULTS, UPSTREAM_FAULTS } from '../schedule/faultTypes.js'
 import { type Fleet, ZONES } from './fleet.js'
 import { type GatewayProcess, CLOCK_JUMP_SIGNAL } from './gatewayProcess.js'
 import type { Operator } from './operator.js'
 import type { Relay } from './relay.js'
+import { Throttle } from './throttle.js'
 import type { UpstreamReplica, Upstreams } from './upstreams.js'
 
 /** Time until a peer detects that a silenced connection is dead; until then it may still use it. */
@@ -19,6 +21,10 @@
 
 const PUBLICATIONS_PER_SERIES = 4
 
+/** Share of a core of a gateway that callers press on, and their number in a second: more than it can serve by itself. */
+const PRESSED_SHARE = 0.2
+const PRESS_PER_SECOND = 120
+
 const log = createLog('soak')
 
 /** The parts of a soak that faults can disturb. */
@@ -37,6 +43,7 @@
 /** Injects faults into a running soak. */
 export class FaultInjector {
   #activeStoreFaults = 0
+  #presses = 0
 
   /**
    * @param clock - source of time
@@ -63,6 +70,7 @@
       case 'store': return this.#injectStoreFault(kind.action, durationMs)
       case 'upstream': return this.#injectUpstreamFault(selectByIndex(upstreams.replicas, kind.index), kind.action, durationMs)
       case 'operator': return this.#runOperatorAction(kind.index, kind.action, durationMs)
+      case 'callers': return this.#press(kind.index % fleet.gateways.length, durationMs)
       default: assertNever(kind)
     }
   }
@@ -85,9 +93,9 @@
       case 'stop':
       case 'kill': return this.#restartGateway(gateway, action, durationMs)
       case 'pause':
-        gateway.signal('SIGSTOP')
+        gateway.suspend('pause')
         this.#recordDisturbance(component, durationMs)
-        this.clock.after(durationMs, () => { gateway.signal('SIGCONT') })
+        this.clock.after(durationMs, () => { gateway.resume('pause') })
         return
       case 'reload': {
         gateway.signal('SIGHUP')
@@ -159,6 +167,22 @@
     }
   }
 
+  /** Callers press on a gateway on a small host. This is no disturbance: the promises hold for it. */
+  #press (index: number, durationMs: Millis): void {
+    const { fleet, operator } = this.targets
+    const apiKey = operator.keyOfFirstWorkspace()
+    const gateway = selectByIndex(fleet.gateways, index)
+    if (apiKey === undefined) return
+    this.#presses += 1
+    this.observations.presses.push({ gateway: index, from: this.clock.now() })
+    const throttle = new Throttle(this.clock, gateway, PRESSED_SHARE)
+    const surge = new Surge(this.clock, fleet, this.observations, { gateway: index, perSecond: PRESS_PER_SECOND, apiKey, name: `surge${this.#presses}` })
+    this.clock.after(durationMs, () => {
+      surge.stop()
+      throttle.close()
+    })
+  }
+
   #runOperatorAction (index: number, action: typeof OPERATOR_ACTIONS[number], durationMs: Millis): void {
     const { operator } = this.targets
     switch (action) {
--- a/soak/src/world/gatewayProcess.ts
+++ b/soak/src/world/gatewayProcess.ts
@@ -53,6 +53,8 @@
   /** Descriptions of exits that the soak did not cause. */
   readonly unexpectedExits: string[] = []
   readonly #earlierOutput: string[] = []
+  /** Why the process is stopped at the moment; it runs while there is no reason. */
+  readonly #stopReasons = new Set<string>()
 
   /**
    * @param folder - folder for the settings file
@@ -110,6 +112,18 @@
     this.#child?.signal(name)
   }
 
+  /** Stops the process by SIGSTOP until it is continued for the same reason. */
+  suspend (reason: string): void {
+    this.#stopReasons.add(reason)
+    this.signal('SIGSTOP')
+  }
+
+  /** Ends a suspension; the process runs once there is no other reason to suspend it. */
+  resume (reason: string): void {
+    this.#stopReasons.delete(reason)
+    if (this.#stopReasons.size === 0) this.signal('SIGCONT')
+  }
+
   async kill (): Promise<void> {
     await this.#child?.kill()
   }
