Refuse no connection for the wait of those before it

A gateway refused every connection while the last probe of its listen queue had waited for a second. Since that queue is bounded, the probe waits that long only when it finds the queue full and the kernel drops its first packet; connections that get in have waited for 0.3 s.

--- a/packages/policy/src/offload/offload.ts
+++ b/packages/policy/src/offload/offload.ts
@@ -19,8 +19,8 @@
 /** Headroom below which the peers of the own zone are not enough, and those of other zones are used, too. */
 const MIN_ZONE_HEADROOM = 0.1
 
-/** Wait in the listen queue from which a connection is refused that no peer has time for, and from which it is refused in any case. */
-const REFUSAL_WAIT_MS = { withoutPeer: 200, always: 1000 } as const
+/** Wait in the listen queue from which a connection is refused that no peer has time for. */
+const REFUSAL_WAIT_MS: Millis = 200
 
 /** Retry delay of a refused connection: short, as the caller's next connection reaches another gateway. */
 const RETRY_AFTER_MS: Millis = 100
@@ -58,11 +58,9 @@
  * @param random - returns numbers from 0 to below 1
  */
 export const decideConnection = (inputs: OffloadInputs, random: () => number): ConnectionDecision => {
-  const { utilization, listenQueueWaitMs } = inputs
-  if (listenQueueWaitMs >= REFUSAL_WAIT_MS.always) return { kind: 'refuse', retryAfterMs: RETRY_AFTER_MS }
-  const share = offloadShare(utilization)
+  const share = offloadShare(inputs.utilization)
   if (share === 0 || random() >= share) return { kind: 'serve' }
   const peer = pickByHeadroom(findCandidates(inputs), random)
   if (peer !== undefined) return { kind: 'offload', peer: peer.id }
-  return listenQueueWaitMs >= REFUSAL_WAIT_MS.withoutPeer ? { kind: 'refuse', retryAfterMs: RETRY_AFTER_MS } : { kind: 'serve' }
+  return inputs.listenQueueWaitMs >= REFUSAL_WAIT_MS ? { kind: 'refuse', retryAfterMs: RETRY_AFTER_MS } : { kind: 'serve' }
 }
