--- a/packages/bench/src/processes/fleet.ts
+++ b/packages/bench/src/processes/fleet.ts
@@ -2,12 +2,11 @@
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
-import type { StandinSpec } from '@fuchsiaworks/standins'
+import { findPorts, type StandinSpec } from '@fuchsiaworks/standins'
 import { type Deployment, type UpstreamShape, listUpstreams, routerHost } from '../deployment/deploymentTypes.js'
 import { type ConfigurationChanges, NO_CHANGES, writeDocuments } from '../deployment/documents.js'
 import { FleetProcess } from './fleetProcess.js'
 import { Network, type RouterPorts } from './network.js'
-import { findPorts } from './ports.js'
 import { type CommonSettings, formatAgentSettings, loopbackAddress, formatRouterSettings } from './settingsFiles.js'
 import { type StandinControl, type StandinProcess, startStandins } from './standinProcess.js'
 
--- a/packages/gateway/src/peers/peerMesh.spec.ts
+++ b/packages/gateway/src/peers/peerMesh.spec.ts
@@ -1,7 +1,7 @@
-import { type AddressInfo, createServer } from 'node:net'
 import { afterEach, describe, it } from 'node:test'
 import { asId, onEvent, createLog, setLogLevel, systemClock, type UpstreamId, type WorkspaceId, type ZoneId } from '@fuchsiaworks/kernel'
 import type { PeerId, TokenTotals, UpstreamLoad } from '@fuchsiaworks/policy'
+import { findPorts } from '@fuchsiaworks/standins'
 import { expect } from 'earl'
 import { Packr } from 'msgpackr'
 import { WebSocket } from 'ws'
@@ -30,13 +30,6 @@
   acceptedPerSecond: 40
 }
 
-const freePort = async (): Promise<number> => await new Promise(resolve => {
-  const probe = createServer().listen(0, '127.0.0.1', () => {
-    const { port } = probe.address() as AddressInfo
-    probe.close(() => { resolve(port) })
-  })
-})
-
 const waitUntil = async (check: () => boolean): Promise<void> => {
   for (let left = 600; !check(); left--) {
     if (left === 0) throw new Error('condition not met within 6 s')
@@ -87,7 +80,7 @@
   afterEach(() => { for (const mesh of meshes.splice(0)) mesh.close() })
 
   it('discover each other from one seed and exchange their open requests', async () => {
-    const ports = [await freePort(), await freePort(), await freePort()]
+    const ports = await findPorts(3)
     const seeds = [`127.0.0.1:${ports[0]}`]
     const started = [await startMesh(ports[0]!, seeds), await startMesh(ports[1]!, seeds), await startMesh(ports[2]!, seeds)]
     await waitUntil(() => started.every(({ mesh }) => mesh.view().reachable.length === 2))
@@ -95,7 +88,7 @@
   })
 
   it('send recent events to a peer that has just connected', async () => {
-    const ports = [await freePort(), await freePort()]
+    const ports = await findPorts(2)
     await startMesh(ports[0]!, [])
     const { states } = await startMesh(ports[1]!, [`127.0.0.1:${ports[0]}`])
     await waitUntil(() => states.some(({ parts }) => parts.length > 0))
@@ -104,7 +97,7 @@
   })
 
   it('send all totals over a new connection and later only those that changed', async () => {
-    const ports = [await freePort(), await freePort()]
+    const ports = await findPorts(2)
     const totals = new Map<WorkspaceId, TokenTotals>([[asId('w1'), { requested: 1, served: 1 }], [asId('w2'), { requested: 2, served: 2 }]])
     const sender = await startMesh(ports[0]!, [], totals)
     const receiver = await startMesh(ports[1]!, [`127.0.0.1:${ports[0]}`])
@@ -117,7 +110,7 @@
   })
 
   it('remove a peer that announces its shutdown at once, and count a silent one as lost', async () => {
-    const ports = [await freePort(), await freePort(), await freePort()]
+    const ports = await findPorts(3)
     const seeds = [`127.0.0.1:${ports[0]}`]
     const [watcher, leaver, silent] = [await startMesh(ports[0]!, seeds), await startMesh(ports[1]!, seeds), await startMesh(ports[2]!, seeds)]
     await waitUntil(() => watcher.mesh.view().reachable.length === 2)
@@ -130,7 +123,7 @@
   })
 
   it('survive a client that sends invalid bytes', async () => {
-    const ports = [await freePort(), await freePort()]
+    const ports = await findPorts(2)
     const first = await startMesh(ports[0]!, [])
     const invalidClient = new WebSocket(`ws://127.0.0.1:${ports[0]}`)
     invalidClient.on('error', () => {})
--- a/packages/gateway/src/process/gateway.spec.ts
+++ b/packages/gateway/src/process/gateway.spec.ts
@@ -1,5 +1,7 @@
+import { createServer, type Server } from 'node:net'
 import { describe, it } from 'node:test'
 import { setLogLevel } from '@fuchsiaworks/kernel'
+import { findPorts } from '@fuchsiaworks/standins'
 import { expect } from 'earl'
 import { type GatewayUnderTest, type Script, startUnderTest, startWithSettings } from './gatewayFixtures.js'
 
@@ -299,3 +301,19 @@
     })
   })
 })
+
+describe('a gateway whose address is in use', () => {
+  const listen = async (port: number): Promise<Server> => await new Promise((resolve, reject) => {
+    const server = createServer().once('error', reject).listen(port, '127.0.0.1', () => { resolve(server) })
+  })
+
+  it('fails to start and closes the servers that it has opened', async () => {
+    const [callers = 0, taken = 0] = await findPorts(2)
+    const holder = await listen(taken)
+    const localAddress = (port: number) => ({ host: '127.0.0.1', port })
+    await expect(startWithSettings({ callers: localAddress(callers), ready: localAddress(taken) }, respond)).toBeRejectedWith(/EADDRINUSE/)
+    const again = await listen(callers)
+    again.close()
+    holder.close()
+  })
+})
--- a/packages/gateway/src/process/gatewayFixtures.ts
+++ b/packages/gateway/src/process/gatewayFixtures.ts
@@ -1,8 +1,9 @@
 /** Test fixtures: a gateway in front of upstreams with scripted responses. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import { connect, type AddressInfo, createServer as createNetServer } from 'node:net'
+import { connect, type AddressInfo } from 'node:net'
 import { asId, EventSource, type Millis, type RunningProcess, type ServiceId, type UpstreamId, type WorkspaceId, type ZoneId } from '@fuchsiaworks/kernel'
 import type { GatewaySettings } from '@fuchsiaworks/settings'
+import { findPorts } from '@fuchsiaworks/standins'
 import type { HeaderList } from '@fuchsiaworks/wire'
 import type { FleetPort, FleetView } from '../port/fleetPort.js'
 import type { HeaderPort } from '../port/headerPort.js'
@@ -87,13 +88,6 @@
   close: () => Promise<void>
 }
 
-const freePort = async (): Promise<number> => await new Promise(resolve => {
-  const probe = createNetServer().listen(0, '127.0.0.1', () => {
-    const { port } = probe.address() as AddressInfo
-    probe.close(() => { resolve(port) })
-  })
-})
-
 const startUpstream = async (id: string, script: Script, arrivals: Arrival[]): Promise<{ server: Server, upstream: GatewayUpstream }> => {
   const server = createServer((req, res) => {
     let body = ''
@@ -149,7 +143,7 @@
     excludedZones: new Set()
   }
   const viewChanges = new EventSource<FleetView>()
-  const [callers, ready, peers] = [await freePort(), await freePort(), await freePort()]
+  const [callers = 0, ready = 0, peers = 0] = await findPorts(3)
   const state = { arrivals, view, viewAgeMs: 0 }
   let current = view
   const fleet: FleetPort = {
@@ -162,6 +156,12 @@
     close: async () => {}
   }
   const localAddress = (port: number) => ({ host: '127.0.0.1', port })
+  const closeUpstreams = (): void => {
+    for (const { server } of started) {
+      server.close()
+      server.closeAllConnections()
+    }
+  }
   const running = await startGateway({
     role: 'gateway',
     host: asId('h1'),
@@ -178,7 +178,10 @@
     maxDescriptors: 4096,
     logLevel: 'error',
     ...ownSettings
-  }, { fleet, headers: testHeaders, readyPath: '/ready', metrics: undefined })
+  }, { fleet, headers: testHeaders, readyPath: '/ready', metrics: undefined }).catch((err: unknown) => {
+    closeUpstreams()
+    throw err
+  })
   return Object.assign(state, {
     running,
     crashUpstream: (id: string) => {
@@ -208,10 +211,7 @@
     checkReadiness: async () => await exchangeRaw(ready, 'GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n', 200),
     close: async () => {
       await running.close()
-      for (const { server } of started) {
-        server.close()
-        server.closeAllConnections()
-      }
+      closeUpstreams()
     }
   })
 }
--- a/packages/gateway/src/process/startGateway.ts
+++ b/packages/gateway/src/process/startGateway.ts
@@ -150,7 +150,14 @@
       return { status: 200, type: ctx.metrics.registry.contentType, body: await ctx.metrics.registry.metrics() }
     }))
   }
-  await kernel.start()
+  const close = async (): Promise<void> => {
+    maintenance.close()
+    await kernel.close()
+  }
+  await kernel.start().catch(async (err: unknown) => {
+    await close()
+    throw err
+  })
   log.info('started', { host: settings.host, zone: settings.zone, peer: mesh.self })
 
   const drain = async (): Promise<void> => {
@@ -170,11 +177,5 @@
     }
     log.info('drained', { open: flow.size, offloaded: offloader.size, ms: Math.round(clock.now() - startedAt) })
   }
-  return {
-    drain,
-    close: async () => {
-      maintenance.close()
-      await kernel.close()
-    }
-  }
+  return { drain, close }
 }
