--- a/packages/policy/src/tokenShare/tokenShareDb.ts
+++ b/packages/policy/src/tokenShare/tokenShareDb.ts
@@ -7,6 +7,11 @@
 /** Buckets of the window; tokens expire up to one bucket early. */
 const BUCKET_COUNT = 16
 
+const SECOND_MS = 1000
+
+/** Part of the requested tokens that is served while no workspace waits; some requests are always refused for other reasons. */
+const MET_DEMAND_RATIO = 0.95
+
 interface MutableTotals {
   requested: number
   served: number
@@ -42,7 +47,7 @@
   readonly #bucketMs: Millis
   #bucket = 0
   #shares: { at: Millis, byWorkspace: Map<WorkspaceId, number> } = { at: -Infinity, byWorkspace: new Map() }
-  /** Tokens that all upstreams together process in a second; undefined when not configured. */
+  /** Tokens that all upstreams together process in a second, as estimated by the operator; undefined when not configured. */
   capacityPerSecond: number | undefined
 
   /** @param config - length of the window */
@@ -93,8 +98,8 @@
   }
 
   /**
-   * Computes the max-min fair share of a workspace over the window. Without a configured capacity, the tokens served in the
-   * window are used instead.
+   * Computes the max-min fair share of a workspace over the window. While demand is unmet, the tokens served in the window show what the
+   * upstreams can process: less than configured after a loss or with cold caches, more when prompts are cached.
    *
    * @returns share in tokens; never below an equal part of the capacity, even if the demand is smaller, because the demand may grow
    */
@@ -105,10 +110,13 @@
   }
 
   #capacity (): number {
-    if (this.capacityPerSecond !== undefined) return this.capacityPerSecond * this.config.windowMs / 1000
-    let served = 0
-    for (const window of this.#windows.values()) served += window.served
-    return served
+    let [requested, served] = [0, 0]
+    for (const window of this.#windows.values()) {
+      requested += window.requested
+      served += window.served
+    }
+    if (served < requested * MET_DEMAND_RATIO) return served
+    return Math.max(served, (this.capacityPerSecond ?? 0) * this.config.windowMs / SECOND_MS)
   }
 
   #computeShares (): Map<WorkspaceId, number> {
