--- a/packages/gateway/src/peers/peerCodec.ts
+++ b/packages/gateway/src/peers/peerCodec.ts
@@ -35,7 +35,8 @@
   state.crashes.map(({ fingerprint, crash }) => [fingerprint, crash]),
   state.utilization === undefined ? null : Math.round(state.utilization * PERCENT),
   state.revision,
-  state.acceptedPerSecond
+  state.acceptedPerSecond,
+  state.leaving.map(({ upstream, startedAt }) => [upstream, startedAt ?? null])
 ])
 
 const expectArray = (value: unknown, field: string): unknown[] => {
@@ -73,7 +74,7 @@
  * @throws PeerMessageError when it is malformed or of another version
  */
 export const decodePeerState = (bytes: Uint8Array): PeerState => {
-  const [version, peer, address, zone, isLeaving, isOutOfRotation, loads, totals, avoided, addresses, parts, crashes, utilizationPercent, revision, acceptedPerSecond] = expectArray(packer.unpack(bytes), 'the message')
+  const [version, peer, address, zone, isLeaving, isOutOfRotation, loads, totals, avoided, addresses, parts, crashes, utilizationPercent, revision, acceptedPerSecond, leaving] = expectArray(packer.unpack(bytes), 'the message')
   if (version !== MESSAGE_VERSION) throw new PeerMessageError(`unsupported version ${String(version)}`)
   return {
     peer: expectString<PeerId>(peer, 'the peer'),
@@ -99,6 +100,10 @@
     // Gateways of earlier builds send none of these.
     utilization: typeof utilizationPercent === 'number' ? utilizationPercent / PERCENT : undefined,
     revision: typeof revision === 'number' ? revision : -1,
-    acceptedPerSecond: typeof acceptedPerSecond === 'number' ? acceptedPerSecond : 0
+    acceptedPerSecond: typeof acceptedPerSecond === 'number' ? acceptedPerSecond : 0,
+    leaving: expectArray(leaving ?? [], 'leaving upstreams').map(entry => {
+      const [upstream, startedAt] = expectArray(entry, 'a leaving upstream')
+      return { upstream: expectString<UpstreamId>(upstream, 'an upstream'), startedAt: typeof startedAt === 'number' ? startedAt : undefined }
+    })
   }
 }
--- a/packages/gateway/src/peers/peerMesh.spec.ts
+++ b/packages/gateway/src/peers/peerMesh.spec.ts
@@ -25,6 +25,7 @@
   addresses: ['127.0.0.1:2'],
   parts: [{ part: 4_000_000_000, upstream: asId<UpstreamId>('u1') }],
   crashes: [{ fingerprint: 3_000_000_000, crash: 'u1 17' }],
+  leaving: [{ upstream: asId<UpstreamId>('u3'), startedAt: 1_700_000_000_000 }, { upstream: asId<UpstreamId>('u4'), startedAt: undefined }],
   utilization: 0.37,
   revision: 12,
   acceptedPerSecond: 40
@@ -44,8 +45,8 @@
 
   it('of an earlier build, without load and revision, is accepted', () => {
     const bytes = new Packr({ useRecords: false }).pack([4, 'p1', '127.0.0.1:1', 'east', false, false, [], [], [], [], [], []])
-    const { utilization, revision, acceptedPerSecond, peer } = decodePeerState(bytes)
-    expect([utilization, revision, acceptedPerSecond, String(peer)]).toEqual([undefined, -1, 0, 'p1'])
+    const { utilization, revision, acceptedPerSecond, leaving, peer } = decodePeerState(bytes)
+    expect([utilization, revision, acceptedPerSecond, leaving.length, String(peer)]).toEqual([undefined, -1, 0, 0, 'p1'])
   })
 
   it('is rejected as a whole when it is malformed or has another version', () => {
@@ -65,8 +66,8 @@
     const mesh = new PeerMesh(systemClock, { zone: STATE.zone, listen: { host: '127.0.0.1', port }, advertised: undefined, seeds }, {
       read: () => ({ loads: new Map([[asId<UpstreamId>('u1'), LOAD]]), totals, avoided: [], revision: 1 }),
       utilization: () => 0.2,
-      takePendingEvents: () => ({ parts: [], crashes: [] }),
-      recentEvents: () => ({ parts: STATE.parts, crashes: STATE.crashes })
+      takePendingEvents: () => ({ parts: [], crashes: [], leaving: [] }),
+      recentEvents: () => ({ parts: STATE.parts, crashes: STATE.crashes, leaving: STATE.leaving })
     }, { onRequest: () => false, webSockets: new Map() })
     const states: PeerState[] = []
     const lost: PeerId[] = []
--- a/packages/gateway/src/port/headerPort.ts
+++ b/packages/gateway/src/port/headerPort.ts
@@ -49,6 +49,10 @@
   readonly isNotExecuted: boolean
   /** True when the body has a content encoding, which no caller requested. */
   readonly isEncoded: boolean
+  /** True when the upstream announces its shutdown. */
+  readonly isLeaving: boolean
+  /** Time for which the upstream asks for no further requests of this gateway; undefined when it does not. */
+  readonly retryAfterMs: Millis | undefined
 }
 
 /** Decodes and encodes headers. */
--- a/packages/gateway/src/process/gateway.spec.ts
+++ b/packages/gateway/src/process/gateway.spec.ts
@@ -287,6 +287,47 @@
   })
 })
 
+describe('an upstream that announces its shutdown in a response', () => {
+  it('gets no further request until a new process starts under its id', async () => {
+    const leave: Script = (req, res) => { res.writeHead(200, { seal: 's', try: String(req.headers['try']), leaving: '1' }).end('last') }
+    await withGateway([leave], async gateway => {
+      expect(await gateway.sendRequest('/safe/x')).toMatchRegex(/^HTTP\/1.1 200[^]*leaving: 1\r\n[^]*last$/)
+      for (let at = 0; at < 3; at++) expect(statusOf(await gateway.sendRequest('/safe/x'))).toEqual(503)
+      expect(gateway.arrivals.length).toEqual(1)
+      gateway.restartUpstream('u0')
+      expect(statusOf(await gateway.sendRequest('/safe/x'))).toEqual(200)
+    })
+  })
+})
+
+describe('an upstream that turns requests away for some time', () => {
+  const turnAway: Script = (_req, res) => { res.writeHead(503, { 'not-run': '1', 'wait-ms': '1500' }).end() }
+
+  it('gets no request in that time, and callers are refused at once with the time that is left', async () => {
+    await withGateway([turnAway], async gateway => {
+      await gateway.sendRequest('/safe/x')
+      const sentAt = Date.now()
+      const received = await gateway.sendRequest('/safe/x')
+      expect(statusOf(received)).toEqual(503)
+      expect(Number(/retry-after: ([\d.]+)/.exec(received)?.[1])).toBeGreaterThan(1.2)
+      expect(Date.now() - sentAt).toBeLessThan(60)
+      await pause(500)
+      for (let at = 0; at < 5; at++) await gateway.sendRequest('/safe/x')
+      expect(gateway.arrivals.length).toEqual(1)
+      await pause(1100)
+      await gateway.sendRequest('/safe/x')
+      expect(gateway.arrivals.length).toEqual(2)
+    })
+  })
+
+  it('leaves its requests to the others', async () => {
+    await withGateway([turnAway, respond], async gateway => {
+      for (let at = 0; at < 12; at++) expect(statusOf(await gateway.sendRequest('/once/x'))).toEqual(200)
+      expect(gateway.arrivals.filter(({ upstream }) => upstream === 'u0').length).toBeLessThanOrEqual(1)
+    })
+  })
+})
+
 describe('a gateway that drains', () => {
   it('reports not ready, still serves new requests for a while, and lets open requests end', async () => {
     const slow: Script = (req, res, body) => { setTimeout(() => { respond(req, res, body) }, 600) }
--- a/packages/gateway/src/process/gatewayFixtures.ts
+++ b/packages/gateway/src/process/gatewayFixtures.ts
@@ -30,7 +30,9 @@
     attempt: valueOf(headers, 'try'),
     isSealed: valueOf(headers, 'seal') !== undefined,
     isNotExecuted: valueOf(headers, 'not-run') !== undefined,
-    isEncoded: valueOf(headers, 'content-encoding') !== undefined
+    isEncoded: valueOf(headers, 'content-encoding') !== undefined,
+    isLeaving: valueOf(headers, 'leaving') !== undefined,
+    retryAfterMs: valueOf(headers, 'wait-ms') === undefined ? undefined : Number(valueOf(headers, 'wait-ms'))
   }),
   encodeRetryAfter: retryAfterMs => [['retry-after', String(retryAfterMs / 1000)]]
 }
@@ -77,6 +79,8 @@
   crashUpstream: (id: string) => void
   /** Removes all upstreams from the list. */
   removeUpstreams: () => void
+  /** Lists an upstream again as a new process under the same id and address. */
+  restartUpstream: (id: string) => void
   /** Sends raw bytes over a new connection and returns what is received until it closes or nothing more arrives for `quietMs`. */
   sendRaw: (bytes: string, quietMs?: Millis) => Promise<string>
   /** Sends raw bytes and half-closes the connection right after them. */
@@ -99,7 +103,7 @@
   })
   await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
   const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
-  return { server, upstream: { id: asId<UpstreamId>(id), service: asId('plain'), address, zone: asId<ZoneId>('east'), slots: 8, isDraining: false, coldUntil: 0 } }
+  return { server, upstream: { id: asId<UpstreamId>(id), service: asId('plain'), address, zone: asId<ZoneId>('east'), slots: 8, isDraining: false, startedAt: 1, coldUntil: 0 } }
 }
 
 const exchangeRaw = async (port: number, bytes: string, quietMs: Millis): Promise<string> => await new Promise(resolve => {
@@ -191,6 +195,11 @@
         server.closeAllConnections()
       }
     },
+    restartUpstream: (id: string) => {
+      const upstreams = [...current.upstreams.values()].map(upstream => upstream.id === id ? { ...upstream, startedAt: (upstream.startedAt ?? 0) + 1 } : upstream)
+      current = { ...current, upstreams: new Map(upstreams.map(upstream => [upstream.id, upstream])) }
+      viewChanges.emit(current)
+    },
     removeUpstreams: () => {
       current = { ...view, upstreams: new Map() }
       viewChanges.emit(current)
--- a/packages/gateway/src/process/startGateway.ts
+++ b/packages/gateway/src/process/startGateway.ts
@@ -1,6 +1,6 @@
 /** Starts a gateway: a proxy without queues that sends requests straight to upstreams. */
 import { createLog, EventLoopMonitor, Kernel, ListenQueueProbe, type Millis, onEvent, type RunningProcess, type Service, systemClock } from '@fuchsiaworks/kernel'
-import { chooseStoreWatchRole, coldPaceDefinition, crashSuspectDefinition, loadStringHash, placementDefinition, RetryBudget, tokenShareDefinition } from '@fuchsiaworks/policy'
+import { chooseStoreWatchRole, coldPaceDefinition, crashSuspectDefinition, leavingDefinition, loadStringHash, placementDefinition, RetryBudget, tokenShareDefinition } from '@fuchsiaworks/policy'
 import { CallerServer } from '../callers/callerServer.js'
 import { GatewayMetrics } from '../log/gatewayMetrics.js'
 import { RequestLog } from '../log/requestLog.js'
@@ -38,7 +38,7 @@
 /** Interval at which a draining process checks whether its last request has ended. */
 const DRAIN_CHECK_INTERVAL_MS = 50
 
-/** Interval at which expired crash records are removed and the role in reading the platform's lists is chosen again. */
+/** Interval at which expired records of crashes and shutdowns are removed and the role in reading the platform's lists is chosen again. */
 const MAINTENANCE_INTERVAL_MS: Millis = 500
 
 /** Share of the file descriptors that callers may hold before their connections are closed after each response; the rest is for upstreams and peers. */
@@ -70,9 +70,10 @@
   const placement = placementDefinition.createDb(hash)
   const shares = tokenShareDefinition.createDb({ windowMs: settings.shareWindowSeconds * SECOND_MS })
   const crashSuspects = crashSuspectDefinition.createDb()
+  const leaving = leavingDefinition.createDb()
   const eventLoop = new EventLoopMonitor(clock, () => { dispatcher.refresh() })
   const receiver = new OffloadReceiver(clock, socket => { callerServer.serve(socket) })
-  const mesh = createPeerMesh(clock, settings, { fleet: ports.fleet, placement, shares, crashSuspects, eventLoop }, {
+  const mesh = createPeerMesh(clock, settings, { fleet: ports.fleet, placement, shares, crashSuspects, leaving, eventLoop }, {
     onRequest: (req, res) => ports.fleet.handlePeerRequest(req, res),
     webSockets: new Map([[OFFLOAD_PATH, socket => { receiver.accept(socket) }]])
   })
@@ -87,6 +88,7 @@
     placement,
     shares,
     crashSuspects,
+    leaving,
     coldPace: coldPaceDefinition.createDb(),
     retries: new RetryBudget({ budgetPercent: settings.retryRatio * 100 * RETRY_BUDGET_SHARE, floorPerSecond: RETRY_FLOOR_PER_SECOND, burst: RETRY_BURST }),
     mesh,
@@ -130,6 +132,7 @@
 
   const maintenance = clock.every(MAINTENANCE_INTERVAL_MS, () => {
     crashSuspects.expire(clock.now())
+    leaving.expire(clock.now())
     ports.fleet.setRole(chooseStoreWatchRole(hash, { self: mesh.self, zone: settings.zone, reachable: mesh.reachablePeers() }))
   })
 
--- a/packages/gateway/src/process/wiring.ts
+++ b/packages/gateway/src/process/wiring.ts
@@ -27,9 +27,9 @@
   callerServer.applyLimits(table)
 }
 
-/** Records the upstreams that disappeared from the list without having drained; they count as crashed. */
+/** Records the upstreams that disappeared from the list without having drained or announced their shutdown; they count as crashed. */
 export const recordUnlistedUpstreams = (ctx: FlowContext, before: FleetView['upstreams'], now: FleetView['upstreams']): void => {
-  for (const [id, { isDraining }] of before) if (!isDraining && !now.has(id)) ctx.crashSuspects.recordUnlisted(id, ctx.clock.now())
+  for (const [id, { isDraining, startedAt }] of before) if (!isDraining && !now.has(id) && !ctx.leaving.isLeaving(id, startedAt)) ctx.crashSuspects.recordUnlisted(id, ctx.clock.now())
 }
 
 /** Applies a state update from a peer gateway. */
@@ -38,17 +38,18 @@
   ctx.placement.setPeerLoads(state.peer, state.loads)
   ctx.shares.setPeerTotals(state.peer, state.totals, now)
   for (const use of state.parts) ctx.placement.recordPartUse(use, now)
+  for (const leaving of state.leaving) ctx.leaving.applyReport(leaving, now)
   for (const report of state.crashes) ctx.crashSuspects.applyReport(report, now)
   for (const { upstream, remainingMs } of state.avoided) ctx.placement.avoid(upstream, now + remainingMs)
 }
 
 /** Parts of a gateway whose state the mesh sends. */
-export interface MeshSources extends Pick<FlowContext, 'fleet' | 'placement' | 'shares' | 'crashSuspects'> {
+export interface MeshSources extends Pick<FlowContext, 'fleet' | 'placement' | 'shares' | 'crashSuspects' | 'leaving'> {
   readonly eventLoop: EventLoopMonitor
 }
 
 /** Creates the mesh of peer gateways, which sends the state of this gateway's placement, shares, crash records and load. */
-export const createPeerMesh = (clock: Clock, settings: GatewaySettings, { fleet, placement, shares, crashSuspects, eventLoop }: MeshSources, handlers: PeerPortHandlers): PeerMesh => {
+export const createPeerMesh = (clock: Clock, settings: GatewaySettings, { fleet, placement, shares, crashSuspects, leaving, eventLoop }: MeshSources, handlers: PeerPortHandlers): PeerMesh => {
   const { zone, peers: listen, peersAdvertised: advertised, seeds } = settings
   return new PeerMesh(clock, { zone, listen, advertised, seeds }, {
     read: () => {
@@ -62,7 +63,7 @@
       }
     },
     utilization: () => eventLoop.recentUtilization,
-    takePendingEvents: () => ({ parts: placement.takeUnsentPartUses(), crashes: crashSuspects.takeUnsentReports() }),
-    recentEvents: () => ({ parts: placement.recentPartUses(clock.now()), crashes: crashSuspects.reports() })
+    takePendingEvents: () => ({ parts: placement.takeUnsentPartUses(), crashes: crashSuspects.takeUnsentReports(), leaving: leaving.takeUnsent() }),
+    recentEvents: () => ({ parts: placement.recentPartUses(clock.now()), crashes: crashSuspects.reports(), leaving: leaving.own() })
   }, handlers)
 }
--- a/packages/gateway/src/requests/admission.ts
+++ b/packages/gateway/src/requests/admission.ts
@@ -1,15 +1,15 @@
 /** Decides whether a request may be sent now, and to which upstream. */
 import type { Millis, UpstreamId } from '@fuchsiaworks/kernel'
 import {
-  coldRate, decideShare, maySendToColdUpstream, type Placement, type PlacementRequest, place, type PromptPart
+  coldRate, decideShare, maySendToColdUpstream, msUntilUsable, type Placement, type PlacementRequest, place, type PromptPart
 } from '@fuchsiaworks/policy'
 import type { GatewayUpstream } from '../routing/routingTypes.js'
 import type { CallerRequest } from './callerRequest.js'
 import type { FlowContext } from './flowContext.js'
 import type { Refusal } from './refusals.js'
 
-/** Retry delay sent to callers when no upstream could take the request. */
-export const NO_UPSTREAM_RETRY_AFTER_MS: Millis = 1000
+/** Shortest retry delay sent to callers when no upstream could take the request. */
+const NO_UPSTREAM_RETRY_AFTER_MS: Millis = 1000
 
 /** Output tokens count twice in a workspace's share, as engines generate them one after the other. */
 const OUTPUT_TOKEN_WEIGHT = 2
@@ -62,6 +62,16 @@
     return place(this.#ctx.placement, this.placementRequest, id => this.#isUsable(id), this.#now)
   }
 
+  /** Returns the refusal of a request for which there is no upstream, with the time until one may be used again. */
+  noUpstream (reason = 'no-upstream'): Refusal {
+    return { status: 503, reason, retryAfterMs: Math.max(NO_UPSTREAM_RETRY_AFTER_MS, this.msUntilUsable) }
+  }
+
+  /** Milliseconds until an upstream of the service may be used; 0 when there is one or it cannot be known. */
+  get msUntilUsable (): Millis {
+    return msUntilUsable(this.#ctx.placement, this.#callerRequest.service, id => this.#isUsable(id), this.#now) ?? 0
+  }
+
   /** Returns the reason why the request must not be sent to the upstream now; undefined when it may be sent. */
   check ({ pressure }: Placement): Refusal | undefined {
     const { workspace } = this.#callerRequest
@@ -103,6 +113,7 @@
   #isUsable (id: UpstreamId): boolean {
     const upstream = this.#ctx.fleet.view.upstreams.get(id)
     if (upstream === undefined || upstream.isDraining || this.#ctx.fleet.view.excludedZones.has(upstream.zone)) return false
+    if (this.#ctx.leaving.isLeaving(id, upstream.startedAt)) return false
     if (upstream.coldUntil <= this.#now) return true
     const cold = { id, requestsPerSecond: this.#coldRequestsPerSecond(upstream) }
     return cold.requestsPerSecond <= 0 || maySendToColdUpstream(this.#ctx.coldPace, this.#ctx.hash, this.#ctx.mesh.view(), cold, this.#now)
--- a/packages/gateway/src/requests/callerExchange.ts
+++ b/packages/gateway/src/requests/callerExchange.ts
@@ -7,7 +7,7 @@
 import type { HeaderList } from '@fuchsiaworks/wire'
 import type { ResponseHead } from '../port/headerPort.js'
 import type { GatewayUpstream } from '../routing/routingTypes.js'
-import { Admission, NO_UPSTREAM_RETRY_AFTER_MS } from './admission.js'
+import { Admission } from './admission.js'
 import { ResponseRelay } from './responseRelay.js'
 import type { CallerRequest } from './callerRequest.js'
 import type { FlowContext } from './flowContext.js'
@@ -25,6 +25,9 @@
 /** Time within which a declined response must end for its connection to be reused; otherwise the connection is closed. */
 const DECLINED_RESPONSE_TIMEOUT_MS = 300
 
+/** Status of an upstream that turns a request away (503 Service Unavailable). */
+const UNAVAILABLE_STATUS = 503
+
 /** Status of an upstream that is not the intended one (421 Misdirected Request). */
 const MISDIRECTED_REQUEST_STATUS = 421
 
@@ -117,11 +120,9 @@
     if (this.#isDone || this.#attempts > 0) return
     const placement = this.#admission.place()
     this.#placement = placement
-    const refusal = placement === undefined
-      ? { status: 503, reason: 'no-upstream', retryAfterMs: NO_UPSTREAM_RETRY_AFTER_MS }
-      : this.#admission.check(placement)
+    const refusal = placement === undefined ? this.#admission.noUpstream() : this.#admission.check(placement)
     if (placement !== undefined && refusal === undefined) return this.#send(placement)
-    this.isWaiting = remainingWait(this.queueEntry, this.#now) > 0
+    this.isWaiting = remainingWait(this.queueEntry, this.#now) > (placement === undefined ? this.#admission.msUntilUsable : 0)
     if (!this.isWaiting && refusal !== undefined) this.#refuse(refusal)
   }
 
@@ -165,7 +166,7 @@
   #send (placement: Placement): void {
     const request = this.#request
     const upstream = this.#ctx.fleet.view.upstreams.get(placement.upstream)
-    if (upstream === undefined) return this.#refuse({ status: 503, reason: 'no-upstream', retryAfterMs: NO_UPSTREAM_RETRY_AFTER_MS })
+    if (upstream === undefined) return this.#refuse(this.#admission.noUpstream())
     const attempt: Attempt = { run: newId<RunId>(), upstream, startedAt: this.#now, placement, exchange: undefined, isOver: false, hasBody: false }
     this.#attempt = attempt
     this.#attempts += 1
@@ -198,8 +199,9 @@
 
   #onHead (attempt: Attempt, status: number, headers: HeaderList): void {
     this.#recordActivity(attempt)
-    if (attempt.isOver) return
     const head = this.#ctx.headers.decodeResponseHead(status, headers)
+    this.#recordAnnouncements(attempt.upstream, status, head)
+    if (attempt.isOver) return
     const failure = this.#headFailure(head, status)
     if (failure !== undefined) return this.#failAttempt(attempt, failure)
     if (status >= 500 && !this.#relay.hasStarted) {
@@ -210,10 +212,22 @@
     this.#relay.head(status, headers)
   }
 
+  /** Records what an upstream says of itself beside its response: that it shuts down, or wants no further requests for some time. */
+  #recordAnnouncements ({ id, startedAt }: GatewayUpstream, status: number, { isLeaving, retryAfterMs }: ResponseHead): void {
+    if (isLeaving && this.#ctx.leaving.record({ upstream: id, startedAt }, this.#now)) {
+      this.#ctx.requestLog.write('upstream announced its shutdown in a response', { upstream: id, request: this.#request.head.attempt })
+      this.#ctx.mesh.scheduleUpdate()
+    }
+    if (status !== UNAVAILABLE_STATUS || retryAfterMs === undefined) return
+    this.#ctx.placement.backOff(id, this.#now + retryAfterMs)
+    this.#ctx.metrics.backOffs.inc({ service: this.#request.service })
+    this.#ctx.requestLog.write('upstream asked for no further requests', { upstream: id, request: this.#request.head.attempt, retryAfterMs })
+  }
+
   /** Returns why a response must not be forwarded; undefined when it may be. */
   #headFailure (head: ResponseHead, status: number): AttemptFailure | undefined {
     if (head.attempt !== undefined && head.attempt !== this.#request.head.attempt) return { kind: 'uncertain', reason: 'garbled' }
-    if (head.isNotExecuted || status === MISDIRECTED_REQUEST_STATUS) return { kind: 'not-run', reason: status === 503 ? 'full' : 'declined' }
+    if (head.isNotExecuted || status === MISDIRECTED_REQUEST_STATUS) return { kind: 'not-run', reason: status === UNAVAILABLE_STATUS ? 'full' : 'declined' }
     if (head.isEncoded || (status < 300 && !head.isSealed)) return { kind: 'uncertain', reason: 'garbled' }
     if (this.#relay.hasStarted && status !== this.#relay.status) return { kind: 'error-answer', status }
     return undefined
@@ -285,7 +299,7 @@
       case 'resume':
         return this.#resend()
       case 'refuse':
-        return this.#refuse({ status: 503, reason: this.#failureReason, retryAfterMs: NO_UPSTREAM_RETRY_AFTER_MS })
+        return this.#refuse(this.#admission.noUpstream(this.#failureReason))
       case 'relay':
       case 'answer-unknown':
         return this.#respondUnknown()
@@ -303,7 +317,7 @@
       this.#request.res.destroy()
       return this.#finish('broken-off', this.#failureReason)
     }
-    if (!this.#mayHaveRun) return this.#refuse({ status: 503, reason: this.#failureReason, retryAfterMs: NO_UPSTREAM_RETRY_AFTER_MS })
+    if (!this.#mayHaveRun) return this.#refuse(this.#admission.noUpstream(this.#failureReason))
     this.#respondUnknown()
   }
 
--- a/packages/gateway/src/routing/routingTypes.ts
+++ b/packages/gateway/src/routing/routingTypes.ts
@@ -83,6 +83,8 @@
   readonly slots: number
   /** True when the upstream is draining and accepts no new requests. */
   readonly isDraining: boolean
+  /** Start of the upstream's process in Unix milliseconds, which tells two processes under one id apart; undefined when not given. */
+  readonly startedAt: number | undefined
   /** End of the upstream's cold start, in monotonic milliseconds; 0 when it has none. */
   readonly coldUntil: Millis
 }
--- a/packages/policy/src/placement/placement.ts
+++ b/packages/policy/src/placement/placement.ts
@@ -2,7 +2,7 @@
  * Chooses the upstream for a request, with affinity to prefix caches: prompts that share long parts go to the few upstreams
  * that have them cached, so that each part is prefilled once, but no upstream gets more than it can start within the target.
  */
-import type { Millis, UpstreamId } from '@fuchsiaworks/kernel'
+import type { Millis, ServiceId, UpstreamId } from '@fuchsiaworks/kernel'
 import { compareForSubject } from '../keys/rendezvous.js'
 import type { PlacementDb } from './placementDb.js'
 import type { PartHash, Placement, PlacementRequest, PromptPart } from './placementTypes.js'
@@ -168,6 +168,22 @@
   return { upstream: record.id, expectedMs: 0, readTokens: 0, rereadTokens: 0, copiedTokens: 0, copyFrom: undefined, pressure, cost }
 }
 
+const excludedUntil = ({ avoidUntil, backOffUntil }: UpstreamRecord): Millis => Math.max(avoidUntil, backOffUntil)
+
+/**
+ * Computes how long it takes until a service has an upstream that is not excluded.
+ *
+ * @param usable - returns false for an upstream that must not be used
+ * @returns milliseconds, 0 when there is one now; undefined when none is usable
+ */
+export const msUntilUsable = (db: PlacementDb, service: ServiceId, usable: (upstream: UpstreamId) => boolean, now: Millis): Millis | undefined => {
+  const ends = db.members(service).flatMap(({ id }) => {
+    const record = db.record(id)
+    return record === undefined || !usable(id) ? [] : [excludedUntil(record)]
+  })
+  return ends.length === 0 ? undefined : Math.max(0, Math.min(...ends) - now)
+}
+
 /**
  * Chooses the upstream for a request.
  *
@@ -182,7 +198,7 @@
   let best: Candidate | undefined
   for (const { id } of db.members(req.service)) {
     const record = db.record(id)
-    if (record === undefined || req.tried.has(id) || record.avoidUntil > now || !usable(id)) continue
+    if (record === undefined || req.tried.has(id) || excludedUntil(record) > now || !usable(id)) continue
     const candidate = record.upstream.kvCapacityTokens === undefined ? plainCandidate(record, req) : engineCandidate(record, req, view, now)
     if (best === undefined || isBetter(candidate, best)) best = candidate
   }
--- a/packages/policy/src/placement/placementDb.ts
+++ b/packages/policy/src/placement/placementDb.ts
@@ -101,6 +101,12 @@
     if (record !== undefined) record.avoidUntil = Math.max(record.avoidUntil, until)
   }
 
+  /** Excludes an upstream from placement at this gateway, at the upstream's own request. */
+  backOff (upstream: UpstreamId, until: Millis): void {
+    const record = this.#records.get(upstream)
+    if (record !== undefined) record.backOffUntil = Math.max(record.backOffUntil, until)
+  }
+
   /** Sets the loads from a peer gateway; upstreams that are not listed have no load from it. */
   setPeerLoads (peer: PeerId, loads: ReadonlyMap<UpstreamId, UpstreamLoad>): void {
     for (const record of this.#records.values()) record.setPeerLoad(peer, loads.get(record.id))
