--- a/packages/gateway/src/requests/callerExchange.ts
+++ b/packages/gateway/src/requests/callerExchange.ts
@@ -37,6 +37,12 @@
 /** Time beyond the expected start of the response after which an engine that sends no byte counts as silent. */
 const ENGINE_SILENCE_MS = 800
 
+/**
+ * Bytes of a response that may be something else than its body: a constant part for headers and for what is received ahead of a slow caller, and a
+ * part that grows with the body, for the framing of small chunks.
+ */
+const MAX_OVERHEAD = { bytes: 256 * 1024, bodyRatio: 8 } as const
+
 /** Returns for how many milliseconds an upstream is avoided after a failure. */
 const avoidDurationMs = (failure: AttemptFailure): Millis => {
   switch (failure.kind) {
@@ -59,7 +65,7 @@
   exchange: UpstreamExchange | undefined
   /** True once the attempt has ended; anything that still arrives is ignored. */
   isOver: boolean
-  hasBody: boolean
+  bodyBytes: number
 }
 
 /** Outcome of a request in the log and metrics. */
@@ -145,6 +151,13 @@
     if ((next === 'retry' || next === 'resume') && this.#admission.place() !== undefined) this.#failAttempt(attempt, silent)
   }
 
+  /** Ends the attempt when its upstream sends bytes that are no response, such as a header line without end. */
+  checkOverhead (): void {
+    const attempt = this.#attempt
+    if (attempt?.exchange === undefined || attempt.isOver) return
+    if (attempt.exchange.overheadBytes > MAX_OVERHEAD.bytes + attempt.bodyBytes * MAX_OVERHEAD.bodyRatio) this.#failAttempt(attempt, { kind: 'uncertain', reason: 'garbled' })
+  }
+
   get #now (): Millis {
     return this.#ctx.clock.now()
   }
@@ -167,7 +180,7 @@
     const request = this.#request
     const upstream = this.#ctx.fleet.view.upstreams.get(placement.upstream)
     if (upstream === undefined) return this.#refuse(this.#admission.noUpstream())
-    const attempt: Attempt = { run: newId<RunId>(), upstream, startedAt: this.#now, placement, exchange: undefined, isOver: false, hasBody: false }
+    const attempt: Attempt = { run: newId<RunId>(), upstream, startedAt: this.#now, placement, exchange: undefined, isOver: false, bodyBytes: 0 }
     this.#attempt = attempt
     this.#attempts += 1
     this.isWaiting = false
@@ -236,14 +249,16 @@
   #onData (attempt: Attempt, chunk: Buffer): void {
     this.#recordActivity(attempt)
     if (attempt.isOver) return
-    if (!attempt.hasBody) this.#onFirstByte(attempt)
-    if (this.#relay.data(chunk)) return
+    if (attempt.bodyBytes === 0) this.#onFirstByte(attempt)
+    attempt.bodyBytes += chunk.length
+    const isWritable = this.#relay.data(chunk)
+    if (this.#relay.isEventTooLong) return this.#failAttempt(attempt, { kind: 'uncertain', reason: 'garbled' })
+    if (isWritable) return
     attempt.exchange?.pause()
     this.#relay.onDrain(() => { attempt.exchange?.resume() })
   }
 
   #onFirstByte (attempt: Attempt): void {
-    attempt.hasBody = true
     this.#ctx.placement.recordFirstEvent(attempt.run, this.#now)
     this.#ctx.mesh.scheduleUpdate()
     this.#firstByteMs ??= this.#now - this.#request.arrivedAt
--- a/packages/gateway/src/requests/requestFlow.ts
+++ b/packages/gateway/src/requests/requestFlow.ts
@@ -5,8 +5,8 @@
 import { CallerExchange } from './callerExchange.js'
 import type { FlowContext } from './flowContext.js'
 
-/** Interval at which attempts are checked for silent upstreams. */
-const SILENCE_CHECK_INTERVAL_MS = 100
+/** Interval at which attempts are checked for upstreams that are silent or send bytes that are no response. */
+const ATTEMPT_CHECK_INTERVAL_MS = 100
 
 /** Interval at which waiting requests are tried again; short compared to any latency target. */
 const WAITING_CHECK_INTERVAL_MS = 15
@@ -21,7 +21,7 @@
   /** Runs only while requests wait, so that an idle process is not woken up. */
   #waitingTimer: Timer | undefined
   /** Runs only while requests are open. */
-  #silenceTimer: Timer | undefined
+  #attemptTimer: Timer | undefined
 
   /** @param ctx - services of the process */
   constructor (readonly ctx: FlowContext) {}
@@ -40,12 +40,12 @@
     this.#open.add(exchange)
     this.ctx.metrics.open.set(this.#open.size)
     exchange.start()
-    this.#silenceTimer ??= this.ctx.clock.every(SILENCE_CHECK_INTERVAL_MS, () => { this.#checkSilence() })
+    this.#attemptTimer ??= this.ctx.clock.every(ATTEMPT_CHECK_INTERVAL_MS, () => { this.#checkAttempts() })
     if (exchange.isWaiting) this.#addWaiting(exchange)
   }
 
   close (): void {
-    this.#silenceTimer?.close()
+    this.#attemptTimer?.close()
     this.#waitingTimer?.close()
     for (const exchange of [...this.#open]) exchange.abort()
   }
@@ -67,14 +67,15 @@
     this.#waitingTimer = undefined
   }
 
-  #checkSilence (): void {
+  #checkAttempts (): void {
     if (this.#open.size === 0) {
-      this.#silenceTimer?.close()
-      this.#silenceTimer = undefined
+      this.#attemptTimer?.close()
+      this.#attemptTimer = undefined
       return
     }
     const now = this.ctx.clock.now()
     for (const exchange of [...this.#open]) {
+      exchange.checkOverhead()
       exchange.checkSilence(id => now - (this.ctx.placement.record(id)?.lastActivityAt ?? 0) > UPSTREAM_SILENCE_MS)
     }
   }
--- a/packages/gateway/src/requests/responseRelay.ts
+++ b/packages/gateway/src/requests/responseRelay.ts
@@ -6,6 +6,9 @@
 /** A response that is not a stream is buffered up to this size until it is complete, so that another attempt can replace it when it breaks off. */
 const MAX_BUFFERED_BYTES = 64 * 1024
 
+/** Largest event of a stream; one that has not ended by then is not waited for. */
+const MAX_EVENT_BYTES = 256 * 1024
+
 /** Headers that delimit a body. */
 const FRAMING_HEADERS = new Set(['content-length', 'transfer-encoding'])
 
@@ -43,6 +46,11 @@
     return this.#lastEventId
   }
 
+  /** True when the upstream has sent more of an event than an event may have. */
+  get isEventTooLong (): boolean {
+    return this.#splitter.pendingBytes > MAX_EVENT_BYTES
+  }
+
   get status (): number {
     return this.#status
   }
--- a/packages/upstreams/src/client/exchange.ts
+++ b/packages/upstreams/src/client/exchange.ts
@@ -17,10 +17,20 @@
   #cancelReason: Error | undefined
   #paused = false
   #isEnded = false
+  #bodyBytes = 0
+  readonly #receivedBytes: () => number
 
-  /** @param handler - receives the response */
-  constructor (handler: UpstreamResponseHandler) {
+  /**
+   * @param handler - receives the response
+   * @param receivedBytes - reads how many bytes the connection has received since the request was dispatched
+   */
+  constructor (handler: UpstreamResponseHandler, receivedBytes: () => number) {
     this.#handler = handler
+    this.#receivedBytes = receivedBytes
+  }
+
+  get overheadBytes (): number {
+    return this.#receivedBytes() - this.#bodyBytes
   }
 
   onRequestStart (controller: Dispatcher.DispatchController): void {
@@ -35,6 +45,7 @@
   }
 
   onResponseData (controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.#bodyBytes += chunk.length
     this.#handler.data(chunk)
     if (this.#paused) controller.pause()
   }
--- a/packages/upstreams/src/client/upstreamClient.ts
+++ b/packages/upstreams/src/client/upstreamClient.ts
@@ -25,6 +25,7 @@
   wasReset = false
   /** True while a connection is open, so that a request can be sent without connecting first. */
   isOpen = false
+  #socket: Socket | undefined
 
   constructor (url: string, options: ConnectionOptions) {
     const connect = buildConnector({ timeout: options.connectTimeoutMs, keepAlive: true, keepAliveInitialDelay: TCP_KEEP_ALIVE_DELAY_MS })
@@ -42,8 +43,14 @@
     })
   }
 
+  /** Bytes received over the current connection. */
+  get bytesRead (): number {
+    return this.#socket?.bytesRead ?? 0
+  }
+
   /** Detects resets on the socket, as undici treats a reset as the end of a response without a length. */
   #trackSocket (socket: Socket): void {
+    this.#socket = socket
     this.wasReset = false
     this.isOpen = true
     socket.on('error', () => { this.wasReset = true })
@@ -72,6 +79,7 @@
   send (request: UpstreamRequest, handler: UpstreamResponseHandler): UpstreamExchange {
     const isFresh = this.options.freshConnectionForNonIdempotent && !request.idempotent
     const connection = isFresh ? this.#open() : this.#takeIdle() ?? this.#open()
+    const bytesBefore = connection.isOpen ? connection.bytesRead : 0
     const exchange = new Exchange({
       ...handler,
       end: trailers => {
@@ -84,7 +92,7 @@
         this.#release(connection, true)
         handler.failed(err, sent)
       }
-    })
+    }, () => connection.bytesRead - bytesBefore)
     connection.client.dispatch({
       method: request.method as Dispatcher.HttpMethod,
       path: request.path,
--- a/packages/upstreams/src/client/upstreamTypes.ts
+++ b/packages/upstreams/src/client/upstreamTypes.ts
@@ -37,6 +37,8 @@
   pause: () => void
   /** Resumes reading the response. */
   resume: () => void
+  /** Bytes received that were not part of the body: status line, headers, framing, and whatever the upstream sends in place of a response. */
+  readonly overheadBytes: number
   /** Cancels the request and closes its connection; `failed` is called next. Does nothing when it has ended. */
   cancel: (reason: Error) => void
 }
