--- a/soak/src/schedule/faultSchedule.ts
+++ b/soak/src/schedule/faultSchedule.ts
@@ -1,7 +1,7 @@
 /** Draws the fault schedule of a soak from its seed: faults come alone or in series, overlap, and end before the fault-free phase. */
 import { drawInterval, pickWeighted, type Random, seededRandom } from '@fuchsiaworks/bench'
 import type { Millis } from '@fuchsiaworks/kernel'
-import { type FaultKind, GATEWAY_FAULTS, LINK_FAULTS, OPERATOR_ACTIONS, type ScheduledFault, STORE_FAULTS, UPSTREAM_FAULTS } from './faultTypes.js'
+import { type FaultKind, GATEWAY_FAULTS, LINK_FAULTS, OPERATOR_ACTIONS, type ScheduledFault, STORE_FAULTS, STORE_RESTORE, UPSTREAM_FAULTS } from './faultTypes.js'
 
 /** Mean time between two faults or series. */
 const MEAN_INTERVAL_MS: Millis = 1300
@@ -28,6 +28,13 @@
 /** Added to the seed for presses, which are drawn apart from the other faults: the faults of a seed that has failed stay the same. */
 const PRESS_SEED_OFFSET = 500_009
 
+/** Age of the copy from which the store comes back, and the span for which there is one such fault, at least one. */
+const RESTORE_MS = { min: 500, max: 4000 } as const
+const RESTORE_SPAN_MS: Millis = 20_000
+
+/** As the offset for presses, for returns of the store from a copy. */
+const RESTORE_SEED_OFFSET = 700_001
+
 const pickUniform = <T>(random: Random, items: readonly T[]): T => pickWeighted(random, items.map(item => [item, 1] as const))
 
 const drawKind = (random: Random): FaultKind => {
@@ -60,6 +67,11 @@
   return { startMs, durationMs, kind: { target: 'callers', index: Math.floor(random() * INDEX_RANGE), action: 'press' } }
 })
 
+const drawRestores = (random: Random, endMs: Millis): ScheduledFault[] => Array.from({ length: Math.max(1, Math.floor(endMs / RESTORE_SPAN_MS)) }, () => {
+  const durationMs = Math.round(Math.min(endMs, RESTORE_MS.min + (RESTORE_MS.max - RESTORE_MS.min) * random()))
+  return { startMs: Math.round((endMs - durationMs) * random()), durationMs, kind: { target: 'store', action: STORE_RESTORE } }
+})
+
 /**
  * Draws a fault schedule.
  *
@@ -69,7 +81,7 @@
  */
 export const drawSchedule = (seed: number, endMs: Millis): ScheduledFault[] => {
   const random = createRandom(seed)
-  const faults = drawPresses(createRandom(seed + PRESS_SEED_OFFSET), endMs)
+  const faults = [...drawPresses(createRandom(seed + PRESS_SEED_OFFSET), endMs), ...drawRestores(createRandom(seed + RESTORE_SEED_OFFSET), endMs)]
   for (let seriesStartMs = drawInterval(random, MEAN_INTERVAL_MS); seriesStartMs < endMs; seriesStartMs += drawInterval(random, MEAN_INTERVAL_MS)) {
     const kind = drawKind(random)
     const count = random() < SERIES_SHARE ? 2 + Math.floor(random() * (SERIES.max - 1)) : 1
--- a/soak/src/schedule/faultTypes.ts
+++ b/soak/src/schedule/faultTypes.ts
@@ -10,6 +10,9 @@
 /** Faults of the platform's store. */
 export const STORE_FAULTS = ['busy', 'silent', 'reset', 'slow', 'lost', 'forget-history'] as const
 
+/** The store comes back from a copy as old as the fault lasts; what was written since is written again soon after. Drawn apart from its other faults. */
+export const STORE_RESTORE = 'restore'
+
 /** Faults of an upstream. `hang`: accepts requests and never responds; `flap`: crashes twice, with a restart in between. */
 export const UPSTREAM_FAULTS = ['crash', 'hang', 'full', 'truncate-responses', 'extra-bytes', 'leave', 'turn-cold', 'flap'] as const
 
@@ -22,7 +25,7 @@
   | { readonly target: 'all-gateways', readonly action: 'kill' }
   | { readonly target: 'peer-link' | 'store-link', readonly index: number, readonly action: typeof LINK_FAULTS[number] }
   | { readonly target: 'upstream-link', readonly index: number, readonly action: typeof LINK_FAULTS[number] }
-  | { readonly target: 'store', readonly action: typeof STORE_FAULTS[number] }
+  | { readonly target: 'store', readonly action: typeof STORE_FAULTS[number] | typeof STORE_RESTORE }
   | { readonly target: 'upstream', readonly index: number, readonly action: typeof UPSTREAM_FAULTS[number] }
   /** Callers ask one gateway on a small host for more than it can serve. */
   | { readonly target: 'callers', readonly index: number, readonly action: 'press' }
--- a/soak/src/world/faultInjector.ts
+++ b/soak/src/world/faultInjector.ts
@@ -2,7 +2,7 @@
 import { assertNever, type Clock, createLog, type Millis, toError } from '@fuchsiaworks/kernel'
 import { Surge } from '../callers/surge.js'
 import type { Disturbance, Observations } from '../invariants/observationTypes.js'
-import type { GATEWAY_FAULTS, LINK_FAULTS, OPERATOR_ACTIONS, ScheduledFault, STORE_FAULTS, UPSTREAM_FAULTS } from '../schedule/faultTypes.js'
+import { type GATEWAY_FAULTS, type LINK_FAULTS, type OPERATOR_ACTIONS, type ScheduledFault, type STORE_FAULTS, STORE_RESTORE, type UPSTREAM_FAULTS } from '../schedule/faultTypes.js'
 import { type Fleet, ZONES } from './fleet.js'
 import { type GatewayProcess, CLOCK_JUMP_SIGNAL } from './gatewayProcess.js'
 import type { Operator } from './operator.js'
@@ -25,6 +25,10 @@
 const PRESSED_SHARE = 0.2
 const PRESS_PER_SECOND = 120
 
+/** Time for which a store that comes back from a copy is away, and the time after that in which what it lost is written again. */
+const RESTORE_DOWNTIME_MS: Millis = 300
+const WRITTEN_AGAIN_MS: Millis = 1000
+
 const log = createLog('soak')
 
 /** The parts of a soak that faults can disturb. */
@@ -67,7 +71,7 @@
         if (instance !== undefined) this.#injectLinkFault(instance.relay, `upstream-link ${instance.standin.properties.id}`, kind.action, durationMs)
         return
       }
-      case 'store': return this.#injectStoreFault(kind.action, durationMs)
+      case 'store': return kind.action === STORE_RESTORE ? this.#restoreStore(durationMs) : this.#injectStoreFault(kind.action, durationMs)
       case 'upstream': return this.#injectUpstreamFault(selectByIndex(upstreams.replicas, kind.index), kind.action, durationMs)
       case 'operator': return this.#runOperatorAction(kind.index, kind.action, durationMs)
       case 'callers': return this.#press(kind.index % fleet.gateways.length, durationMs)
@@ -139,6 +143,18 @@
     })
   }
 
+  /** The store is away for a moment, and comes back from a copy taken at the start of the fault. */
+  #restoreStore (ageMs: Millis): void {
+    const { store } = this.targets.fleet
+    const copy = store.copy()
+    this.clock.after(ageMs, () => {
+      this.#injectStoreFault('reset', RESTORE_DOWNTIME_MS)
+      this.#recordDisturbance('store', RESTORE_DOWNTIME_MS + WRITTEN_AGAIN_MS)
+      const writeAgain = store.restore(copy)
+      this.clock.after(RESTORE_DOWNTIME_MS + WRITTEN_AGAIN_MS, writeAgain)
+    })
+  }
+
   #injectUpstreamFault (replica: UpstreamReplica, action: typeof UPSTREAM_FAULTS[number], durationMs: Millis): void {
     const { upstreams } = this.targets
     const { instance } = replica
