--- a/packages/gateway/src/process/gateway.spec.ts
+++ b/packages/gateway/src/process/gateway.spec.ts
@@ -287,6 +287,56 @@
   })
 })
 
+describe('a late copy of a response', () => {
+  it('is not taken for the response to the next request on its connection', async () => {
+    const sockets = new Map<unknown, string>()
+    const copyBefore: Script = ({ socket, headers }, _res, body) => {
+      const copy = sockets.get(socket) ?? ''
+      const answer = `HTTP/1.1 200 OK\r\nseal: s\r\ntry: ${String(headers['try'])}\r\ncontent-length: ${body.length + 4}\r\n\r\ngot ${body}`
+      sockets.set(socket, answer)
+      socket.write(copy + answer)
+    }
+    await withGateway([copyBefore], async gateway => {
+      const request = (attempt: string): string => `POST /once/x HTTP/1.1\r\nHost: a.example\r\nTry: ${attempt}\r\nContent-Length: 2\r\n\r\n${attempt}`
+      expect(await gateway.sendRaw(request('t1'))).toMatchRegex(/got t1$/)
+      const second = await gateway.sendRaw(request('t2'))
+      expect(gateway.arrivals.length).toEqual(2)
+      expect(gateway.arrivals[0]?.req.socket === gateway.arrivals[1]?.req.socket).toEqual(true)
+      expect(statusOf(second)).toEqual(502)
+      expect(second).not.toMatchRegex(/got t1/)
+    })
+  })
+})
+
+describe('a stream that stalls while bytes of an event arrive now and then', () => {
+  it('is resumed at another upstream, and one that is only slow is not', async () => {
+    let requests = 0
+    const head = { seal: 's', try: 't1', 'content-type': 'text/event-stream' }
+    const dribble: Script = (req, res) => {
+      requests += 1
+      res.writeHead(200, head)
+      if (requests > 1) return res.end(events(Number(req.headers['last-event-id']) + 1, 4))
+      res.write(`${events(1, 2)}id: 3\ndata: `)
+      const timer = setInterval(() => { res.write('d') }, 150)
+      req.socket.on('close', () => { clearInterval(timer) })
+    }
+    await withGateway([dribble, dribble], async gateway => {
+      const received = await gateway.sendRequest('/stream/x')
+      expect([...received.matchAll(/id: (\d)/g)].map(match => match[1])).toEqual(['1', '2', '3', '4'])
+      expect(received).toMatchRegex(/0\r\n\r\n$/)
+    })
+    const slow: Script = (_req, res) => {
+      res.writeHead(200, head)
+      res.write(events(1, 1))
+      for (let id = 2; id <= 4; id++) setTimeout(() => { id < 4 ? res.write(events(id, id)) : res.end(events(id, id)) }, (id - 1) * 600)
+    }
+    await withGateway([slow, slow], async gateway => {
+      expect(await gateway.sendRequest('/stream/x')).toMatchRegex(/id: 4\n[^]*0\r\n\r\n$/)
+      expect(gateway.arrivals.length).toEqual(1)
+    })
+  })
+})
+
 describe('an upstream that announces its shutdown in a response', () => {
   it('gets no further request until a new process starts under its id', async () => {
     const leave: Script = (req, res) => { res.writeHead(200, { seal: 's', try: String(req.headers['try']), leaving: '1' }).end('last') }
--- a/packages/gateway/src/requests/callerExchange.ts
+++ b/packages/gateway/src/requests/callerExchange.ts
@@ -34,9 +34,15 @@
 /** Share of the latency target for which an upstream that is not an engine may send no byte before another one is tried. */
 const NON_ENGINE_SILENCE_TARGET_RATIO = 0.9
 
+/** Pause within a stream of an upstream that is not an engine after which it counts as silent: half of the pause after which callers give up. */
+const STREAM_PAUSE = { minMs: 1000, targetRatio: 2 } as const
+
 /** Time beyond the expected start of the response after which an engine that sends no byte counts as silent. */
 const ENGINE_SILENCE_MS = 800
 
+/** Time for which an event may arrive in part; an upstream sends each event whole, so one that takes longer has stalled, whatever trickles in. */
+const PARTIAL_EVENT_MS: Millis = 1500
+
 /**
  * Bytes of a response that may be something else than its body: a constant part for headers and for what is received ahead of a slow caller, and a
  * part that grows with the body, for the framing of small chunks.
@@ -66,6 +72,8 @@
   /** True once the attempt has ended; anything that still arrives is ignored. */
   isOver: boolean
   bodyBytes: number
+  /** Time at which bytes were last forwarded, or at which the event that is arriving began. */
+  progressAt: Millis
 }
 
 /** Outcome of a request in the log and metrics. */
@@ -139,13 +147,14 @@
     this.#finish('broken-off', 'process shut down')
   }
 
-  /** Retries the request at another upstream when its upstream is silent for too long; keeps the attempt when there is no other upstream. */
+  /** Retries the request at another upstream when its upstream is silent, or has not completed an event, for too long; keeps the attempt when there is no other upstream. */
   checkSilence (isUpstreamSilent: (upstream: UpstreamId) => boolean): void {
     const attempt = this.#attempt
     if (attempt === undefined || attempt.isOver || this.#request.route.repeatability === 'once') return
     const limit = this.#silenceLimit(attempt)
-    if (this.#now - Math.max(attempt.startedAt, this.#lastByteAt) < limit) return
-    if (this.#admission.isEngine && !isUpstreamSilent(attempt.upstream.id)) return
+    const isStalled = this.#relay.hasPartialEvent && this.#now - attempt.progressAt > PARTIAL_EVENT_MS
+    if (!isStalled && this.#now - Math.max(attempt.startedAt, this.#lastByteAt) < limit) return
+    if (!isStalled && this.#admission.isEngine && !isUpstreamSilent(attempt.upstream.id)) return
     const silent: AttemptFailure = { kind: 'uncertain', reason: 'silent' }
     const next = this.#decideNext(silent).kind
     if ((next === 'retry' || next === 'resume') && this.#admission.place() !== undefined) this.#failAttempt(attempt, silent)
@@ -172,7 +181,8 @@
   }
 
   #silenceLimit ({ placement }: Attempt): Millis {
-    if (!this.#admission.isEngine) return this.#request.route.latencyTargetMs * NON_ENGINE_SILENCE_TARGET_RATIO
+    const { latencyTargetMs } = this.#request.route
+    if (!this.#admission.isEngine) return this.#relay.hasStarted ? Math.max(STREAM_PAUSE.minMs, latencyTargetMs * STREAM_PAUSE.targetRatio) : latencyTargetMs * NON_ENGINE_SILENCE_TARGET_RATIO
     return ENGINE_SILENCE_MS + placement.expectedMs
   }
 
@@ -180,7 +190,7 @@
     const request = this.#request
     const upstream = this.#ctx.fleet.view.upstreams.get(placement.upstream)
     if (upstream === undefined) return this.#refuse(this.#admission.noUpstream())
-    const attempt: Attempt = { run: newId<RunId>(), upstream, startedAt: this.#now, placement, exchange: undefined, isOver: false, bodyBytes: 0 }
+    const attempt: Attempt = { run: newId<RunId>(), upstream, startedAt: this.#now, placement, exchange: undefined, isOver: false, bodyBytes: 0, progressAt: this.#now }
     this.#attempt = attempt
     this.#attempts += 1
     this.isWaiting = false
@@ -251,7 +261,9 @@
     if (attempt.isOver) return
     if (attempt.bodyBytes === 0) this.#onFirstByte(attempt)
     attempt.bodyBytes += chunk.length
+    const { forwardedBytes, hasPartialEvent } = this.#relay
     const isWritable = this.#relay.data(chunk)
+    if (!hasPartialEvent || this.#relay.forwardedBytes > forwardedBytes) attempt.progressAt = this.#now
     if (this.#relay.isEventTooLong) return this.#failAttempt(attempt, { kind: 'uncertain', reason: 'garbled' })
     if (isWritable) return
     attempt.exchange?.pause()
--- a/packages/gateway/src/requests/responseRelay.ts
+++ b/packages/gateway/src/requests/responseRelay.ts
@@ -24,6 +24,8 @@
   #bufferedBytes = 0
   #splitter = new EventSplitter()
   #lastEventId: number | undefined
+  /** Bytes of the body that have been forwarded. */
+  forwardedBytes = 0
 
   /**
    * @param res - the caller's response
@@ -46,6 +48,11 @@
     return this.#lastEventId
   }
 
+  /** True when the last event has not arrived completely. */
+  get hasPartialEvent (): boolean {
+    return this.#splitter.pendingBytes > 0
+  }
+
   /** True when the upstream has sent more of an event than an event may have. */
   get isEventTooLong (): boolean {
     return this.#splitter.pendingBytes > MAX_EVENT_BYTES
@@ -114,6 +121,7 @@
 
   #write (bytes: Buffer): boolean {
     this.#writeHead()
+    this.forwardedBytes += bytes.length
     return this.#res.write(bytes)
   }
 
