--- a/packages/gateway/src/callers/callerServer.ts
+++ b/packages/gateway/src/callers/callerServer.ts
@@ -174,10 +174,15 @@
     return socket instanceof OffloadedSocket ? !socket.isKeepAliveAllowed : this.gate.shouldClose()
   }
 
+  /** True when this gateway, or the one that accepted the connection, is about to end. */
+  #takesNoRequests (socket: Duplex): boolean {
+    return this.#isStopping || (socket instanceof OffloadedSocket && socket.isStopping)
+  }
+
   #admit (req: IncomingMessage): AdmittedRequest | Refusal {
     const { table } = this.ctx.fleet.view
     if (table === undefined) return { status: 503, reason: 'no-configuration', retryAfterMs: NOT_READY_RETRY_AFTER_MS }
-    if (this.#isStopping) return { status: 503, reason: 'ending', retryAfterMs: NOT_READY_RETRY_AFTER_MS }
+    if (this.#takesNoRequests(req.socket)) return { status: 503, reason: 'ending', retryAfterMs: NOT_READY_RETRY_AFTER_MS }
     const headerBytes = req.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0)
     if (headerBytes > table.limits.headerBytes) return { status: 431, reason: 'headers-too-long' }
     const route = findGatewayRoute(table, req.headers.host ?? '', req.url ?? '/')
--- a/packages/gateway/src/offload/offloadReceiver.ts
+++ b/packages/gateway/src/offload/offloadReceiver.ts
@@ -16,6 +16,7 @@
   readonly sockets: Map<ConnectionNumber, OffloadedSocket>
   link: OffloadLink | undefined
   isKeepAliveAllowed: boolean
+  isStopping: boolean
 }
 
 /** Accepts links. */
@@ -40,7 +41,7 @@
 
   /** Accepts the link of a peer. */
   accept (webSocket: WebSocket): void {
-    const entry: ReceivingLink = { sockets: new Map(), link: undefined, isKeepAliveAllowed: true }
+    const entry: ReceivingLink = { sockets: new Map(), link: undefined, isKeepAliveAllowed: true, isStopping: false }
     this.#links.add(entry)
     entry.link = new OffloadLink(this.#clock, webSocket, BATCH_MS, {
       onFrame: frame => { this.#receive(entry, frame) },
@@ -72,16 +73,21 @@
         for (const socket of sockets.values()) socket.isKeepAliveAllowed = frame.isAllowed
         return
       case 'close-idle':
-        for (const socket of sockets.values()) if (socket.isIdle) socket.destroySoon()
+        entry.isStopping = true
+        for (const socket of sockets.values()) {
+          socket.isStopping = true
+          if (socket.isIdle) socket.destroySoon()
+        }
         return
       default: assertNever(frame)
     }
   }
 
-  #open ({ link, sockets, isKeepAliveAllowed }: ReceivingLink, connection: ConnectionNumber): void {
+  #open ({ link, sockets, isKeepAliveAllowed, isStopping }: ReceivingLink, connection: ConnectionNumber): void {
     if (link === undefined) return
     const socket = new OffloadedSocket(this.#clock, link, connection)
     socket.isKeepAliveAllowed = isKeepAliveAllowed
+    socket.isStopping = isStopping
     socket.on('error', () => {})
     socket.on('close', () => { sockets.delete(connection) })
     sockets.set(connection, socket)
--- a/packages/gateway/src/offload/offloadedSocket.ts
+++ b/packages/gateway/src/offload/offloadedSocket.ts
@@ -25,6 +25,8 @@
   isMidRequest = false
   /** False when responses are to close the connection, as the gateway that accepted it shuts down or has too many. */
   isKeepAliveAllowed = true
+  /** True once the gateway that accepted the connection takes no more requests, as it is about to end. */
+  isStopping = false
 
   /**
    * @param clock - source of time
--- a/packages/gateway/src/process/gateway.spec.ts
+++ b/packages/gateway/src/process/gateway.spec.ts
@@ -3,6 +3,9 @@
 import { setLogLevel } from '@fuchsiaworks/kernel'
 import { findPorts } from '@fuchsiaworks/standins'
 import { expect } from 'earl'
+import { WebSocket } from 'ws'
+import { decodeOffloadFrames, encodeOffloadFrames } from '../offload/offloadCodec.js'
+import { OFFLOAD_PATH } from '../offload/offloadTypes.js'
 import { type GatewayUnderTest, type Script, startUnderTest, startWithSettings } from './gatewayFixtures.js'
 
 setLogLevel('error')
@@ -393,6 +396,39 @@
   })
 })
 
+describe('a connection of a peer gateway that shuts down', () => {
+  it('takes no request after the peer has stopped, and the open one ends whole', async () => {
+    const [port = 0] = await findPorts(1)
+    const slow: Script = (req, res) => {
+      res.writeHead(200, { seal: 's', try: String(req.headers['try']), 'content-type': 'text/event-stream' }).write(events(1, 1))
+      setTimeout(() => { res.end(events(2, 2)) }, 200)
+    }
+    const gateway = await startWithSettings({ peers: { host: '127.0.0.1', port } }, slow)
+    const link = new WebSocket(`ws://127.0.0.1:${port}${OFFLOAD_PATH}`)
+    let received = ''
+    link.on('message', (message: Buffer) => {
+      for (const frame of decodeOffloadFrames(message)) if (frame.kind === 'data') received += frame.bytes.toString()
+    })
+    const sendRequest = (attempt: string): void => {
+      link.send(encodeOffloadFrames([{ kind: 'data', connection: 1, bytes: Buffer.from(`POST /stream/x HTTP/1.1\r\nHost: a.example\r\nTry: ${attempt}\r\n\r\n`) }]))
+    }
+    try {
+      await new Promise(resolve => { link.on('open', resolve) })
+      link.send(encodeOffloadFrames([{ kind: 'open', connection: 1 }]))
+      sendRequest('t1')
+      await pause(100)
+      link.send(encodeOffloadFrames([{ kind: 'keep-alive', isAllowed: false }, { kind: 'close-idle' }]))
+      sendRequest('t2')
+      await pause(300)
+      expect(received).toMatchRegex(/^HTTP\/1.1 200[^]*id: 2\n[^]*HTTP\/1.1 503[^]*"ending"/)
+      expect(gateway.arrivals.length).toEqual(1)
+    } finally {
+      link.terminate()
+      await gateway.close()
+    }
+  })
+})
+
 describe('a gateway whose address is in use', () => {
   const listen = async (port: number): Promise<Server> => await new Promise((resolve, reject) => {
     const server = createServer().once('error', reject).listen(port, '127.0.0.1', () => { resolve(server) })
