Log what a crash of an upstream is attributed to

'attempt failed' and 'request ended' have the shared parts, the former the age of the first byte; 'upstream crashed' has the evidence, its age, and the connections that were too old to count; 'crash reports received' and two counters show what peers learn. No decision changes.

--- a/packages/gateway/src/process/wiring.ts
+++ b/packages/gateway/src/process/wiring.ts
@@ -5,6 +5,7 @@
 import { PeerMesh, type PeerPortHandlers } from '../peers/peerMesh.js'
 import type { PeerState } from '../peers/peerTypes.js'
 import type { FleetView } from '../port/fleetPort.js'
+import { logCrash } from '../requests/crashLog.js'
 import type { FlowContext } from '../requests/flowContext.js'
 import { minTargetMsByService } from '../routing/findRoute.js'
 
@@ -29,7 +30,11 @@
 
 /** Records the upstreams that disappeared from the list without having drained or announced their shutdown; they count as crashed. */
 export const recordUnlistedUpstreams = (ctx: FlowContext, before: FleetView['upstreams'], now: FleetView['upstreams']): void => {
-  for (const [id, { isDraining, startedAt }] of before) if (!isDraining && !now.has(id) && !ctx.leaving.isLeaving(id, startedAt)) ctx.crashSuspects.recordUnlisted(id, ctx.clock.now())
+  for (const [id, { isDraining, startedAt }] of before) {
+    if (isDraining || now.has(id) || ctx.leaving.isLeaving(id, startedAt)) continue
+    const crash = ctx.crashSuspects.recordUnlisted(id, ctx.clock.now())
+    if (crash !== undefined) logCrash(ctx, id, 'unlisted', crash)
+  }
 }
 
 /** Applies a state update from a peer gateway. */
@@ -40,6 +45,10 @@
   for (const use of state.parts) ctx.placement.recordPartUse(use, now)
   for (const leaving of state.leaving) ctx.leaving.applyReport(leaving, now)
   for (const report of state.crashes) ctx.crashSuspects.applyReport(report, now)
+  if (state.crashes.length > 0) {
+    ctx.metrics.crashReports.inc(state.crashes.length)
+    ctx.requestLog.write('crash reports received', { peer: state.peer, reports: state.crashes.length })
+  }
   for (const { upstream, remainingMs } of state.avoided) ctx.placement.avoid(upstream, now + remainingMs)
 }
 
--- a/packages/gateway/src/requests/callerExchange.ts
+++ b/packages/gateway/src/requests/callerExchange.ts
@@ -8,6 +8,7 @@
 import type { ResponseHead } from '../port/headerPort.js'
 import type { GatewayUpstream } from '../routing/routingTypes.js'
 import { Admission } from './admission.js'
+import { logCrash } from './crashLog.js'
 import { ResponseRelay } from './responseRelay.js'
 import type { CallerRequest } from './callerRequest.js'
 import type { FlowContext } from './flowContext.js'
@@ -72,6 +73,7 @@
   /** True once the attempt has ended; anything that still arrives is ignored. */
   isOver: boolean
   bodyBytes: number
+  firstByteAt: Millis | undefined
   /** Time at which bytes were last forwarded, or at which the event that is arriving began. */
   progressAt: Millis
 }
@@ -190,7 +192,7 @@
     const request = this.#request
     const upstream = this.#ctx.fleet.view.upstreams.get(placement.upstream)
     if (upstream === undefined) return this.#refuse(this.#admission.noUpstream())
-    const attempt: Attempt = { run: newId<RunId>(), upstream, startedAt: this.#now, placement, exchange: undefined, isOver: false, bodyBytes: 0, progressAt: this.#now }
+    const attempt: Attempt = { run: newId<RunId>(), upstream, startedAt: this.#now, placement, exchange: undefined, isOver: false, bodyBytes: 0, firstByteAt: undefined, progressAt: this.#now }
     this.#attempt = attempt
     this.#attempts += 1
     this.isWaiting = false
@@ -271,6 +273,7 @@
   }
 
   #onFirstByte (attempt: Attempt): void {
+    attempt.firstByteAt = this.#now
     this.#ctx.placement.recordFirstEvent(attempt.run, this.#now)
     this.#ctx.mesh.scheduleUpdate()
     this.#firstByteMs ??= this.#now - this.#request.arrivedAt
@@ -319,6 +322,8 @@
       failure: failure.kind,
       reason: this.#failureReason,
       afterMs: Math.round(this.#now - attempt.startedAt),
+      firstByteAgeMs: attempt.firstByteAt === undefined ? -1 : Math.round(this.#now - attempt.firstByteAt),
+      parts: this.#promptPartIds(),
       next: decision.kind
     })
     switch (decision.kind) {
@@ -365,7 +370,14 @@
 
   #recordCrash (upstream: UpstreamId, failure: AttemptFailure): void {
     if (failure.kind === 'uncertain' && failure.reason === 'reset') this.#ctx.crashSuspects.recordBrokenConnection(this.#fingerprint(), upstream, this.#now)
-    if (failure.kind === 'not-run' && failure.reason === 'unreachable') this.#ctx.crashSuspects.recordUnreachable(upstream, this.#now)
+    if (failure.kind !== 'not-run' || failure.reason !== 'unreachable') return
+    const crash = this.#ctx.crashSuspects.recordUnreachable(upstream, this.#now)
+    if (crash !== undefined) logCrash(this.#ctx, upstream, 'unreachable', crash)
+  }
+
+  /** Ids of the prompt parts that other requests may share, for the log. */
+  #promptPartIds (): string {
+    return this.#request.head.prompt?.parts.slice(0, -1).map(({ id }) => id).join(',') ?? ''
   }
 
   /** Hash of the workspace and the content of the request, by which repeated requests are recognized. */
@@ -432,6 +444,7 @@
       reason,
       status: request.res.statusCode,
       upstreams: [...this.#admission.tried].join(','),
+      parts: this.#promptPartIds(),
       revision: request.revision,
       pressure: Number((this.#placement?.pressure ?? -1).toFixed(2)),
       waitedMs: Math.round(this.#waitedMs),
--- a/packages/policy/src/crashSuspect/crashSuspectDb.ts
+++ b/packages/policy/src/crashSuspect/crashSuspectDb.ts
@@ -5,7 +5,7 @@
  * agents report crashes to routers; a gateway only sees broken connections.
  */
 import { getOrMake, type Millis, type UpstreamId } from '@fuchsiaworks/kernel'
-import type { CrashReport, RequestHash } from './crashSuspectTypes.js'
+import type { CrashReport, RecognizedCrash, RequestHash } from './crashSuspectTypes.js'
 
 /** Crashes after which a request is refused; requirements allow one request to crash three upstreams. */
 const MAX_CRASHES = 3
@@ -47,14 +47,22 @@
     getOrMake(this.#brokenConnections, upstream, () => []).push({ fingerprint, at: now })
   }
 
-  /** Records that an upstream accepts no connections; connections that broke shortly before then count as its crash. */
-  recordUnreachable (upstream: UpstreamId, now: Millis): void {
-    this.#recordCrash(upstream, UNREACHABLE_WITHIN_MS, now)
+  /**
+   * Records that an upstream accepts no connections; connections that broke shortly before then count as its crash.
+   *
+   * @returns the crash; undefined when no connection had broken
+   */
+  recordUnreachable (upstream: UpstreamId, now: Millis): RecognizedCrash | undefined {
+    return this.#recordCrash(upstream, UNREACHABLE_WITHIN_MS, now)
   }
 
-  /** Records that an upstream was removed from the list of upstreams without draining; connections that broke shortly before then count as its crash. */
-  recordUnlisted (upstream: UpstreamId, now: Millis): void {
-    this.#recordCrash(upstream, UNLISTED_WITHIN_MS, now)
+  /**
+   * Records that an upstream was removed from the list of upstreams without draining; connections that broke shortly before then count as its crash.
+   *
+   * @returns the crash; undefined when no connection had broken
+   */
+  recordUnlisted (upstream: UpstreamId, now: Millis): RecognizedCrash | undefined {
+    return this.#recordCrash(upstream, UNLISTED_WITHIN_MS, now)
   }
 
   /** Applies a crash report of this gateway or a peer gateway. */
@@ -96,15 +104,16 @@
     return reports
   }
 
-  #recordCrash (upstream: UpstreamId, maxAgeMs: Millis, now: Millis): void {
+  #recordCrash (upstream: UpstreamId, maxAgeMs: Millis, now: Millis): RecognizedCrash | undefined {
     const broken = this.#brokenConnections.get(upstream)
-    if (broken === undefined) return
+    if (broken === undefined) return undefined
     this.#brokenConnections.delete(upstream)
-    for (const { fingerprint, at } of broken) {
-      if (now - at > maxAgeMs) continue
+    const recent = broken.filter(({ at }) => now - at <= maxAgeMs)
+    for (const { fingerprint, at } of recent) {
       const report: CrashReport = { fingerprint, crash: `${upstream} ${Math.floor(at / CRASH_SLOT_MS)}` }
       this.applyReport(report, now)
       this.#unsentReports.push(report)
     }
+    return { brokenConnections: recent.length, ignoredConnections: broken.length - recent.length, ageMs: Math.max(...broken.map(({ at }) => now - at)) }
   }
 }
--- a/packages/policy/src/crashSuspect/crashSuspectTypes.ts
+++ b/packages/policy/src/crashSuspect/crashSuspectTypes.ts
@@ -1,4 +1,5 @@
 /** Types of the tracking of crash-causing requests. */
+import type { Millis } from '@fuchsiaworks/kernel'
 
 /** Fingerprint of a request: hash of its workspace and content, the same at all gateways and for each attempt. */
 export type RequestHash = number
@@ -9,3 +10,13 @@
   /** Identifies the crash, so that a duplicate report is not counted. */
   readonly crash: string
 }
+
+/** Crash of an upstream as one gateway has recognized it. */
+export interface RecognizedCrash {
+  /** Broken connections that count as the crash. */
+  readonly brokenConnections: number
+  /** Connections that broke too long before to count. */
+  readonly ignoredConnections: number
+  /** Time since the first of these connections broke. */
+  readonly ageMs: Millis
+}
