--- a/soak/src/callers/caller.ts
+++ b/soak/src/callers/caller.ts
@@ -8,6 +8,9 @@
 /** Time beyond the timeout of the route after which a caller closes its connection. */
 const CLIENT_TIMEOUT_MARGIN_MS: Millis = 4000
 
+/** Prompt tokens and maximum output tokens of requests with a prompt. */
+const PROMPT_TOKEN_COUNT = '400,60'
+
 const singleHeader = (res: IncomingMessage, name: string): string | undefined => {
   const value = res.headers[name]
   return typeof value === 'string' ? value : undefined
@@ -64,6 +67,7 @@
         'content-length': Buffer.byteLength(sent.body),
         [HEADER.attemptId]: sent.attempt,
         [HEADER.deadlineMs]: String(sent.timeoutMs),
+        ...sent.parts === undefined ? {} : { [HEADER.promptParts]: sent.parts, [HEADER.tokenCount]: PROMPT_TOKEN_COUNT },
         ...sent.key === undefined ? {} : { authorization: `Bearer ${sent.key}` }
       }
     }, res => {
--- a/soak/src/invariants/observationTypes.ts
+++ b/soak/src/invariants/observationTypes.ts
@@ -35,6 +35,8 @@
   readonly kind: RequestKind
   readonly path: string
   readonly body: string
+  /** Prompt parts as `id:tokens`, separated by commas; undefined for a request without a prompt. */
+  readonly parts?: string
   /** API key sent with the request, and its workspace; undefined on public routes. */
   readonly key: string | undefined
   readonly workspace: string | undefined
@@ -62,6 +64,8 @@
   readonly lastEventId: number
   /** False when the upstream declined with the not-executed header. */
   readonly ran: boolean
+  /** Prompt parts as `id:tokens`, separated by commas; undefined for a request without a prompt. */
+  readonly parts?: string
   /** Duration of the complete work. */
   readonly workMs: Millis
   endedAt: Millis | undefined
--- a/soak/src/world/upstreamResponses.ts
+++ b/soak/src/world/upstreamResponses.ts
@@ -3,6 +3,9 @@
 /** Body of the crash request, which crashes each upstream that runs it. */
 export const CRASH_REQUEST_BODY = 'poison'
 
+/** Prompt part that crashes each upstream which begins to write a response to it. */
+export const CRASH_PART = 'dead'
+
 /** Events of a stream. */
 export const EVENTS_PER_STREAM = 12
 
--- a/soak/src/world/upstreamStandin.ts
+++ b/soak/src/world/upstreamStandin.ts
@@ -4,12 +4,15 @@
 import type { Clock, Millis, Timer } from '@fuchsiaworks/kernel'
 import { HEADER } from '@fuchsiaworks/platform-adapter'
 import type { Arrival, Observations } from '../invariants/observationTypes.js'
-import { plainBody, CRASH_REQUEST_BODY, sealOf, EVENTS_PER_STREAM, streamEvent } from './upstreamResponses.js'
+import { plainBody, CRASH_PART, CRASH_REQUEST_BODY, sealOf, EVENTS_PER_STREAM, streamEvent } from './upstreamResponses.js'
 
 /** Processing time of a plain response, and time between two events of a stream. */
 const PLAIN_WORK_MS = 25
 const EVENT_INTERVAL_MS = 25
 
+/** Time from the first event of a response to `CRASH_PART` until the upstream crashes. */
+const PART_CRASH_DELAY_MS: Millis = 40
+
 /** Requests accepted beyond the number of slots. */
 const QUEUE_CAPACITY = 8
 
@@ -31,6 +34,11 @@
   timer: Timer | undefined
 }
 
+const singleHeader = (req: IncomingMessage, name: string): string | undefined => {
+  const value = req.headers[name]
+  return typeof value === 'string' ? value : undefined
+}
+
 /** A running upstream. */
 export class UpstreamStandin {
   fault: UpstreamFault = 'none'
@@ -41,12 +49,17 @@
    * @param clock - source of time
    * @param properties - identity and capacity
    * @param observations - receives the arrivals
-   * @param onCrashRequest - called when the crash request starts to run
+   * @param onCrashRequest - called when the crash request starts to run, or a response to the crash part has begun
    */
   constructor (readonly clock: Clock, readonly properties: UpstreamProperties, readonly observations: Observations, readonly onCrashRequest: () => void) {
     this.#server = createServer({ keepAliveTimeout: 60_000 }, (req, res) => { this.#receive(req, res) })
   }
 
+  /** True once the upstream has crashed or was closed. */
+  get isClosed (): boolean {
+    return !this.#server.listening
+  }
+
   get port (): number {
     return (this.#server.address() as AddressInfo).port
   }
@@ -78,29 +91,29 @@
   #admit (req: IncomingMessage, res: ServerResponse, body: string): void {
     const isExpectedUpstream = req.headers[HEADER.expectedUpstream] === this.properties.id
     const isFull = this.fault === 'full' || this.#runs.size >= this.properties.slots + QUEUE_CAPACITY
-    const arrival = this.#recordArrival(req, body, isExpectedUpstream && !isFull)
+    const arrival = this.#recordArrival(req, body, isExpectedUpstream && !isFull, singleHeader(req, HEADER.promptParts))
     if (arrival.ran) return this.#execute(arrival, res)
     res.writeHead(isExpectedUpstream ? 503 : 421, { [HEADER.notExecuted]: '1', [HEADER.attemptId]: arrival.attempt }).end()
   }
 
-  #recordArrival (req: IncomingMessage, body: string, ran: boolean): Arrival {
-    const singleHeader = (name: string): string | undefined => { const value = req.headers[name]; return typeof value === 'string' ? value : undefined }
-    const lastEventId = Number(singleHeader(HEADER.lastEventId) ?? 0)
+  #recordArrival (req: IncomingMessage, body: string, ran: boolean, parts: string | undefined): Arrival {
+    const lastEventId = Number(singleHeader(req, HEADER.lastEventId) ?? 0)
     const path = req.url ?? ''
     const workMs: Millis = path.startsWith('/stream/') ? (EVENTS_PER_STREAM - lastEventId) * EVENT_INTERVAL_MS : PLAIN_WORK_MS
     const { id, service, zone } = this.properties
     const arrival: Arrival = {
-      attempt: singleHeader(HEADER.attemptId) ?? 'none',
+      attempt: singleHeader(req, HEADER.attemptId) ?? 'none',
       upstream: id,
       service,
       zone,
       at: this.clock.now(),
       path,
       body,
-      workspace: singleHeader(HEADER.workspace),
+      workspace: singleHeader(req, HEADER.workspace),
       hasApiKey: req.headers.authorization !== undefined,
       lastEventId,
       ran,
+      ...parts === undefined ? {} : { parts },
       workMs,
       endedAt: undefined,
       end: undefined
@@ -137,6 +150,7 @@
     res.writeHead(200, { 'content-type': 'text/event-stream', [HEADER.attemptId]: arrival.attempt, [HEADER.responseSeal]: sealOf(arrival.attempt, 200) })
     res.flushHeaders()
     this.#scheduleEvent(run, arrival.lastEventId + 1)
+    if (arrival.parts?.includes(CRASH_PART) === true) this.clock.after(EVENT_INTERVAL_MS + PART_CRASH_DELAY_MS, () => { this.onCrashRequest() })
   }
 
   #scheduleEvent (run: ActiveRun, eventId: number): void {
