--- a/packages/gateway/src/process/wiring.ts
+++ b/packages/gateway/src/process/wiring.ts
@@ -32,7 +32,7 @@
 export const recordUnlistedUpstreams = (ctx: FlowContext, before: FleetView['upstreams'], now: FleetView['upstreams']): void => {
   for (const [id, { isDraining, startedAt }] of before) {
     if (isDraining || now.has(id) || ctx.leaving.isLeaving(id, startedAt)) continue
-    const crash = ctx.crashSuspects.recordUnlisted(id, ctx.clock.now())
+    const crash = ctx.crashSuspects.recordUnlisted({ id, startedAt }, ctx.clock.now())
     if (crash !== undefined) logCrash(ctx, id, 'unlisted', crash)
   }
 }
@@ -44,7 +44,10 @@
   ctx.shares.setPeerTotals(state.peer, state.totals, now)
   for (const use of state.parts) ctx.placement.recordPartUse(use, now)
   for (const leaving of state.leaving) ctx.leaving.applyReport(leaving, now)
-  for (const report of state.crashes) ctx.crashSuspects.applyReport(report, now)
+  for (const report of state.crashes) {
+    const crash = ctx.crashSuspects.applyReport(report, now)
+    if (crash !== undefined) logCrash(ctx, report.crash, 'peer-report', crash)
+  }
   if (state.crashes.length > 0) {
     ctx.metrics.crashReports.inc(state.crashes.length)
     ctx.requestLog.write('crash reports received', { peer: state.peer, reports: state.crashes.length })
--- a/packages/gateway/src/requests/callerExchange.ts
+++ b/packages/gateway/src/requests/callerExchange.ts
@@ -361,18 +361,18 @@
 
   #recordUpstreamFailure (attempt: Attempt, failure: AttemptFailure): void {
     const { upstream } = attempt
-    this.#recordCrash(upstream.id, failure)
+    this.#recordCrash(upstream, failure)
     const avoidMs = avoidDurationMs(failure)
     if (avoidMs === 0) return
     this.#ctx.placement.avoid(upstream.id, this.#now + avoidMs)
     this.#ctx.mesh.scheduleUpdate()
   }
 
-  #recordCrash (upstream: UpstreamId, failure: AttemptFailure): void {
+  #recordCrash (upstream: GatewayUpstream, failure: AttemptFailure): void {
     if (failure.kind === 'uncertain' && failure.reason === 'reset') this.#ctx.crashSuspects.recordBrokenConnection(this.#fingerprint(), upstream, this.#now)
     if (failure.kind !== 'not-run' || failure.reason !== 'unreachable') return
     const crash = this.#ctx.crashSuspects.recordUnreachable(upstream, this.#now)
-    if (crash !== undefined) logCrash(this.#ctx, upstream, 'unreachable', crash)
+    if (crash !== undefined) logCrash(this.#ctx, upstream.id, 'unreachable', crash)
   }
 
   /** Ids of the prompt parts that other requests may share, for the log. */
--- a/packages/gateway/src/requests/crashLog.ts
+++ b/packages/gateway/src/requests/crashLog.ts
@@ -1,13 +1,12 @@
 /** Log and metric of crashes of upstreams. */
-import type { UpstreamId } from '@fuchsiaworks/kernel'
 import type { RecognizedCrash } from '@fuchsiaworks/policy'
 import type { FlowContext } from './flowContext.js'
 
 /** What showed, after connections had broken, that their upstream has crashed. */
-export type CrashEvidence = 'unreachable' | 'unlisted'
+export type CrashEvidence = 'unreachable' | 'unlisted' | 'peer-report'
 
 /** Logs and counts a crash. */
-export const logCrash = ({ metrics, requestLog }: Pick<FlowContext, 'metrics' | 'requestLog'>, upstream: UpstreamId, evidence: CrashEvidence, crash: RecognizedCrash): void => {
+export const logCrash = ({ metrics, requestLog }: Pick<FlowContext, 'metrics' | 'requestLog'>, upstream: string, evidence: CrashEvidence, crash: RecognizedCrash): void => {
   metrics.upstreamCrashes.inc({ evidence })
   requestLog.write('upstream crashed', { upstream, evidence, ...crash, ageMs: Math.round(crash.ageMs) })
 }
--- a/packages/policy/src/crashSuspect/crashSuspect.spec.ts
+++ b/packages/policy/src/crashSuspect/crashSuspect.spec.ts
@@ -2,8 +2,9 @@
 import { asId, type UpstreamId } from '@fuchsiaworks/kernel'
 import { expect } from 'earl'
 import { CrashSuspectDb } from './crashSuspectDb.js'
+import type { UpstreamProcess } from './crashSuspectTypes.js'
 
-const upstream = (nth: number): UpstreamId => asId<UpstreamId>(`u${nth}`)
+const upstream = (nth: number, startedAt = 1): UpstreamProcess => ({ id: asId<UpstreamId>(`u${nth}`), startedAt })
 
 /** Simulates the crash of an upstream that runs the given requests. */
 const crash = (db: CrashSuspectDb, nth: number, fingerprints: readonly number[], now: number): void => {
@@ -56,6 +57,48 @@
     expect(first.takeUnsentReports()).toEqual([])
   })
 
+  it('counts at a gateway that connects too late because its peers avoid the upstream', () => {
+    const [first, second] = [new CrashSuspectDb(), new CrashSuspectDb()]
+    for (const nth of [1, 2, 3]) {
+      const at = nth * 5000
+      first.recordBrokenConnection(9, upstream(nth), at)
+      second.recordBrokenConnection(7, upstream(nth), at)
+      first.recordUnreachable(upstream(nth), at + 400)
+      for (const report of first.takeUnsentReports()) second.applyReport(report, at + 450)
+      second.recordUnreachable(upstream(nth), at + 2100)
+    }
+    expect(second.remainingRefusalMs(7, 17_200)).toBeGreaterThan(0)
+  })
+
+  it('counts when the upstream leaves the list after a connection was refused too late to tell', () => {
+    const db = new CrashSuspectDb()
+    for (const nth of [1, 2, 3]) {
+      db.recordBrokenConnection(7, upstream(nth), nth * 5000)
+      db.recordUnreachable(upstream(nth), nth * 5000 + 2100)
+      db.recordUnlisted(upstream(nth), nth * 5000 + 3900)
+    }
+    expect(db.remainingRefusalMs(7, 19_000)).toBeGreaterThan(0)
+  })
+
+  it('counts once for a crash that two gateways with different clocks report', () => {
+    const [first, second, third] = [new CrashSuspectDb(), new CrashSuspectDb(), new CrashSuspectDb()]
+    for (const nth of [1, 2]) {
+      crash(first, nth, [7], nth * 3000)
+      crash(second, nth, [7], nth * 3000 + 123_456)
+    }
+    for (const report of [...first.takeUnsentReports(), ...second.takeUnsentReports()]) third.applyReport(report, 9000)
+    expect(third.remainingRefusalMs(7, 9000)).toEqual(0)
+  })
+
+  it('counts again for the next process under the same id', () => {
+    const db = new CrashSuspectDb()
+    for (const startedAt of [1, 2, 3]) {
+      db.recordBrokenConnection(7, upstream(1, startedAt), startedAt * 100)
+      db.recordUnreachable(upstream(1, startedAt), startedAt * 100 + 50)
+    }
+    expect(db.remainingRefusalMs(7, 1000)).toBeGreaterThan(0)
+  })
+
   it('is refused by a new gateway that has received the reports of another one', () => {
     const [known, fresh] = [new CrashSuspectDb(), new CrashSuspectDb()]
     for (const nth of [1, 2, 3]) crash(known, nth, [7], nth * 1000)
--- a/packages/policy/src/crashSuspect/crashSuspectDb.ts
+++ b/packages/policy/src/crashSuspect/crashSuspectDb.ts
@@ -4,8 +4,8 @@
  * merely ran concurrently is seldom involved in so many crashes. The quarantine policy of the routers is more precise, because
  * agents report crashes to routers; a gateway only sees broken connections.
  */
-import { getOrMake, type Millis, type UpstreamId } from '@fuchsiaworks/kernel'
-import type { CrashReport, RecognizedCrash, RequestHash } from './crashSuspectTypes.js'
+import { getOrMake, type Millis } from '@fuchsiaworks/kernel'
+import type { CrashReport, RecognizedCrash, RequestHash, UpstreamProcess } from './crashSuspectTypes.js'
 
 /** Crashes after which a request is refused; requirements allow one request to crash three upstreams. */
 const MAX_CRASHES = 3
@@ -22,8 +22,8 @@
 /** Maximum number of suspects; those with the oldest last crash are dropped first. */
 const MAX_SUSPECTS = 2000
 
-/** Length of the time slots, in milliseconds, in which several broken connections to one upstream count as one crash. */
-const CRASH_SLOT_MS: Millis = 1000
+/** Identifies the end of a process of an upstream, the same at all gateways. */
+const crashOf = ({ id, startedAt }: UpstreamProcess): string => `${id} ${startedAt ?? ''}`
 
 interface Suspect {
   readonly crashes: Set<string>
@@ -32,8 +32,8 @@
 
 /** Requests suspected of crashing upstreams, as known to one gateway. */
 export class CrashSuspectDb {
-  /** Connections that broke while a request was running, by upstream. */
-  readonly #brokenConnections = new Map<UpstreamId, Array<{ readonly fingerprint: RequestHash, readonly at: Millis }>>()
+  /** Connections that broke while a request was running, by the crash that they may be due to. */
+  readonly #brokenConnections = new Map<string, Array<{ readonly fingerprint: RequestHash, readonly at: Millis }>>()
   readonly #suspects = new Map<RequestHash, Suspect>()
   #unsentReports: CrashReport[] = []
 
@@ -43,8 +43,8 @@
   }
 
   /** Records that the connection to an upstream broke while it ran a request. */
-  recordBrokenConnection (fingerprint: RequestHash, upstream: UpstreamId, now: Millis): void {
-    getOrMake(this.#brokenConnections, upstream, () => []).push({ fingerprint, at: now })
+  recordBrokenConnection (fingerprint: RequestHash, upstream: UpstreamProcess, now: Millis): void {
+    getOrMake(this.#brokenConnections, crashOf(upstream), () => []).push({ fingerprint, at: now })
   }
 
   /**
@@ -52,8 +52,8 @@
    *
    * @returns the crash; undefined when no connection had broken
    */
-  recordUnreachable (upstream: UpstreamId, now: Millis): RecognizedCrash | undefined {
-    return this.#recordCrash(upstream, UNREACHABLE_WITHIN_MS, now)
+  recordUnreachable (upstream: UpstreamProcess, now: Millis): RecognizedCrash | undefined {
+    return this.#recordCrash(crashOf(upstream), UNREACHABLE_WITHIN_MS, now)
   }
 
   /**
@@ -61,12 +61,22 @@
    *
    * @returns the crash; undefined when no connection had broken
    */
-  recordUnlisted (upstream: UpstreamId, now: Millis): RecognizedCrash | undefined {
-    return this.#recordCrash(upstream, UNLISTED_WITHIN_MS, now)
+  recordUnlisted (upstream: UpstreamProcess, now: Millis): RecognizedCrash | undefined {
+    return this.#recordCrash(crashOf(upstream), UNLISTED_WITHIN_MS, now)
   }
 
-  /** Applies a crash report of this gateway or a peer gateway. */
-  applyReport ({ fingerprint, crash }: CrashReport, now: Millis): void {
+  /**
+   * Applies a crash report of a peer gateway. Connections of this gateway that broke with the upstream count as well: after the first gateway has
+   * found it unreachable, all of them avoid it, so that this one may not connect in time.
+   *
+   * @returns the crash, when connections of this gateway had broken
+   */
+  applyReport (report: CrashReport, now: Millis): RecognizedCrash | undefined {
+    this.#addSuspect(report, now)
+    return this.#recordCrash(report.crash, UNLISTED_WITHIN_MS, now)
+  }
+
+  #addSuspect ({ fingerprint, crash }: CrashReport, now: Millis): void {
     const known = this.#suspects.get(fingerprint)
     const suspect = known !== undefined && now - known.lastCrashAt < SUSPECT_TTL_MS ? known : { crashes: new Set<string>(), lastCrashAt: now }
     // A repeated report, such as one from a peer that has become reachable again, must not prolong the refusal.
@@ -82,7 +92,7 @@
   /** Removes expired suspects and broken connections. */
   expire (now: Millis): void {
     for (const [fingerprint, { lastCrashAt }] of this.#suspects) if (now - lastCrashAt >= SUSPECT_TTL_MS) this.#suspects.delete(fingerprint)
-    for (const [upstream, broken] of this.#brokenConnections) if (broken.every(({ at }) => now - at > UNLISTED_WITHIN_MS)) this.#brokenConnections.delete(upstream)
+    for (const [crash, broken] of this.#brokenConnections) if (broken.every(({ at }) => now - at > UNLISTED_WITHIN_MS)) this.#brokenConnections.delete(crash)
   }
 
   /** @returns milliseconds for which the request is still refused; 0 when it is not refused */
@@ -104,14 +114,15 @@
     return reports
   }
 
-  #recordCrash (upstream: UpstreamId, maxAgeMs: Millis, now: Millis): RecognizedCrash | undefined {
-    const broken = this.#brokenConnections.get(upstream)
+  #recordCrash (crash: string, maxAgeMs: Millis, now: Millis): RecognizedCrash | undefined {
+    const broken = this.#brokenConnections.get(crash)
     if (broken === undefined) return undefined
-    this.#brokenConnections.delete(upstream)
     const recent = broken.filter(({ at }) => now - at <= maxAgeMs)
-    for (const { fingerprint, at } of recent) {
-      const report: CrashReport = { fingerprint, crash: `${upstream} ${Math.floor(at / CRASH_SLOT_MS)}` }
-      this.applyReport(report, now)
+    // Connections that are too old for this evidence may still count by a report of a peer, or when the upstream leaves the list.
+    if (recent.length > 0) this.#brokenConnections.delete(crash)
+    for (const { fingerprint } of recent) {
+      const report: CrashReport = { fingerprint, crash }
+      this.#addSuspect(report, now)
       this.#unsentReports.push(report)
     }
     return { brokenConnections: recent.length, ignoredConnections: broken.length - recent.length, ageMs: Math.max(...broken.map(({ at }) => now - at)) }
