--- a/packages/gateway/src/peers/peerCodec.measure.ts
+++ b/packages/gateway/src/peers/peerCodec.measure.ts
@@ -19,6 +19,7 @@
   totals: new Map(Array.from({ length: workspaces }, (_, at) => [asId<WorkspaceId>(`hule${at}`), { requested: 1_200_000 + at, served: 900_000 + at }])),
   avoided: [],
   crashes: [],
+  sound: [],
   leaving: [],
   parts: Array.from({ length: Math.ceil(upstreams / 4) }, (_, at) => ({ part: 3_000_000_000 + at, upstream: asId<UpstreamId>(`i-7f3a9${String(at).padStart(5, '0')}`) })),
   addresses: []
--- a/packages/gateway/src/peers/peerCodec.ts
+++ b/packages/gateway/src/peers/peerCodec.ts
@@ -1,6 +1,6 @@
 /** Encodes and decodes the messages between peer gateways (MessagePack). A malformed message is rejected as a whole. */
 import { asId, FuchsiaError, type Id, type UpstreamId, type WorkspaceId, type ZoneId } from '@fuchsiaworks/kernel'
-import type { PeerId, TokenTotals, UpstreamLoad } from '@fuchsiaworks/policy'
+import type { CrashReport, PeerId, TokenTotals, UpstreamLoad } from '@fuchsiaworks/policy'
 import { Packr } from 'msgpackr'
 import type { PeerState } from './peerTypes.js'
 
@@ -32,11 +32,14 @@
   state.avoided.map(({ upstream, remainingMs }) => [upstream, remainingMs]),
   state.addresses,
   state.parts.map(({ part, upstream }) => [part, upstream]),
-  state.crashes.map(({ fingerprint, crash }) => [fingerprint, crash]),
+  // Read by gateways of earlier builds only.
+  state.crashes.flatMap(({ crash, candidates }) => candidates.map(({ fingerprint }) => [fingerprint, crash])),
   state.utilization === undefined ? null : Math.round(state.utilization * PERCENT),
   state.revision,
   state.acceptedPerSecond,
-  state.leaving.map(({ upstream, startedAt }) => [upstream, startedAt ?? null])
+  state.leaving.map(({ upstream, startedAt }) => [upstream, startedAt ?? null]),
+  state.crashes.map(({ crash, ageMs, isConfirmed, candidates }) => [crash, Math.round(ageMs), isConfirmed, candidates.map(({ fingerprint, parts }) => [fingerprint, ...parts])]),
+  state.sound.map(({ trait, ageMs }) => [trait, Math.round(ageMs)])
 ])
 
 const expectArray = (value: unknown, field: string): unknown[] => {
@@ -68,13 +71,32 @@
   return [expectString<WorkspaceId>(id, 'a workspace'), { requested: expectNumber(requested, 'requested tokens'), served: expectNumber(served, 'served tokens') }]
 }
 
+const decodeCrash = (entry: unknown): CrashReport => {
+  const [crash, ageMs, isConfirmed, candidates] = expectArray(entry, 'a crash')
+  return {
+    crash: expectString(crash, 'a crash'),
+    ageMs: expectNumber(ageMs, 'an age'),
+    isConfirmed: isConfirmed === true,
+    candidates: expectArray(candidates, 'candidates').map(candidate => {
+      const [fingerprint, ...parts] = expectArray(candidate, 'a candidate')
+      return { fingerprint: expectNumber(fingerprint, 'a request fingerprint'), parts: parts.map(part => expectNumber(part, 'a part')) }
+    })
+  }
+}
+
+/** Decodes the crashes of a gateway of an earlier build. */
+const decodeEarlierCrash = (entry: unknown): CrashReport => {
+  const [fingerprint, crash] = expectArray(entry, 'a crash')
+  return { crash: expectString(crash, 'a crash'), ageMs: 0, isConfirmed: true, candidates: [{ fingerprint: expectNumber(fingerprint, 'a request fingerprint'), parts: [] }] }
+}
+
 /**
  * Decodes one message.
  *
  * @throws PeerMessageError when it is malformed or of another version
  */
 export const decodePeerState = (bytes: Uint8Array): PeerState => {
-  const [version, peer, address, zone, isLeaving, isOutOfRotation, loads, totals, avoided, addresses, parts, crashes, utilizationPercent, revision, acceptedPerSecond, leaving] = expectArray(packer.unpack(bytes), 'the message')
+  const [version, peer, address, zone, isLeaving, isOutOfRotation, loads, totals, avoided, addresses, parts, earlierCrashes, utilizationPercent, revision, acceptedPerSecond, leaving, crashes, sound] = expectArray(packer.unpack(bytes), 'the message')
   if (version !== MESSAGE_VERSION) throw new PeerMessageError(`unsupported version ${String(version)}`)
   return {
     peer: expectString<PeerId>(peer, 'the peer'),
@@ -93,9 +115,10 @@
       const [part, upstream] = expectArray(entry, 'a part')
       return { part: expectNumber(part, 'a part'), upstream: expectString<UpstreamId>(upstream, 'an upstream') }
     }),
-    crashes: expectArray(crashes, 'crashes').map(entry => {
-      const [fingerprint, crash] = expectArray(entry, 'a crash')
-      return { fingerprint: expectNumber(fingerprint, 'a request fingerprint'), crash: expectString(crash, 'a crash') }
+    crashes: crashes === undefined ? expectArray(earlierCrashes, 'crashes').map(decodeEarlierCrash) : expectArray(crashes, 'crashes').map(decodeCrash),
+    sound: expectArray(sound ?? [], 'sound responses').map(entry => {
+      const [trait, ageMs] = expectArray(entry, 'a sound response')
+      return { trait: expectNumber(trait, 'a trait'), ageMs: expectNumber(ageMs, 'an age') }
     }),
     // Gateways of earlier builds send none of these.
     utilization: typeof utilizationPercent === 'number' ? utilizationPercent / PERCENT : undefined,
--- a/packages/gateway/src/peers/peerMesh.spec.ts
+++ b/packages/gateway/src/peers/peerMesh.spec.ts
@@ -24,7 +24,8 @@
   avoided: [{ upstream: asId<UpstreamId>('u2'), remainingMs: 300 }],
   addresses: ['127.0.0.1:2'],
   parts: [{ part: 4_000_000_000, upstream: asId<UpstreamId>('u1') }],
-  crashes: [{ fingerprint: 3_000_000_000, crash: 'u1 17' }],
+  crashes: [{ crash: 'u1 17', ageMs: 120, isConfirmed: true, candidates: [{ fingerprint: 3_000_000_000, parts: [4_000_000_000, 7] }, { fingerprint: 5, parts: [] }] }, { crash: 'u2 3', ageMs: 0, isConfirmed: false, candidates: [] }],
+  sound: [{ trait: 4_000_000_000, ageMs: 1200 }],
   leaving: [{ upstream: asId<UpstreamId>('u3'), startedAt: 1_700_000_000_000 }, { upstream: asId<UpstreamId>('u4'), startedAt: undefined }],
   utilization: 0.37,
   revision: 12,
@@ -66,8 +67,8 @@
     const mesh = new PeerMesh(systemClock, { zone: STATE.zone, listen: { host: '127.0.0.1', port }, advertised: undefined, seeds }, {
       read: () => ({ loads: new Map([[asId<UpstreamId>('u1'), LOAD]]), totals, avoided: [], revision: 1 }),
       utilization: () => 0.2,
-      takePendingEvents: () => ({ parts: [], crashes: [], leaving: [] }),
-      recentEvents: () => ({ parts: STATE.parts, crashes: STATE.crashes, leaving: STATE.leaving })
+      takePendingEvents: () => ({ parts: [], crashes: [], sound: [], leaving: [] }),
+      recentEvents: () => ({ parts: STATE.parts, crashes: STATE.crashes, sound: STATE.sound, leaving: STATE.leaving })
     }, { onRequest: () => false, webSockets: new Map() })
     const states: PeerState[] = []
     const lost: PeerId[] = []
--- a/packages/gateway/src/peers/peerMesh.ts
+++ b/packages/gateway/src/peers/peerMesh.ts
@@ -59,7 +59,7 @@
 }
 
 /** Events that are sent once, with the next update. */
-export type PeerEvents = Pick<PeerState, 'parts' | 'crashes' | 'leaving'>
+export type PeerEvents = Pick<PeerState, 'parts' | 'crashes' | 'sound' | 'leaving'>
 
 /** Supplies the state and events to send to peers. */
 export interface LocalStateSource {
--- a/packages/gateway/src/peers/peerTypes.ts
+++ b/packages/gateway/src/peers/peerTypes.ts
@@ -1,6 +1,6 @@
 /** Messages between peer gateways. */
 import type { Millis, UpstreamId, WorkspaceId, ZoneId } from '@fuchsiaworks/kernel'
-import type { CrashReport, LeavingUpstream, PartUse, PeerId, TokenTotals, UpstreamLoad } from '@fuchsiaworks/policy'
+import type { CrashReport, LeavingUpstream, PartUse, PeerId, SoundReport, TokenTotals, UpstreamLoad } from '@fuchsiaworks/policy'
 
 /** An upstream to which the sender temporarily sends no requests. */
 export interface AvoidedUpstream {
@@ -10,7 +10,7 @@
 
 /**
  * State of one gateway. Loads and flags replace those of the previous message and token totals are cumulative, so a later
- * message makes up for a lost one. Parts, crashes and leaving upstreams are sent in one message, and again only over a new connection.
+ * message makes up for a lost one. Parts, crashes, sound responses and leaving upstreams are sent in one message, and again only over a new connection.
  */
 export interface PeerState {
   readonly peer: PeerId
@@ -34,8 +34,10 @@
   readonly avoided: readonly AvoidedUpstream[]
   /** Prompt parts that the sender has sent to upstreams since its last message. */
   readonly parts: readonly PartUse[]
-  /** Crashes of upstreams that the sender has detected since its last message, with the requests that were running. */
+  /** Crashes of upstreams that the sender has recognized since its last message, with the requests that may have caused them. */
   readonly crashes: readonly CrashReport[]
+  /** What began soundly at the sender since its last message, of that which may have caused crashes. */
+  readonly sound: readonly SoundReport[]
   /** Upstreams that have announced their shutdown to the sender since its last message. */
   readonly leaving: readonly LeavingUpstream[]
   /** Addresses of peer gateways known to the sender. */
--- a/packages/gateway/src/process/startGateway.ts
+++ b/packages/gateway/src/process/startGateway.ts
@@ -131,7 +131,8 @@
   })
 
   const maintenance = clock.every(MAINTENANCE_INTERVAL_MS, () => {
-    crashSuspects.expire(clock.now())
+    crashSuspects.settle(clock.now())
+    ctx.metrics.crashSuspects.set(crashSuspects.accusations.size)
     leaving.expire(clock.now())
     ports.fleet.setRole(chooseStoreWatchRole(hash, { self: mesh.self, zone: settings.zone, reachable: mesh.reachablePeers() }))
   })
--- a/packages/gateway/src/process/wiring.ts
+++ b/packages/gateway/src/process/wiring.ts
@@ -48,6 +48,7 @@
     const crash = ctx.crashSuspects.applyReport(report, now)
     if (crash !== undefined) logCrash(ctx, report.crash, 'peer-report', crash)
   }
+  for (const report of state.sound) ctx.crashSuspects.applySound(report, now)
   if (state.crashes.length > 0) {
     ctx.metrics.crashReports.inc(state.crashes.length)
     ctx.requestLog.write('crash reports received', { peer: state.peer, reports: state.crashes.length })
@@ -75,7 +76,7 @@
       }
     },
     utilization: () => eventLoop.recentUtilization,
-    takePendingEvents: () => ({ parts: placement.takeUnsentPartUses(), crashes: crashSuspects.takeUnsentReports(), leaving: leaving.takeUnsent() }),
-    recentEvents: () => ({ parts: placement.recentPartUses(clock.now()), crashes: crashSuspects.reports(), leaving: leaving.own() })
+    takePendingEvents: () => ({ parts: placement.takeUnsentPartUses(), ...crashSuspects.takeUnsentReports(clock.now()), leaving: leaving.takeUnsent() }),
+    recentEvents: () => ({ parts: placement.recentPartUses(clock.now()), ...crashSuspects.reports(clock.now()), leaving: leaving.own() })
   }, handlers)
 }
--- a/packages/gateway/src/requests/callerExchange.ts
+++ b/packages/gateway/src/requests/callerExchange.ts
@@ -1,7 +1,7 @@
 /** Lifecycle of one request: placement, attempts at upstreams, forwarding of the response, and retries where allowed. */
 import { asId, type Millis, newId, type Timer, type UpstreamId } from '@fuchsiaworks/kernel'
 import {
-  type AttemptFailure, decideAttempt, type Placement, type RequestHash, type RunId, remainingWait, type QueuedRequest
+  type AttemptFailure, decideAttempt, decideCrashSuspect, type Placement, type RunId, remainingRefusalMs, remainingWait, type QueuedRequest
 } from '@fuchsiaworks/policy'
 import type { UpstreamExchange } from '@fuchsiaworks/upstreams'
 import type { HeaderList } from '@fuchsiaworks/wire'
@@ -11,6 +11,7 @@
 import { logCrash } from './crashLog.js'
 import { ResponseRelay } from './responseRelay.js'
 import type { CallerRequest } from './callerRequest.js'
+import { CallerTraits } from './callerTraits.js'
 import type { FlowContext } from './flowContext.js'
 import { type Refusal, sendRefusal } from './refusals.js'
 
@@ -88,6 +89,7 @@
   readonly #relay: ResponseRelay
   readonly #deadlineAt: Millis
   readonly #admission: Admission
+  readonly #traits: CallerTraits
   readonly #timer: Timer
   /** True while the request waits for an upstream with room. */
   isWaiting = false
@@ -99,6 +101,8 @@
   #placement: Placement | undefined
   #waitedMs = 0
   #mayHaveRun = false
+  /** True when the request tests whether a suspected prompt part still crashes upstreams. */
+  #isTrial = false
   #isDone = false
 
   /**
@@ -113,14 +117,14 @@
     const { route, head } = request
     this.#deadlineAt = request.arrivedAt + Math.min(head.deadlineMs ?? route.timeoutMs, route.timeoutMs)
     this.#admission = new Admission(ctx, request)
+    this.#traits = new CallerTraits(ctx.hash, request)
     this.#timer = ctx.clock.after(Math.max(0, this.#timeLeft), () => { this.#onTimeout() })
     request.res.on('close', () => { this.#onCallerGone() })
   }
 
   /** Tries to place and send the request for the first time. */
   start (): void {
-    const refusedForMs = this.#ctx.crashSuspects.isEmpty ? 0 : this.#ctx.crashSuspects.remainingRefusalMs(this.#fingerprint(), this.#now)
-    if (refusedForMs > 0) return this.#refuse({ status: 503, reason: 'crashes-upstreams', retryAfterMs: refusedForMs })
+    if (this.#refuseSuspect()) return
     this.#ctx.retries.recordFirstAttempt(this.#request.service, this.#retryBudgetKey, this.#now)
     this.#admission.recordDemand()
     this.trySend()
@@ -133,7 +137,7 @@
 
   /** Sends the request if an upstream has room for it; otherwise keeps it waiting or refuses it. */
   trySend (): void {
-    if (this.#isDone || this.#attempts > 0) return
+    if (this.#isDone || this.#attempts > 0 || this.#refuseSuspect()) return
     const placement = this.#admission.place()
     this.#placement = placement
     const refusal = placement === undefined ? this.#admission.noUpstream() : this.#admission.check(placement)
@@ -162,6 +166,17 @@
     if ((next === 'retry' || next === 'resume') && this.#admission.place() !== undefined) this.#failAttempt(attempt, silent)
   }
 
+  /** Cancels an attempt to which no response has begun, once its request is found to crash upstreams. */
+  cancelSuspect (): void {
+    const attempt = this.#attempt
+    if (attempt === undefined || attempt.firstByteAt !== undefined || this.#isTrial) return
+    const retryAfterMs = remainingRefusalMs(this.#ctx.crashSuspects, this.#traits, this.#now)
+    if (retryAfterMs === 0) return
+    this.#endAttempt(attempt, 'crashes-upstreams')
+    this.#mayHaveRun = true
+    this.#refuse({ status: 503, reason: 'crashes-upstreams', retryAfterMs })
+  }
+
   /** Ends the attempt when its upstream sends bytes that are no response, such as a header line without end. */
   checkOverhead (): void {
     const attempt = this.#attempt
@@ -274,6 +289,7 @@
 
   #onFirstByte (attempt: Attempt): void {
     attempt.firstByteAt = this.#now
+    this.#ctx.crashSuspects.recordBegin(attempt.upstream, this.#traits, this.#now)
     this.#ctx.placement.recordFirstEvent(attempt.run, this.#now)
     this.#ctx.mesh.scheduleUpdate()
     this.#firstByteMs ??= this.#now - this.#request.arrivedAt
@@ -281,7 +297,7 @@
 
   #onEnd (attempt: Attempt): void {
     if (attempt.isOver) return
-    if (!this.#relay.end()) return this.#failAttempt(attempt, { kind: 'uncertain', reason: 'garbled' })
+    if (!this.#relay.end()) return this.#failAttempt(attempt, { kind: 'uncertain', reason: 'reset' })
     this.#endAttempt(attempt, 'answered')
     this.#finish('answered', '')
   }
@@ -343,7 +359,8 @@
 
   /** Retries the request; without a usable upstream or retry budget, ends it according to whether it may have run. */
   #resend (): void {
-    const placement = this.#admission.place()
+    if (this.#refuseSuspect()) return
+    const placement = this.#isTrial ? undefined : this.#admission.place()
     if (placement !== undefined && this.#ctx.retries.tryAcquire(this.#request.service, this.#retryBudgetKey, this.#now)) return this.#send(placement)
     if (this.#relay.hasStarted) {
       this.#request.res.destroy()
@@ -361,31 +378,36 @@
 
   #recordUpstreamFailure (attempt: Attempt, failure: AttemptFailure): void {
     const { upstream } = attempt
-    this.#recordCrash(upstream, failure)
+    this.#recordCrash(attempt, failure)
     const avoidMs = avoidDurationMs(failure)
     if (avoidMs === 0) return
     this.#ctx.placement.avoid(upstream.id, this.#now + avoidMs)
     this.#ctx.mesh.scheduleUpdate()
   }
 
-  #recordCrash (upstream: GatewayUpstream, failure: AttemptFailure): void {
-    if (failure.kind === 'uncertain' && failure.reason === 'reset') this.#ctx.crashSuspects.recordBrokenConnection(this.#fingerprint(), upstream, this.#now)
+  #recordCrash ({ upstream, firstByteAt }: Attempt, failure: AttemptFailure): void {
+    const { crashSuspects } = this.#ctx
+    if (failure.kind === 'uncertain' && failure.reason === 'reset') crashSuspects.recordBrokenConnection(upstream, firstByteAt === undefined ? this.#traits : undefined, this.#now)
     if (failure.kind !== 'not-run' || failure.reason !== 'unreachable') return
-    const crash = this.#ctx.crashSuspects.recordUnreachable(upstream, this.#now)
+    const crash = crashSuspects.recordUnreachable(upstream, this.#now)
     if (crash !== undefined) logCrash(this.#ctx, upstream.id, 'unreachable', crash)
   }
 
+  /** Refuses the request when it is known to crash upstreams; a trial, once granted, stays so. */
+  #refuseSuspect (): boolean {
+    const { crashSuspects, hash, mesh } = this.#ctx
+    if (this.#isTrial || crashSuspects.accusations.size === 0) return false
+    const decision = decideCrashSuspect(crashSuspects, hash, mesh.view(), this.#traits, this.#now)
+    if (decision.kind === 'refuse') this.#refuse({ status: 503, reason: 'crashes-upstreams', retryAfterMs: decision.retryAfterMs })
+    this.#isTrial = decision.kind === 'trial'
+    return decision.kind === 'refuse'
+  }
+
   /** Ids of the prompt parts that other requests may share, for the log. */
   #promptPartIds (): string {
     return this.#request.head.prompt?.parts.slice(0, -1).map(({ id }) => id).join(',') ?? ''
   }
 
-  /** Hash of the workspace and the content of the request, by which repeated requests are recognized. */
-  #fingerprint (): RequestHash {
-    const { workspace, method, target, body } = this.#request
-    return this.#ctx.hash(`${workspace ?? 'public'} ${method} ${target} ${body.toString('latin1')}`)
-  }
-
   /** Ends an attempt and, unless it was answered, closes its connection, which cancels a run that may still be active. */
   #endAttempt (attempt: Attempt, outcome: string): void {
     if (attempt.isOver) return
--- a/packages/gateway/src/requests/requestFlow.ts
+++ b/packages/gateway/src/requests/requestFlow.ts
@@ -76,6 +76,7 @@
     const now = this.ctx.clock.now()
     for (const exchange of [...this.#open]) {
       exchange.checkOverhead()
+      exchange.cancelSuspect()
       exchange.checkSilence(id => now - (this.ctx.placement.record(id)?.lastActivityAt ?? 0) > UPSTREAM_SILENCE_MS)
     }
   }
--- a/packages/policy/src/coldPace/coldPace.ts
+++ b/packages/policy/src/coldPace/coldPace.ts
@@ -13,20 +13,29 @@
 const RATE_SHARE = 0.7
 
 /**
- * Checks whether this gateway is the one that may send to a cold upstream.
+ * Checks whether this gateway is the one of the fleet that acts for a subject.
  *
  * @param hash - hash function shared by the fleet
  * @param view - membership view of this gateway
- * @param upstream - the cold upstream
+ * @param subject - hash of the subject
  * @returns true when this gateway is the one; false also while most peer gateways are unreachable, as they may choose another
  */
-export const ownsColdUpstream = (hash: StringHash, view: GatewayView, upstream: ColdUpstream): boolean => {
+export const ownsSubject = (hash: StringHash, view: GatewayView, subject: number): boolean => {
   if (!view.settled || view.unreachableCount > view.reachable.length) return false
-  const subject = hash(upstream.id)
   const self: HashedMember<PeerId> = { id: view.self, hash: hash(view.self) }
   return view.reachable.every(id => compareForSubject(self, { id, hash: hash(id) }, subject) < 0)
 }
 
+/**
+ * Checks whether this gateway is the one that may send to a cold upstream.
+ *
+ * @param hash - hash function shared by the fleet
+ * @param view - membership view of this gateway
+ * @param upstream - the cold upstream
+ * @returns true when this gateway is the one; false also while most peer gateways are unreachable, as they may choose another
+ */
+export const ownsColdUpstream = (hash: StringHash, view: GatewayView, upstream: ColdUpstream): boolean => ownsSubject(hash, view, hash(upstream.id))
+
 /**
  * Decides whether this gateway may send a request to a cold upstream now.
  *
