--- a/soak/src/world/upstreamStandin.ts
+++ b/soak/src/world/upstreamStandin.ts
@@ -42,6 +42,8 @@
 /** A running upstream. */
 export class UpstreamStandin {
   fault: UpstreamFault = 'none'
+  /** Requests a second that the upstream announces in its responses to take from all gateways; undefined for no limit. */
+  requestLimit: number | undefined
   readonly #server: Server
   readonly #runs = new Set<ActiveRun>()
 
@@ -93,6 +95,7 @@
     const isFull = this.fault === 'full' || this.#runs.size >= this.properties.slots + QUEUE_CAPACITY
     const arrival = this.#recordArrival(req, body, isExpectedUpstream && !isFull, singleHeader(req, HEADER.promptParts))
     if (arrival.ran) return this.#execute(arrival, res)
+    if (isExpectedUpstream) this.#announceLimit(res)
     res.writeHead(isExpectedUpstream ? 503 : 421, { [HEADER.notExecuted]: '1', [HEADER.attemptId]: arrival.attempt }).end()
   }
 
@@ -124,6 +127,7 @@
 
   #execute (arrival: Arrival, res: ServerResponse): void {
     const run: ActiveRun = { arrival, res, timer: undefined }
+    this.#announceLimit(res)
     this.#runs.add(run)
     res.on('close', () => { this.#endRun(run, 'cancelled') })
     if (arrival.body === CRASH_REQUEST_BODY) return this.onCrashRequest()
@@ -135,6 +139,10 @@
     run.timer = this.clock.after(PLAIN_WORK_MS, () => { this.#sendPlainResponse(run) })
   }
 
+  #announceLimit (res: ServerResponse): void {
+    if (this.requestLimit !== undefined) res.setHeader(HEADER.requestLimit, String(this.requestLimit))
+  }
+
   #sendPlainResponse (run: ActiveRun): void {
     const { arrival, res } = run
     const body = plainBody(arrival.attempt, arrival.body)
