Share the limit that an upstream announces over all gateways (LIMIT)

Cause: nothing read the header; the load of the upstream was all that bounded its requests.

The header is read from each response of the upstream and told to all gateways, with its age, in every update, so that a lost message or a late start does no harm; a response without it ends the limit. For each limited upstream one gateway, by rendezvous hashing, issues permits at 0.9 of the rate to the gateways that have requests, in turn; unused ones expire and are issued again. A part for each gateway would leave most of the limit unused where few have callers, and one bucket each would exceed it together. A gateway that has lost most of the others issues its part of the limit to itself.

--- a/packages/gateway/src/peers/peerCodec.ts
+++ b/packages/gateway/src/peers/peerCodec.ts
@@ -1,6 +1,6 @@
 /** Encodes and decodes the messages between peer gateways (MessagePack). A malformed message is rejected as a whole. */
 import { asId, FuchsiaError, type Id, type UpstreamId, type WorkspaceId, type ZoneId } from '@fuchsiaworks/kernel'
-import type { CrashReport, PeerId, TokenTotals, UpstreamLoad } from '@fuchsiaworks/policy'
+import type { CrashReport, PeerId, RequestLimitReport, TokenTotals, UpstreamLoad } from '@fuchsiaworks/policy'
 import { Packr } from 'msgpackr'
 import type { PeerState } from './peerTypes.js'
 
@@ -39,7 +39,9 @@
   state.acceptedPerSecond,
   state.leaving.map(({ upstream, startedAt }) => [upstream, startedAt ?? null]),
   state.crashes.map(({ crash, ageMs, isConfirmed, candidates }) => [crash, Math.round(ageMs), isConfirmed, candidates.map(({ fingerprint, parts }) => [fingerprint, ...parts])]),
-  state.sound.map(({ trait, ageMs }) => [trait, Math.round(ageMs)])
+  state.sound.map(({ trait, ageMs }) => [trait, Math.round(ageMs)]),
+  state.limits.map(({ id, startedAt, limit, ageMs, granter, wanted, received, returned, granted }) =>
+    [id, startedAt ?? null, limit ?? null, Math.round(ageMs), granter ?? null, wanted, received, returned, [...granted]])
 ])
 
 const expectArray = (value: unknown, field: string): unknown[] => {
@@ -84,6 +86,24 @@
   }
 }
 
+const decodeLimit = (entry: unknown): RequestLimitReport => {
+  const [id, startedAt, limit, ageMs, granter, wanted, received, returned, granted] = expectArray(entry, 'a limit')
+  return {
+    id: expectString<UpstreamId>(id, 'an upstream'),
+    startedAt: startedAt === null ? undefined : expectNumber(startedAt, 'a start'),
+    limit: limit === null ? undefined : expectNumber(limit, 'a limit'),
+    ageMs: expectNumber(ageMs, 'an age'),
+    granter: granter === null ? undefined : expectString<PeerId>(granter, 'a peer'),
+    wanted: expectNumber(wanted, 'permits'),
+    received: expectNumber(received, 'permits'),
+    returned: expectNumber(returned, 'permits'),
+    granted: new Map(expectArray(granted, 'granted permits').map(grant => {
+      const [peer, permits] = expectArray(grant, 'a grant')
+      return [expectString<PeerId>(peer, 'a peer'), expectNumber(permits, 'permits')] as const
+    }))
+  }
+}
+
 /** Decodes the crashes of a gateway of an earlier build. */
 const decodeEarlierCrash = (entry: unknown): CrashReport => {
   const [fingerprint, crash] = expectArray(entry, 'a crash')
@@ -96,7 +116,7 @@
  * @throws PeerMessageError when it is malformed or of another version
  */
 export const decodePeerState = (bytes: Uint8Array): PeerState => {
-  const [version, peer, address, zone, isLeaving, isOutOfRotation, loads, totals, avoided, addresses, parts, earlierCrashes, utilizationPercent, revision, acceptedPerSecond, leaving, crashes, sound] = expectArray(packer.unpack(bytes), 'the message')
+  const [version, peer, address, zone, isLeaving, isOutOfRotation, loads, totals, avoided, addresses, parts, earlierCrashes, utilizationPercent, revision, acceptedPerSecond, leaving, crashes, sound, limits] = expectArray(packer.unpack(bytes), 'the message')
   if (version !== MESSAGE_VERSION) throw new PeerMessageError(`unsupported version ${String(version)}`)
   return {
     peer: expectString<PeerId>(peer, 'the peer'),
@@ -116,6 +136,7 @@
       return { part: expectNumber(part, 'a part'), upstream: expectString<UpstreamId>(upstream, 'an upstream') }
     }),
     crashes: crashes === undefined ? expectArray(earlierCrashes, 'crashes').map(decodeEarlierCrash) : expectArray(crashes, 'crashes').map(decodeCrash),
+    limits: expectArray(limits ?? [], 'limits').map(decodeLimit),
     sound: expectArray(sound ?? [], 'sound responses').map(entry => {
       const [trait, ageMs] = expectArray(entry, 'a sound response')
       return { trait: expectNumber(trait, 'a trait'), ageMs: expectNumber(ageMs, 'an age') }
--- a/packages/gateway/src/peers/peerMesh.spec.ts
+++ b/packages/gateway/src/peers/peerMesh.spec.ts
@@ -26,6 +26,10 @@
   parts: [{ part: 4_000_000_000, upstream: asId<UpstreamId>('u1') }],
   crashes: [{ crash: 'u1 17', ageMs: 120, isConfirmed: true, candidates: [{ fingerprint: 3_000_000_000, parts: [4_000_000_000, 7] }, { fingerprint: 5, parts: [] }] }, { crash: 'u2 3', ageMs: 0, isConfirmed: false, candidates: [] }],
   sound: [{ trait: 4_000_000_000, ageMs: 1200 }],
+  limits: [
+    { id: asId<UpstreamId>('u1'), startedAt: 1_700_000_000_000, limit: 7.5, ageMs: 40, granter: asId<PeerId>('p2'), wanted: 2, received: 17, returned: 3, granted: new Map([[asId<PeerId>('p3'), 5]]) },
+    { id: asId<UpstreamId>('u2'), startedAt: undefined, limit: undefined, ageMs: 900, granter: undefined, wanted: 0, received: 0, returned: 0, granted: new Map() }
+  ],
   leaving: [{ upstream: asId<UpstreamId>('u3'), startedAt: 1_700_000_000_000 }, { upstream: asId<UpstreamId>('u4'), startedAt: undefined }],
   utilization: 0.37,
   revision: 12,
@@ -50,6 +54,12 @@
     expect([utilization, revision, acceptedPerSecond, leaving.length, String(peer)]).toEqual([undefined, -1, 0, 0, 'p1'])
   })
 
+  it('of an earlier build names crashes by the requests alone', () => {
+    const bytes = new Packr({ useRecords: false }).pack([4, 'p1', '127.0.0.1:1', 'east', false, false, [], [], [], [], [], [[5, 'u1 17']], null, 3, 0, []])
+    const { crashes, sound, limits } = decodePeerState(bytes)
+    expect({ crashes, sound, limits }).toEqual({ crashes: [{ crash: 'u1 17', ageMs: 0, isConfirmed: true, candidates: [{ fingerprint: 5, parts: [] }] }], sound: [], limits: [] })
+  })
+
   it('is rejected as a whole when it is malformed or has another version', () => {
     const invalidMessages = [[3, 'p', 'a', 'z', false, false, [], [], [], [], [], []], [4, 5, 'a', 'z', false, false, [], [], [], [], [], []], [4, 'p', 'a', 'z', false, false, [['u', 'many']], [], [], [], [], []], 'text']
     for (const message of invalidMessages) {
@@ -65,7 +75,7 @@
 
   const startMesh = async (port: number, seeds: string[], totals: Map<WorkspaceId, TokenTotals> = new Map()): Promise<{ mesh: PeerMesh, states: PeerState[], lost: PeerId[] }> => {
     const mesh = new PeerMesh(systemClock, { zone: STATE.zone, listen: { host: '127.0.0.1', port }, advertised: undefined, seeds }, {
-      read: () => ({ loads: new Map([[asId<UpstreamId>('u1'), LOAD]]), totals, avoided: [], revision: 1 }),
+      read: () => ({ loads: new Map([[asId<UpstreamId>('u1'), LOAD]]), totals, avoided: [], limits: [], revision: 1 }),
       utilization: () => 0.2,
       takePendingEvents: () => ({ parts: [], crashes: [], sound: [], leaving: [] }),
       recentEvents: () => ({ parts: STATE.parts, crashes: STATE.crashes, sound: STATE.sound, leaving: STATE.leaving })
--- a/packages/gateway/src/peers/peerMesh.ts
+++ b/packages/gateway/src/peers/peerMesh.ts
@@ -1,7 +1,7 @@
 /** Full mesh between gateways: discovers peer gateways by gossip and exchanges state with each of them directly. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { type Clock, createLog, EventSource, type Millis, newId, type Service, type Timer, toError, type UpstreamId, type WorkspaceId, type ZoneId } from '@fuchsiaworks/kernel'
-import type { ReachableGateway, PeerId, GatewayView, TokenTotals, UpstreamLoad } from '@fuchsiaworks/policy'
+import type { ReachableGateway, PeerId, GatewayView, RequestLimitReport, TokenTotals, UpstreamLoad } from '@fuchsiaworks/policy'
 import { type WebSocket, WebSocketServer } from 'ws'
 import type { ListenAddress } from '@fuchsiaworks/settings'
 import { decodePeerState, encodePeerState } from './peerCodec.js'
@@ -54,6 +54,7 @@
   readonly loads: ReadonlyMap<UpstreamId, UpstreamLoad>
   readonly totals: ReadonlyMap<WorkspaceId, TokenTotals>
   readonly avoided: readonly AvoidedUpstream[]
+  readonly limits: readonly RequestLimitReport[]
   /** Revision of the configuration; -1 for none. */
   readonly revision: number
 }
--- a/packages/gateway/src/port/headerPort.ts
+++ b/packages/gateway/src/port/headerPort.ts
@@ -53,6 +53,8 @@
   readonly isLeaving: boolean
   /** Time for which the upstream asks for no further requests of this gateway; undefined when it does not. */
   readonly retryAfterMs: Millis | undefined
+  /** Requests a second that the upstream takes from all gateways together; undefined when it sets no limit. */
+  readonly requestLimit: number | undefined
 }
 
 /** Decodes and encodes headers. */
--- a/packages/gateway/src/process/gatewayFixtures.ts
+++ b/packages/gateway/src/process/gatewayFixtures.ts
@@ -32,7 +32,8 @@
     isNotExecuted: valueOf(headers, 'not-run') !== undefined,
     isEncoded: valueOf(headers, 'content-encoding') !== undefined,
     isLeaving: valueOf(headers, 'leaving') !== undefined,
-    retryAfterMs: valueOf(headers, 'wait-ms') === undefined ? undefined : Number(valueOf(headers, 'wait-ms'))
+    retryAfterMs: valueOf(headers, 'wait-ms') === undefined ? undefined : Number(valueOf(headers, 'wait-ms')),
+    requestLimit: undefined
   }),
   encodeRetryAfter: retryAfterMs => [['retry-after', String(retryAfterMs / 1000)]]
 }
--- a/packages/gateway/src/process/startGateway.ts
+++ b/packages/gateway/src/process/startGateway.ts
@@ -1,11 +1,12 @@
 /** Starts a gateway: a proxy without queues that sends requests straight to upstreams. */
 import { createLog, EventLoopMonitor, Kernel, ListenQueueProbe, type Millis, onEvent, type RunningProcess, type Service, systemClock } from '@fuchsiaworks/kernel'
-import { chooseStoreWatchRole, coldPaceDefinition, crashSuspectDefinition, leavingDefinition, loadStringHash, placementDefinition, RetryBudget, tokenShareDefinition } from '@fuchsiaworks/policy'
+import { chooseStoreWatchRole, coldPaceDefinition, crashSuspectDefinition, leavingDefinition, loadStringHash, placementDefinition, requestLimitDefinition, RetryBudget, tokenShareDefinition } from '@fuchsiaworks/policy'
 import { CallerServer } from '../callers/callerServer.js'
 import { GatewayMetrics } from '../log/gatewayMetrics.js'
 import { RequestLog } from '../log/requestLog.js'
 import type { FleetPort, FleetView } from '../port/fleetPort.js'
 import type { GatewaySettings } from '@fuchsiaworks/settings'
+import type { PeerMesh } from '../peers/peerMesh.js'
 import type { HeaderPort } from '../port/headerPort.js'
 import type { FlowContext } from '../requests/flowContext.js'
 import { RequestFlow } from '../requests/requestFlow.js'
@@ -71,9 +72,10 @@
   const shares = tokenShareDefinition.createDb({ windowMs: settings.shareWindowSeconds * SECOND_MS })
   const crashSuspects = crashSuspectDefinition.createDb()
   const leaving = leavingDefinition.createDb()
+  const requestLimits = requestLimitDefinition.createDb(hash, () => mesh.view())
   const eventLoop = new EventLoopMonitor(clock, () => { dispatcher.refresh() })
   const receiver = new OffloadReceiver(clock, socket => { callerServer.serve(socket) })
-  const mesh = createPeerMesh(clock, settings, { fleet: ports.fleet, placement, shares, crashSuspects, leaving, eventLoop }, {
+  const mesh: PeerMesh = createPeerMesh(clock, settings, { fleet: ports.fleet, placement, shares, crashSuspects, leaving, requestLimits, eventLoop }, {
     onRequest: (req, res) => ports.fleet.handlePeerRequest(req, res),
     webSockets: new Map([[OFFLOAD_PATH, socket => { receiver.accept(socket) }]])
   })
@@ -89,6 +91,7 @@
     shares,
     crashSuspects,
     leaving,
+    requestLimits,
     coldPace: coldPaceDefinition.createDb(),
     retries: new RetryBudget({ budgetPercent: settings.retryRatio * 100 * RETRY_BUDGET_SHARE, floorPerSecond: RETRY_FLOOR_PER_SECOND, burst: RETRY_BURST }),
     mesh,
@@ -127,6 +130,7 @@
   onEvent(mesh.states.stream, log, state => { applyPeerState(ctx, state) })
   onEvent(mesh.lost.stream, log, peer => {
     placement.removePeer(peer)
+    requestLimits.onMembershipChanged()
     shares.removePeer(peer)
   })
 
@@ -134,6 +138,7 @@
     crashSuspects.settle(clock.now())
     ctx.metrics.crashSuspects.set(crashSuspects.accusations.size)
     leaving.expire(clock.now())
+    requestLimits.retainUpstreams(new Set(ports.fleet.view.upstreams.keys()), clock.now())
     ports.fleet.setRole(chooseStoreWatchRole(hash, { self: mesh.self, zone: settings.zone, reachable: mesh.reachablePeers() }))
   })
 
--- a/packages/gateway/src/process/wiring.ts
+++ b/packages/gateway/src/process/wiring.ts
@@ -20,6 +20,7 @@
   const listed = new Set<UpstreamId>(upstreams.map(({ id }) => id))
   ctx.coldPace.retainUpstreams(listed)
   ctx.clients.retainUpstreams(listed)
+  ctx.requestLimits.retainUpstreams(listed, ctx.clock.now())
   ctx.metrics.upstreams.set(upstreams.filter(({ isDraining }) => !isDraining).length)
   if (table === undefined) return
   ctx.shares.capacityPerSecond = table.limits.tokensPerSecond
@@ -43,6 +44,8 @@
   ctx.placement.setPeerLoads(state.peer, state.loads)
   ctx.shares.setPeerTotals(state.peer, state.totals, now)
   for (const use of state.parts) ctx.placement.recordPartUse(use, now)
+  const hasIssued = state.limits.map(report => ctx.requestLimits.applyReport(state.peer, report, now))
+  if (hasIssued.includes(true)) ctx.mesh.scheduleUpdate()
   for (const leaving of state.leaving) ctx.leaving.applyReport(leaving, now)
   for (const report of state.crashes) {
     const crash = ctx.crashSuspects.applyReport(report, now)
@@ -57,12 +60,12 @@
 }
 
 /** Parts of a gateway whose state the mesh sends. */
-export interface MeshSources extends Pick<FlowContext, 'fleet' | 'placement' | 'shares' | 'crashSuspects' | 'leaving'> {
+export interface MeshSources extends Pick<FlowContext, 'fleet' | 'placement' | 'shares' | 'crashSuspects' | 'leaving' | 'requestLimits'> {
   readonly eventLoop: EventLoopMonitor
 }
 
 /** Creates the mesh of peer gateways, which sends the state of this gateway's placement, shares, crash records and load. */
-export const createPeerMesh = (clock: Clock, settings: GatewaySettings, { fleet, placement, shares, crashSuspects, leaving, eventLoop }: MeshSources, handlers: PeerPortHandlers): PeerMesh => {
+export const createPeerMesh = (clock: Clock, settings: GatewaySettings, { fleet, placement, shares, crashSuspects, leaving, requestLimits, eventLoop }: MeshSources, handlers: PeerPortHandlers): PeerMesh => {
   const { zone, peers: listen, peersAdvertised: advertised, seeds } = settings
   return new PeerMesh(clock, { zone, listen, advertised, seeds }, {
     read: () => {
@@ -72,6 +75,7 @@
         loads: placement.ownLoads(),
         totals: shares.ownTotals(),
         avoided: avoided.map(({ id, avoidUntil }) => ({ upstream: id, remainingMs: Math.round(avoidUntil - now) })),
+        limits: requestLimits.reports(now),
         revision: fleet.view.table?.revision ?? -1
       }
     },
--- a/packages/gateway/src/requests/admission.ts
+++ b/packages/gateway/src/requests/admission.ts
@@ -88,6 +88,7 @@
     const { workspace } = this.#callerRequest
     if (this.tried.size === 0 && workspace !== undefined && this.isEngine) this.#ctx.shares.recordServed(workspace, this.chargedTokens, this.#now)
     this.tried.add(upstream.id)
+    this.#ctx.requestLimits.recordSend(upstream)
     if (upstream.coldUntil <= this.#now) return
     this.#ctx.coldPace.takeToken(upstream.id, coldRate({ id: upstream.id, requestsPerSecond: this.#coldRequestsPerSecond(upstream) }), this.#now)
   }
@@ -113,7 +114,7 @@
   #isUsable (id: UpstreamId): boolean {
     const upstream = this.#ctx.fleet.view.upstreams.get(id)
     if (upstream === undefined || upstream.isDraining || this.#ctx.fleet.view.excludedZones.has(upstream.zone)) return false
-    if (this.#ctx.leaving.isLeaving(id, upstream.startedAt)) return false
+    if (this.#ctx.leaving.isLeaving(id, upstream.startedAt) || !this.#ctx.requestLimits.maySend(upstream, this.#now)) return false
     if (upstream.coldUntil <= this.#now) return true
     const cold = { id, requestsPerSecond: this.#coldRequestsPerSecond(upstream) }
     return cold.requestsPerSecond <= 0 || maySendToColdUpstream(this.#ctx.coldPace, this.#ctx.hash, this.#ctx.mesh.view(), cold, this.#now)
--- a/packages/gateway/src/requests/callerExchange.ts
+++ b/packages/gateway/src/requests/callerExchange.ts
@@ -253,7 +253,15 @@
   }
 
   /** Records what an upstream says of itself beside its response: that it shuts down, or wants no further requests for some time. */
-  #recordAnnouncements ({ id, startedAt }: GatewayUpstream, status: number, { isLeaving, retryAfterMs }: ResponseHead): void {
+  #recordAnnouncements (upstream: GatewayUpstream, status: number, head: ResponseHead): void {
+    const { id, startedAt } = upstream
+    const { isLeaving, retryAfterMs, requestLimit } = head
+    // A response of another process, or to another request, says nothing of this upstream.
+    const isOwnAnswer = status !== MISDIRECTED_REQUEST_STATUS && (head.attempt === undefined || head.attempt === this.#request.head.attempt)
+    if (isOwnAnswer && this.#ctx.requestLimits.recordAnswer(upstream, requestLimit, this.#now)) {
+      this.#ctx.requestLog.write('upstream changed its limit of requests', { upstream: id, request: this.#request.head.attempt, perSecond: requestLimit ?? -1 })
+      this.#ctx.mesh.scheduleUpdate()
+    }
     if (isLeaving && this.#ctx.leaving.record({ upstream: id, startedAt }, this.#now)) {
       this.#ctx.requestLog.write('upstream announced its shutdown in a response', { upstream: id, request: this.#request.head.attempt })
       this.#ctx.mesh.scheduleUpdate()
