Soak: requests with a prompt part that crashes upstreams (BUDGET)

Streams now have prompt parts, and every 1.7 s one has a part that crashes each upstream that begins to answer it; the new check has the bounds of the users' rule, and the shared check of the crash request is the same as before.

--- a/soak/src/callers/loadGenerator.ts
+++ b/soak/src/callers/loadGenerator.ts
@@ -5,7 +5,7 @@
 import type { Fleet } from '../world/fleet.js'
 import type { Operator } from '../world/operator.js'
 import { ROUTE_TIMEOUTS_MS } from '../world/routes.js'
-import { CRASH_REQUEST_BODY } from '../world/upstreamResponses.js'
+import { CRASH_PART, CRASH_REQUEST_BODY } from '../world/upstreamResponses.js'
 import { Caller } from './caller.js'
 
 /** Mean request rate per gateway. */
@@ -25,6 +25,12 @@
 const CRASH_REQUEST_INTERVAL_MS: Millis = 900
 const CRASH_REQUEST_PATH = '/once/poison'
 
+/** Time between two requests with the crash part, which differ in all else. */
+const CRASH_PART_INTERVAL_MS: Millis = 1700
+
+/** Prompt parts that streams share, besides one of all streams. */
+const SUBJECT_COUNT = 40
+
 /** Time between two probes of a gateway. */
 const PROBE_INTERVAL_MS: Millis = 150
 
@@ -49,6 +55,7 @@
   start (): void {
     this.#scheduleNext()
     this.#timers.push(this.clock.every(CRASH_REQUEST_INTERVAL_MS, () => { this.#sendCrashRequest() }))
+    this.#timers.push(this.clock.every(CRASH_PART_INTERVAL_MS, () => { this.#sendCrashPart() }))
     for (const { index } of this.fleet.gateways) this.#timers.push(this.clock.every(PROBE_INTERVAL_MS, () => { this.#probe(index) }))
   }
 
@@ -58,7 +65,22 @@
     const gateway = healthyGateways[this.#requestCount % Math.max(1, healthyGateways.length)]
     const apiKey = this.operator.keyOfFirstWorkspace()
     if (gateway === undefined || apiKey === undefined) return
-    this.#callers[gateway]?.send(this.#recordRequest(gateway, 'once', CRASH_REQUEST_PATH, undefined, apiKey, CRASH_REQUEST_BODY), { isNewConnection: true })
+    this.#callers[gateway]?.send(this.#recordRequest(gateway, 'once', CRASH_REQUEST_PATH, undefined, apiKey, { body: CRASH_REQUEST_BODY }), { isNewConnection: true })
+  }
+
+  /** Sends a stream with the crash part, as one of many callers whose prompts have it. */
+  #sendCrashPart (): void {
+    const healthyGateways = this.fleet.loadBalancer.healthyGateways()
+    const gateway = healthyGateways[this.#requestCount % Math.max(1, healthyGateways.length)]
+    const apiKey = this.operator.keyOfFirstWorkspace()
+    if (gateway === undefined || apiKey === undefined) return
+    const sent = this.#recordRequest(gateway, 'stream', `/stream/x?n=${this.#requestCount}`, undefined, apiKey, { parts: this.#promptParts().replace(',', `,${CRASH_PART}:20,`) })
+    this.#callers[gateway]?.send(sent, { isNewConnection: true })
+  }
+
+  /** Parts of the prompt of the next stream. */
+  #promptParts (): string {
+    return `a1:200,b${this.#requestCount % SUBJECT_COUNT}:100,c${this.#requestCount}:50`
   }
 
   /** Stops sending; open requests continue. */
@@ -86,7 +108,7 @@
     if (gateway === undefined) return
     const kind = pickWeighted<RequestKind>(this.random, [['safe', 3], ['once', 3], ['stream', 4]])
     const apiKey = this.operator.drawApiKey(this.random, this.random() < REVOKED_KEY_SHARE)
-    const sent = this.#recordRequest(gateway, kind, `/${kind}/x?n=${this.#requestCount}`, undefined, apiKey)
+    const sent = this.#recordRequest(gateway, kind, `/${kind}/x?n=${this.#requestCount}`, undefined, apiKey, kind === 'stream' ? { parts: this.#promptParts() } : {})
     const disconnectAfterMs = this.random() < DISCONNECT_SHARE ? this.random() * MAX_DISCONNECT_DELAY_MS : undefined
     this.#callers[gateway]?.send(sent, { isNewConnection: this.random() < NEW_CONNECTION_SHARE, disconnectAfterMs })
   }
@@ -97,7 +119,7 @@
     this.#callers[gateway]?.send(sent, { isNewConnection: false })
   }
 
-  #recordRequest (gateway: number, kind: RequestKind, path: string, revision: number | undefined, apiKey: { key: string, workspace: string } | undefined, body = `body ${this.#requestCount}`): SentRequest {
+  #recordRequest (gateway: number, kind: RequestKind, path: string, revision: number | undefined, apiKey: { key: string, workspace: string } | undefined, content: Pick<Partial<SentRequest>, 'body' | 'parts'> = {}): SentRequest {
     this.#requestCount += 1
     const sent: SentRequest = {
       gateway,
@@ -105,7 +127,8 @@
       attempt: `a${this.#requestCount}`,
       kind,
       path,
-      body,
+      body: `body ${this.#requestCount - 1}`,
+      ...content,
       key: apiKey?.key,
       workspace: apiKey?.workspace,
       sentAt: this.clock.now(),
--- a/soak/src/invariants/bounds.ts
+++ b/soak/src/invariants/bounds.ts
@@ -23,6 +23,8 @@
   /** Crashes that one request may cause, and runs of it that are tolerated later than `recoveryFromDisturbanceMs` after the last of them. */
   crashesPerRequest: 3,
   lateCrashRequests: 3,
+  /** Crashes that one prompt part may cause before requests with it are bounded in the same way. */
+  crashesPerPart: 5,
   /** Retries allowed per window: this share of the first attempts, plus the slack. */
   retryRatio: 0.2,
   retryWindowMs: 10_000,
--- a/soak/src/invariants/fleetChecks.ts
+++ b/soak/src/invariants/fleetChecks.ts
@@ -1,6 +1,6 @@
 /** Invariants of the fleet: configuration, keys, zones, leaving and cold upstreams, retries, recovery. */
 import type { Millis } from '@fuchsiaworks/kernel'
-import { CRASH_REQUEST_BODY } from '../world/upstreamResponses.js'
+import { CRASH_PART, CRASH_REQUEST_BODY } from '../world/upstreamResponses.js'
 import { BOUNDS } from './bounds.js'
 import { groupByAttempt, requestByAttempt, runsByAttempt } from './byAttempt.js'
 import { wasDisturbed, wasGatewayDisturbed } from './disturbances.js'
@@ -140,7 +140,7 @@
   invariant: 'the fleet serves requests again after the last fault',
   find: observations => {
     const from = (observations.faultFreeFrom ?? Infinity) + BOUNDS.faultRecoveryMs
-    const sample = observations.requests.filter(req => req.kind !== 'probe' && req.body !== CRASH_REQUEST_BODY && req.sentAt >= from && req.end !== undefined && req.end.kind !== 'left' &&
+    const sample = observations.requests.filter(req => req.kind !== 'probe' && req.body !== CRASH_REQUEST_BODY && req.parts?.includes(CRASH_PART) !== true && req.sentAt >= from && req.end !== undefined && req.end.kind !== 'left' &&
       !observations.revokedKeys.some(({ key }) => key === req.key))
     if (sample.length < MIN_SAMPLE) return undefined
     const failed = sample.filter(({ end }) => end?.kind !== 'response' || end.status !== 200)
--- a/soak/src/invariants/invariants.spec.ts
+++ b/soak/src/invariants/invariants.spec.ts
@@ -1,6 +1,6 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
-import { plainBody, CRASH_REQUEST_BODY, sealOf, streamBody } from '../world/upstreamResponses.js'
+import { plainBody, CRASH_PART, CRASH_REQUEST_BODY, sealOf, streamBody } from '../world/upstreamResponses.js'
 import { COLD_PER_SECOND, findViolation } from './allChecks.js'
 import { BOUNDS } from './bounds.js'
 import { type Arrival, type NamedSpan, type Disturbance, emptyObservations, type Observations, type RequestEnd, type SentRequest } from './observationTypes.js'
@@ -130,6 +130,17 @@
     expect(violatedInvariant(crashRequests(9))).toEqual('a crash-causing request is contained')
   })
 
+  it('find a crash-causing prompt part that is sent upstream again and again, in requests of different content', () => {
+    const parts = `a1:200,${CRASH_PART}:20,c1:50`
+    const crashParts = (count: number): Partial<Observations> => ({
+      requests: repeat(count, nth => request({ attempt: `p${nth}`, body: `body ${nth}`, parts, sentAt: 10_000 + nth * 2000, end: abortedResponse() })),
+      arrivals: repeat(count, nth => arrival({ attempt: `p${nth}`, body: `body ${nth}`, parts, at: 10_001 + nth * 2000, end: 'failed' }))
+    })
+    // The first five crash upstreams; runs within four seconds of the fifth, and three later ones, are tolerated.
+    expect(violatedInvariant(crashParts(10))).toEqual(undefined)
+    expect(violatedInvariant(crashParts(11))).toEqual('a crash-causing prompt part is contained')
+  })
+
   it('find work for callers that have disconnected', () => {
     const left: RequestEnd = { kind: 'left', at: 10_010 }
     const late = { requests: repeat(4, nth => request({ attempt: `g${nth}`, end: left })), arrivals: repeat(4, nth => arrival({ attempt: `g${nth}`, at: 10_600, endedAt: 10_625 })) }
--- a/soak/src/invariants/runChecks.ts
+++ b/soak/src/invariants/runChecks.ts
@@ -1,6 +1,6 @@
 /** Invariants of the requests that upstreams execute. */
 import type { Millis } from '@fuchsiaworks/kernel'
-import { CRASH_REQUEST_BODY } from '../world/upstreamResponses.js'
+import { CRASH_PART, CRASH_REQUEST_BODY } from '../world/upstreamResponses.js'
 import { BOUNDS } from './bounds.js'
 import { requestByAttempt, runsByAttempt } from './byAttempt.js'
 import { hadPlannedDisturbance, componentsOfArrival, hadUnplannedDisturbance, wasDisturbed, wasGatewayDisturbed } from './disturbances.js'
@@ -66,19 +66,25 @@
   }
 }
 
-/** A request that crashes each upstream that runs it is no longer sent upstream after a few crashes. */
-export const crashRequestsContained: InvariantCheck = {
-  invariant: 'a crash-causing request is contained',
+/** Checks that what crashes each upstream that runs it reaches few upstreams once it has crashed some. */
+const crashesContained = (invariant: string, crashes: number, isMatch: (arrival: Arrival) => boolean): InvariantCheck => ({
+  invariant,
   find: observations => {
     const requests = requestByAttempt(observations)
-    const runs = observations.arrivals.filter(({ body, ran }) => ran && body === CRASH_REQUEST_BODY)
-    const last = runs[BOUNDS.crashesPerRequest - 1]
+    const runs = observations.arrivals.filter(arrival => arrival.ran && isMatch(arrival))
+    const last = runs[crashes - 1]
     if (last === undefined) return undefined
     const lateArrivals = runs.filter(({ attempt, at }) => at > last.at + BOUNDS.recoveryFromDisturbanceMs && !wasGatewayDisturbed(observations, requests.get(attempt)?.gateway ?? -1, at, at))
     if (lateArrivals.length <= BOUNDS.lateCrashRequests) return undefined
-    return { invariant: crashRequestsContained.invariant, description: `it reached upstreams ${lateArrivals.length} more times`, attempts: lateArrivals.map(({ attempt }) => attempt) }
+    return { invariant, description: `it reached upstreams ${lateArrivals.length} more times`, attempts: lateArrivals.map(({ attempt }) => attempt) }
   }
-}
+})
+
+/** A request that crashes each upstream that runs it is no longer sent upstream after a few crashes. */
+export const crashRequestsContained = crashesContained('a crash-causing request is contained', BOUNDS.crashesPerRequest, ({ body }) => body === CRASH_REQUEST_BODY)
+
+/** Requests with a prompt part that crashes each upstream are no longer sent upstream after a few crashes, though no two of them are alike. */
+export const crashPartsContained = crashesContained('a crash-causing prompt part is contained', BOUNDS.crashesPerPart, ({ parts }) => parts?.includes(CRASH_PART) === true)
 
 /**
  * Finds work for callers that have disconnected: attempts that reached an upstream late, attempts whose run had not ended
