Derive the suspects of crashes only after what they follow from has changed (BUDGET)

Each sound response of a part that was a candidate made the next one derive all findings again, so that the cost grew with the product of candidates and requests.

--- a/packages/policy/src/crashSuspect/crashSuspectDb.ts
+++ b/packages/policy/src/crashSuspect/crashSuspectDb.ts
@@ -18,6 +18,9 @@
 /** Time for which a crash is evidence. */
 const CRASH_RETENTION_MS: Millis = 300_000
 
+/** Time for which a crash is evidence against a request whose parts are sound. */
+const REQUEST_RETENTION_MS: Millis = 60_000
+
 /** Maximum numbers of crashes, of candidates of one crash and of parts known to be sound; the oldest are dropped first. */
 const MAX_CRASHES = 64
 const MAX_CANDIDATES = 64
@@ -40,12 +43,6 @@
   readonly at: Millis
 }
 
-interface Findings {
-  /** Last crash of each trait of a candidate. */
-  readonly lastCrashAt: ReadonlyMap<Trait, Millis>
-  readonly accusations: ReadonlyMap<Trait, Accusation>
-}
-
 interface UnsentReport extends Omit<CrashReport, 'ageMs'> {
   readonly at: Millis
 }
@@ -59,14 +56,17 @@
   readonly #crashes = new Map<string, CrashRecord>()
   readonly #lastSoundAt = new Map<Trait, Millis>()
   readonly #trialsAt = new Map<Trait, Millis>()
-  /** What follows from the crashes and sound responses; undefined after a change. */
-  #findings: Findings | undefined
+  /** Last crash of each trait of a candidate; undefined after a change of the candidates. */
+  #lastCrashAt: ReadonlyMap<Trait, Millis> | undefined
+  /** What follows from crashes and sound responses; undefined after a change of either. */
+  #accusations: ReadonlyMap<Trait, Accusation> | undefined
   #unsentReports: UnsentReport[] = []
   readonly #unsentSound = new Map<Trait, Millis>()
 
   /** Requests and parts that crash upstreams. */
   get accusations (): ReadonlyMap<Trait, Accusation> {
-    return this.#derive().accusations
+    this.#accusations ??= accuse(this.#crashes, trait => this.#lastSoundAt.get(trait))
+    return this.#accusations
   }
 
   /** True while nothing is known against any request. */
@@ -153,7 +153,7 @@
 
   /** @returns all that is known, to be sent to a gateway that has just become reachable */
   reports (now: Millis): CrashReports {
-    const sound = [...this.#derive().lastCrashAt.keys()].flatMap(trait => {
+    const sound = [...this.#lastCrashes().keys()].flatMap(trait => {
       const at = this.#lastSoundAt.get(trait)
       return at === undefined ? [] : [{ trait, ageMs: now - at }]
     })
@@ -201,7 +201,7 @@
 
   #addCandidates ({ candidates }: CrashRecord, added: readonly RequestTraits[]): void {
     for (const { fingerprint, parts } of added) if (candidates.size < MAX_CANDIDATES) candidates.set(fingerprint, { fingerprint, parts })
-    this.#findings = undefined
+    this.#onCandidatesChanged()
   }
 
   /** Adds candidates of this gateway to a crash that is known, and reports those that are new. */
@@ -234,47 +234,57 @@
 
   #recordSound (traits: RequestTraits, at: Millis): void {
     for (const part of traits.parts) this.#recordSoundTrait(part, at)
-    if (!this.isEmpty && this.#derive().lastCrashAt.has(traits.fingerprint)) this.#recordSoundTrait(traits.fingerprint, at)
+    if (!this.isEmpty && this.#lastCrashes().has(traits.fingerprint)) this.#recordSoundTrait(traits.fingerprint, at)
   }
 
   #recordSoundTrait (trait: Trait, at: Millis): void {
-    const crashedAt = this.#derive().lastCrashAt.get(trait)
+    const crashedAt = this.#lastCrashes().get(trait)
     if (crashedAt !== undefined && crashedAt < at && (this.#lastSoundAt.get(trait) ?? -Infinity) <= crashedAt) this.#unsentSound.set(trait, at)
     this.#setSound(trait, at)
   }
 
   #setSound (trait: Trait, at: Millis): void {
     const known = this.#lastSoundAt.get(trait) ?? -Infinity
-    if (this.#findings?.lastCrashAt.has(trait) === true) this.#findings = undefined
+    if (!this.isEmpty && this.#lastCrashes().has(trait)) this.#accusations = undefined
     this.#lastSoundAt.delete(trait)
     this.#lastSoundAt.set(trait, Math.max(known, at))
     const [oldest] = this.#lastSoundAt.keys()
     if (this.#lastSoundAt.size > MAX_SOUND_TRAITS && oldest !== undefined) this.#lastSoundAt.delete(oldest)
   }
 
-  #derive (): Findings {
-    if (this.#findings !== undefined) return this.#findings
+  #lastCrashes (): ReadonlyMap<Trait, Millis> {
+    if (this.#lastCrashAt !== undefined) return this.#lastCrashAt
     const lastCrashAt = new Map<Trait, Millis>()
     for (const { at, candidates } of this.#crashes.values()) {
       for (const { fingerprint, parts } of candidates.values()) {
         for (const trait of [fingerprint, ...parts]) lastCrashAt.set(trait, Math.max(at, lastCrashAt.get(trait) ?? -Infinity))
       }
     }
-    this.#findings = { lastCrashAt, accusations: accuse(this.#crashes, trait => this.#lastSoundAt.get(trait)) }
-    return this.#findings
+    this.#lastCrashAt = lastCrashAt
+    return lastCrashAt
+  }
+
+  #onCandidatesChanged (): void {
+    this.#lastCrashAt = undefined
+    this.#accusations = undefined
   }
 
   /** Removes crashes that are too old, and candidates and parts that have been sound since the crash. */
   #prune (now: Millis): void {
     const wasSoundSince = (trait: Trait, at: Millis): boolean => (this.#lastSoundAt.get(trait) ?? -Infinity) >= at
+    let isChanged = false
     for (const [crash, { at, candidates }] of this.#crashes) {
       if (now - at > CRASH_RETENTION_MS) this.#crashes.delete(crash)
+      isChanged ||= !this.#crashes.has(crash)
       for (const { fingerprint, parts } of candidates.values()) {
         const suspected = parts.filter(part => !wasSoundSince(part, at))
-        if (suspected.length === 0 && wasSoundSince(fingerprint, at)) candidates.delete(fingerprint)
-        else if (suspected.length < parts.length) candidates.set(fingerprint, { fingerprint, parts: suspected })
+        const isObsolete = suspected.length === 0 && (now - at > REQUEST_RETENTION_MS || wasSoundSince(fingerprint, at))
+        if (!isObsolete && suspected.length === parts.length) continue
+        isChanged = true
+        if (isObsolete) candidates.delete(fingerprint)
+        else candidates.set(fingerprint, { fingerprint, parts: suspected })
       }
     }
-    this.#findings = undefined
+    if (isChanged) this.#onCandidatesChanged()
   }
 }
