Issue permits for an upstream that the issuer does not list (LIMIT)

A gateway forgot a limited upstream twice a second when its own list lacked it, and the permits with it, so that its peers got few or none from it; lists differ while a gateway is cut off from the store. Found by reading, when limitedUpstream.spec failed for another reason. It now keeps the upstream for 3 s after a peer last expected permits of it. What only peers have named is not passed on, so that gateways do not keep each other's memory of an upstream that is gone. The new spec failed before the change.

--- a/packages/policy/src/requestLimit/requestLimit.spec.ts
+++ b/packages/policy/src/requestLimit/requestLimit.spec.ts
@@ -15,12 +15,15 @@
 const mostAllowed = (limit: number): number => 1.5 * limit * WINDOW_MS / 1000 + 5
 
 const TICK_MS: Millis = 10
+const LIST_INTERVAL_MS: Millis = 500
 
 /** One gateway of a simulated fleet. */
 interface Member {
   readonly id: PeerId
   readonly db: RequestLimitDb
   isUp: boolean
+  /** False while its list of upstreams lacks the one that is limited. */
+  isListing: boolean
   /** Gateways from which it hears nothing, and that hear nothing from it. */
   isCutOff: boolean
   sentAt: Millis
@@ -53,10 +56,20 @@
   play (ms: Millis, limit: number | 'none' = this.options.limit): void {
     for (const end = this.#now + ms; this.#now < end; this.#now += TICK_MS) {
       this.#deliver()
+      if (this.#now % LIST_INTERVAL_MS === 0) this.#list()
       this.members.forEach((member, nth) => { if (member.isUp) this.#act(member, nth, limit === 'none' ? undefined : limit) })
     }
   }
 
+  /** Plays some time without requests. */
+  relay (ms: Millis): void {
+    for (const end = this.#now + ms; this.#now < end; this.#now += TICK_MS) {
+      this.#deliver()
+      if (this.#now % LIST_INTERVAL_MS === 0) this.#list()
+      for (const member of this.members) this.#sendUpdate(member)
+    }
+  }
+
   /** Replaces a gateway by a process that knows nothing. */
   restart (nth: number): void {
     const fresh = this.#createMember(nth + 1000)
@@ -83,7 +96,7 @@
 
   #createMember (nth: number): Member {
     const id = asId<PeerId>(`p${nth}`)
-    const member: Member = { id, db: new RequestLimitDb(hash, () => this.#viewOf(member)), isUp: true, isCutOff: false, sentAt: -Infinity }
+    const member: Member = { id, db: new RequestLimitDb(hash, () => this.#viewOf(member)), isUp: true, isListing: true, isCutOff: false, sentAt: -Infinity }
     return member
   }
 
@@ -99,12 +112,21 @@
       this.sends.push({ at: this.#now, nth })
       member.db.recordAnswer(UPSTREAM, limit, this.#now)
     }
+    this.#sendUpdate(member)
+  }
+
+  #sendUpdate (member: Member): void {
     if (this.#now - member.sentAt < this.options.updateMs) return
     member.sentAt = this.#now
     const reports = member.db.reports(this.#now)
     for (const to of this.members) if (to !== member && this.#draw() >= (this.options.loss ?? 0)) this.#inFlight.push({ at: this.#now + this.options.updateMs / 2, from: member, to, reports })
   }
 
+  /** Applies the list of upstreams of each gateway. */
+  #list (): void {
+    for (const { db, isListing } of this.members) db.retainUpstreams(new Set(isListing ? [UPSTREAM.id] : []), this.#now)
+  }
+
   #deliver (): void {
     const due = this.#inFlight.filter(({ at }) => at <= this.#now)
     this.#inFlight = this.#inFlight.filter(({ at }) => at > this.#now)
@@ -166,6 +188,20 @@
     }
   })
 
+  it('is used when the gateway that issues the permits does not list the upstream, and forgotten once no gateway lists it', () => {
+    const fleet = new SimulatedFleet({ size: 5, limit: 8, updateMs: 60, demand: equalDemand })
+    fleet.play(3000)
+    const { issuer } = fleet
+    fleet.members[issuer]!.isListing = false
+    fleet.play(10_000)
+    const others = fleet.sends.filter(({ at, nth }) => at >= 4000 && nth !== issuer).length / 9
+    expect(others).toBeGreaterThan(0.6 * 8 * 4 / 5)
+    expect(fleet.measure(3000).most <= mostAllowed(8)).toEqual(true)
+    for (const member of fleet.members) member.isListing = false
+    fleet.relay(10_000)
+    expect(fleet.members.map(({ db }) => db.reports(23_000).length)).toEqual([0, 0, 0, 0, 0])
+  })
+
   it('is raised and lowered at once', () => {
     const fleet = new SimulatedFleet({ size: 5, limit: 4, updateMs: 60, demand: equalDemand })
     fleet.play(6000)
--- a/packages/policy/src/requestLimit/requestLimitDb.ts
+++ b/packages/policy/src/requestLimit/requestLimitDb.ts
@@ -22,11 +22,18 @@
 /** Time for which the choice of the issuer is kept; the choice takes time, and membership changes seldom. */
 const ISSUER_TTL_MS: Millis = 200
 
+/** Time for which a gateway issues permits for an upstream that is not in its own list, while peers expect them. */
+const CLAIMED_FOR_MS: Millis = 3000
+
 /** Share of the limit that a gateway uses by itself before it has discovered the fleet. */
 const UNSETTLED_SHARE = 0.25
 
 interface LimitedUpstream {
   readonly startedAt: number | undefined
+  /** Time at which a peer last expected permits of this gateway. */
+  claimedAt: Millis
+  /** False for one that only peers have named so far; it is not passed on, lest gateways keep each other's memory of one that is gone. */
+  isListed: boolean
   /** Undefined once the limit has ended. */
   limit: number | undefined
   /** Time of the response that the above is taken from. */
@@ -64,7 +71,7 @@
    */
   recordAnswer ({ id, startedAt }: LimitedProcess, limit: number | undefined, now: Millis): boolean {
     const known = this.#find(id, startedAt)
-    if (limit !== undefined) return this.#setLimit(id, startedAt, limit, now)
+    if (limit !== undefined) return this.#setLimit(id, startedAt, limit, now, true)
     if (known?.limit === undefined || now - known.answeredAt <= END_AFTER_MS) return false
     known.limit = undefined
     known.answeredAt = now
@@ -87,7 +94,7 @@
 
   /** @returns what this gateway tells its peers */
   reports (now: Millis): RequestLimitReport[] {
-    return [...this.#upstreams].map(([id, known]) => {
+    return [...this.#upstreams].filter(([, { isListed, issuer }]) => isListed || issuer !== undefined).map(([id, known]) => {
       const { startedAt, limit, answeredAt, stock } = known
       this.#chooseIssuer(id, known, now)
       if (known.issuer !== undefined) this.#issue(known, now)
@@ -108,7 +115,9 @@
     this.#chooseIssuer(report.id, known, now)
     const self = this.#self
     known.stock.receive(peer, report.granted.get(self) ?? 0, now)
-    if (known.issuer === undefined || report.granter !== self) return false
+    if (report.granter !== self) return false
+    known.claimedAt = now
+    if (known.issuer === undefined) return false
     known.issuer.applyClaim(peer, report)
     return this.#issue(known, now)
   }
@@ -118,10 +127,13 @@
     for (const known of this.#upstreams.values()) known.issuerChosenAt = -Infinity
   }
 
-  /** Forgets all upstreams but the given ones, and limits that have ended. */
-  retainUpstreams (upstreams: ReadonlySet<UpstreamId>, now: Millis): void {
-    for (const [id, { limit, answeredAt }] of this.#upstreams) {
-      if (!upstreams.has(id) || (limit === undefined && now - answeredAt > ENDED_RETENTION_MS)) this.#upstreams.delete(id)
+  /** Forgets the upstreams that are not listed, unless a peer with another list expects permits of this gateway, and limits that have ended. */
+  retainUpstreams (listed: ReadonlySet<UpstreamId>, now: Millis): void {
+    for (const [id, known] of this.#upstreams) {
+      known.isListed = listed.has(id)
+      const isNeeded = known.isListed || now - known.claimedAt <= CLAIMED_FOR_MS
+      const hasEnded = known.limit === undefined && now - known.answeredAt > ENDED_RETENTION_MS
+      if (!isNeeded || hasEnded) this.#upstreams.delete(id)
     }
   }
 
@@ -135,10 +147,10 @@
     return known?.startedAt === startedAt ? known : undefined
   }
 
-  #setLimit (id: UpstreamId, startedAt: number | undefined, limit: number, at: Millis): boolean {
+  #setLimit (id: UpstreamId, startedAt: number | undefined, limit: number, at: Millis, isListed: boolean): boolean {
     const known = this.#find(id, startedAt)
     if (known === undefined) {
-      this.#upstreams.set(id, { startedAt, limit, answeredAt: at, stock: new PermitStock(), issuer: undefined, issuerChosenAt: -Infinity, issuedShare: 1 })
+      this.#upstreams.set(id, { startedAt, claimedAt: -Infinity, isListed, limit, answeredAt: at, stock: new PermitStock(), issuer: undefined, issuerChosenAt: -Infinity, issuedShare: 1 })
       return true
     }
     const isChanged = known.limit !== limit
@@ -152,7 +164,7 @@
     if (current !== undefined && current.startedAt !== startedAt && (startedAt ?? 0) < (current.startedAt ?? 0)) return
     const known = this.#find(id, startedAt)
     if (known === undefined) {
-      if (limit !== undefined) this.#setLimit(id, startedAt, limit, at)
+      if (limit !== undefined) this.#setLimit(id, startedAt, limit, at, false)
       return
     }
     const hasEnded = known.limit === undefined
