--- a/packages/policy/src/requestLimit/requestLimit.spec.ts
+++ b/packages/policy/src/requestLimit/requestLimit.spec.ts
@@ -2,13 +2,14 @@
 import { asId, type Millis, type UpstreamId } from '@fuchsiaworks/kernel'
 import { expect } from 'earl'
 import fc from 'fast-check'
+import type { UpstreamProcess } from '../crashSuspect/crashSuspectTypes.js'
 import { loadStringHash } from '../keys/rendezvous.js'
 import type { PeerId } from '../placement/placementTypes.js'
 import { RequestLimitDb } from './requestLimitDb.js'
-import type { LimitedProcess, RequestLimitReport } from './requestLimitTypes.js'
+import type { RequestLimitReport } from './requestLimitTypes.js'
 
 const hash = await loadStringHash()
-const UPSTREAM: LimitedProcess = { id: asId<UpstreamId>('u1'), startedAt: 1 }
+const UPSTREAM: UpstreamProcess = { id: asId<UpstreamId>('u1'), startedAt: 1 }
 
 /** Bounds of the users' rule. */
 const WINDOW_MS: Millis = 4000
--- a/packages/policy/src/requestLimit/requestLimitDb.ts
+++ b/packages/policy/src/requestLimit/requestLimitDb.ts
@@ -4,11 +4,12 @@
  */
 import type { Millis, UpstreamId } from '@fuchsiaworks/kernel'
 import type { GatewayView } from '../coldPace/coldPaceTypes.js'
+import type { UpstreamProcess } from '../crashSuspect/crashSuspectTypes.js'
 import { hashMembers, rendezvous, type StringHash } from '../keys/rendezvous.js'
 import type { PeerId } from '../placement/placementTypes.js'
 import { PermitIssuer } from './permitIssuer.js'
 import { PermitStock } from './permitStock.js'
-import type { LimitedProcess, RequestLimitReport } from './requestLimitTypes.js'
+import type { RequestLimitReport } from './requestLimitTypes.js'
 
 /** Time after the last response with a limit from which one without a limit ends it; before, responses may have overtaken each other. */
 const END_AFTER_MS: Millis = 250
@@ -69,7 +70,7 @@
    * @param limit - requests a second; undefined when the response has none
    * @returns true when the limit has changed
    */
-  recordAnswer ({ id, startedAt }: LimitedProcess, limit: number | undefined, now: Millis): boolean {
+  recordAnswer ({ id, startedAt }: UpstreamProcess, limit: number | undefined, now: Millis): boolean {
     const known = this.#find(id, startedAt)
     if (limit !== undefined) return this.#setLimit(id, startedAt, limit, now, true)
     if (known?.limit === undefined || now - known.answeredAt <= END_AFTER_MS) return false
@@ -79,7 +80,7 @@
   }
 
   /** @returns whether a request may be sent to the upstream now */
-  maySend ({ id, startedAt }: LimitedProcess, now: Millis): boolean {
+  maySend ({ id, startedAt }: UpstreamProcess, now: Millis): boolean {
     const known = this.#find(id, startedAt)
     if (known?.limit === undefined) return true
     this.#chooseIssuer(id, known, now)
@@ -88,7 +89,7 @@
   }
 
   /** Records that a request is sent. */
-  recordSend ({ id, startedAt }: LimitedProcess): void {
+  recordSend ({ id, startedAt }: UpstreamProcess): void {
     this.#find(id, startedAt)?.stock.take()
   }
 
--- a/packages/policy/src/requestLimit/requestLimitTypes.ts
+++ b/packages/policy/src/requestLimit/requestLimitTypes.ts
@@ -1,19 +1,13 @@
 /** Types of the limits that upstreams announce. */
-import type { Millis, UpstreamId } from '@fuchsiaworks/kernel'
+import type { Millis } from '@fuchsiaworks/kernel'
+import type { UpstreamProcess } from '../crashSuspect/crashSuspectTypes.js'
 import type { PeerId } from '../placement/placementTypes.js'
 
-/** One process of an upstream; the next one may have the same id. */
-export interface LimitedProcess {
-  readonly id: UpstreamId
-  /** Start of the process in Unix milliseconds; undefined when its entry has none. */
-  readonly startedAt: number | undefined
-}
-
 /**
  * What a gateway tells its peers of an upstream that limits its requests. Each report replaces the one before; numbers of permits only grow, so that a lost report
  * does no harm.
  */
-export interface RequestLimitReport extends LimitedProcess {
+export interface RequestLimitReport extends UpstreamProcess {
   /** Requests a second that the upstream takes from all gateways together; undefined since it has responded without a limit. */
   readonly limit: number | undefined
   /** Time since the response that said so. */
