--- a/packages/policy/src/crashSuspect/crashSuspect.spec.ts
+++ b/packages/policy/src/crashSuspect/crashSuspect.spec.ts
@@ -297,6 +297,19 @@
     expect(crashes.length <= 64 && crashes.every(({ candidates }) => candidates.length <= 64)).toEqual(true)
   })
 
+  it('is reported once by each gateway, also when a crash has more candidates than are kept', () => {
+    const fleet = Array.from({ length: 4 }, () => new CrashSuspectDb())
+    fleet.forEach((db, gateway) => {
+      for (let nth = 0; nth < 70; nth++) {
+        db.recordBegin(upstream(1), request(gateway * 1000 + nth, nth), 900)
+        db.recordBrokenConnection(upstream(1), undefined, 1000)
+      }
+    })
+    fleet[0]!.recordUnreachable(upstream(1), 1300)
+    for (let round = 1; round <= 3; round++) for (const db of fleet) exchange(db, fleet, 1300 + round * 50)
+    expect(fleet.flatMap(db => db.takeUnsentReports(1600).crashes)).toEqual([])
+  })
+
   it('accuses the part that crashes upstreams by the fifth crash, and no part that others are served with, in fleets of any size', () => {
     const load = fc.record({ seed: fc.integer(), gateways: fc.integer({ min: 1, max: 8 }), requestsPerCrash: fc.integer({ min: 1, max: 12 }), spacingMs: fc.integer({ min: 300, max: 4000 }) })
     fc.assert(fc.property(load, ({ seed, gateways, requestsPerCrash, spacingMs }) => {
--- a/packages/policy/src/crashSuspect/crashSuspectDb.ts
+++ b/packages/policy/src/crashSuspect/crashSuspectDb.ts
@@ -123,7 +123,7 @@
     if (ageMs > CRASH_RETENTION_MS || (!isConfirmed && recognized === undefined)) return recognized
     const record = this.#openRecord(crash, now - ageMs)
     this.#addCandidates(record, candidates)
-    this.#addOwn(crash, record, this.#justBegun(crash, record.at))
+    this.#addOwn(crash, record, this.#takeJustBegun(crash, record.at))
     return recognized
   }
 
@@ -179,16 +179,19 @@
     if (recent.length > 0) {
       this.#brokenConnections.delete(crash)
       const at = Math.min(...recent.map(connection => connection.at))
-      const candidates = [...recent.flatMap(({ candidate }) => candidate ?? []), ...this.#justBegun(crash, at)]
+      const candidates = [...recent.flatMap(({ candidate }) => candidate ?? []), ...this.#takeJustBegun(crash, at)]
       this.#addCandidates(this.#openRecord(crash, at), candidates)
       this.#report(crash, at, candidates)
     }
     return { brokenConnections: recent.length, ignoredConnections: broken.length - recent.length, ageMs: now - firstAt }
   }
 
-  /** Requests to which the upstream began to respond shortly before a crash. */
-  #justBegun (crash: string, crashedAt: Millis): RequestTraits[] {
-    return (this.#begunResponses.get(crash) ?? []).filter(({ at }) => crashedAt - at <= SOUND_AFTER_MS).map(({ traits }) => traits)
+  /** Takes the requests to which the upstream began to respond shortly before a crash; each is a candidate once. */
+  #takeJustBegun (crash: string, crashedAt: Millis): RequestTraits[] {
+    const begun = this.#begunResponses.get(crash) ?? []
+    const isCandidate = ({ at }: BegunResponse): boolean => crashedAt - at <= SOUND_AFTER_MS
+    if (begun.length > 0) this.#begunResponses.set(crash, begun.filter(response => !isCandidate(response)))
+    return begun.filter(isCandidate).map(({ traits }) => traits)
   }
 
   #openRecord (crash: string, at: Millis): CrashRecord {
@@ -200,8 +203,9 @@
   }
 
   #addCandidates ({ candidates }: CrashRecord, added: readonly RequestTraits[]): void {
-    for (const { fingerprint, parts } of added) if (candidates.size < MAX_CANDIDATES) candidates.set(fingerprint, { fingerprint, parts })
-    this.#onCandidatesChanged()
+    const sizeBefore = candidates.size
+    for (const { fingerprint, parts } of added) if (candidates.size < MAX_CANDIDATES && !candidates.has(fingerprint)) candidates.set(fingerprint, { fingerprint, parts })
+    if (candidates.size > sizeBefore) this.#onCandidatesChanged()
   }
 
   /** Adds candidates of this gateway to a crash that is known, and reports those that are new. */
