--- a/packages/policy/src/crashSuspect/crashSuspectDb.ts
+++ b/packages/policy/src/crashSuspect/crashSuspectDb.ts
@@ -249,7 +249,7 @@
 
   #setSound (trait: Trait, at: Millis): void {
     const known = this.#lastSoundAt.get(trait) ?? -Infinity
-    if (!this.isEmpty && this.#lastCrashes().has(trait)) this.#accusations = undefined
+    if (this.#accusations?.has(trait) === true) this.#accusations = undefined
     this.#lastSoundAt.delete(trait)
     this.#lastSoundAt.set(trait, Math.max(known, at))
     const [oldest] = this.#lastSoundAt.keys()
