--- a/packages/policy/src/crashSuspect/accuse.ts
+++ b/packages/policy/src/crashSuspect/accuse.ts
@@ -8,6 +8,9 @@
 /** Separate crashes that make a request or a part the suspect; requirements allow a request three, and a part five. */
 const MIN_CRASHES = 3
 
+/** Crashes after which parts are suspected that explain them equally well; before, a sound response or another crash may tell them apart. */
+const MIN_CRASHES_OF_EQUALS = 5
+
 /** Requests of different content that have to have been involved before a part is suspected and not the one request. */
 const MIN_REQUESTS = 2
 
@@ -61,14 +64,16 @@
   const open = new Map([...involvements].filter(([, { requests }]) => requests.size >= MIN_REQUESTS))
   for (;;) {
     const rated = [...open].flatMap(([part, { crashes }]) => {
-      const accusation = accusationOf('part', separateCrashes([...crashes].filter(([crash]) => !explained.has(crash)).map(([, at]) => at)))
-      return accusation === undefined ? [] : [{ part, crashes, accusation, hasBeenSound: lastSoundAt(part) !== undefined }]
+      const times = [...crashes].filter(([crash]) => !explained.has(crash)).map(([, at]) => at)
+      const accusation = accusationOf('part', separateCrashes(times))
+      return accusation === undefined ? [] : [{ part, crashes, unexplained: times.length, accusation, hasBeenSound: lastSoundAt(part) !== undefined }]
     }).sort((a, b) => Number(a.hasBeenSound) - Number(b.hasBeenSound) || b.accusation.crashes - a.accusation.crashes)
     const [first] = rated
     if (first === undefined) return accused
     const equals = rated.filter(({ hasBeenSound, accusation }) => hasBeenSound === first.hasBeenSound && accusation.crashes === first.accusation.crashes)
+    const isClear = equals.length === 1 || first.unexplained >= MIN_CRASHES_OF_EQUALS
     for (const { part, crashes, accusation } of equals) {
-      accused.set(part, accusation)
+      if (isClear) accused.set(part, accusation)
       open.delete(part)
       for (const crash of crashes.keys()) explained.add(crash)
     }
--- a/packages/policy/src/crashSuspect/crashSuspect.spec.ts
+++ b/packages/policy/src/crashSuspect/crashSuspect.spec.ts
@@ -240,6 +240,23 @@
     expect(isRefused(db, request(8, RARE), 6000)).toEqual(false)
   })
 
+  it('is not refused because it was in the first crashes by chance, like the part that caused them', () => {
+    const db = new CrashSuspectDb()
+    for (const nth of [1, 2, 3]) crashUnder(db, nth, [request(nth, BAD), request(10 + nth, RARE)], nth * 1000)
+    expect(isRefused(db, request(8, RARE), 6000)).toEqual(false)
+    crashUnder(db, 4, [request(4, BAD), request(14, RARE + 1)], 6000)
+    expect([isRefused(db, request(8, BAD), 6500), isRefused(db, request(8, RARE), 6500)]).toEqual([true, false])
+  })
+
+  it('is not refused before the fifth crash when it cannot be told from the part that causes them', () => {
+    const db = new CrashSuspectDb()
+    const refused = [1, 2, 3, 4, 5].map(nth => {
+      crashUnder(db, nth, [request(nth, BAD, RARE)], nth * 1000)
+      return isRefused(db, request(8, BAD, RARE), nth * 1000 + 500)
+    })
+    expect(refused).toEqual([false, false, false, false, true])
+  })
+
   it('is cleared at all gateways by one sound response', () => {
     const [first, second] = [new CrashSuspectDb(), new CrashSuspectDb()]
     for (const nth of [1, 2, 3]) crashUnder(first, nth, [request(nth, RARE)], nth * 1000)
