--- a/soak/src/callers/loadGenerator.ts
+++ b/soak/src/callers/loadGenerator.ts
@@ -68,8 +68,9 @@
     this.#callers[gateway]?.send(this.#recordRequest(gateway, 'once', CRASH_REQUEST_PATH, undefined, apiKey, { body: CRASH_REQUEST_BODY }), { isNewConnection: true })
   }
 
-  /** Sends a stream with the crash part, as one of many callers whose prompts have it. */
+  /** Sends a stream with the crash part, as one of many callers whose prompts have it; crashes are faults, so none is sent after the last fault. */
   #sendCrashPart (): void {
+    if (this.observations.faultFreeFrom !== undefined) return
     const healthyGateways = this.fleet.loadBalancer.healthyGateways()
     const gateway = healthyGateways[this.#requestCount % Math.max(1, healthyGateways.length)]
     const apiKey = this.operator.keyOfFirstWorkspace()
