Stand-ins: close a connection that cannot be reset as it is being shut down

Seen: the process of pressedGateway.spec did not end after its test had failed in the check of the last landing; its file was timed out after 300 s. Cause: Node.js rejects the reset of a socket whose shutdown is in progress with EINVAL, and leaves its handle open. At exit, the clean-up of the runtime then spins for ever. The relays of the soak reset all connections when they close, and gateways that have just been killed leave some that are being shut down. Change: `resetSocket` closes such a connection instead.

--- a/packages/standins/src/delay/delay.ts
+++ b/packages/standins/src/delay/delay.ts
@@ -1,6 +1,7 @@
 /** A TCP relay that adds delay and can reset, silence or stall the connections that it relays. */
 import { type AddressInfo, type Server, type Socket, connect, createServer } from 'node:net'
 import type { Standin } from '../control/standinTypes.js'
+import { resetSocket } from '../server/resetSocket.js'
 import { LOOPBACK } from '../server/switchableServer.js'
 import { DelayedPipe, type PipeTiming } from './delayedPipe.js'
 
@@ -56,7 +57,7 @@
   accept (clientSocket: Socket): void {
     this.accepted += 1
     if (this.knobs.mode === 'cut') {
-      clientSocket.resetAndDestroy()
+      resetSocket(clientSocket)
       return
     }
     const targetSocket = connect({ ...this.options.target, noDelay: true, allowHalfOpen: true })
@@ -83,7 +84,7 @@
     socket.on('close', () => {
       // The other side of a silent connection stays open, as when a firewall has lost its connection state.
       if (connection.silent !== undefined && !other.destroyed) return
-      if (socket.errored !== null) other.resetAndDestroy()
+      if (socket.errored !== null) resetSocket(other)
       if (!other.destroyed) return
       for (const pipe of connection.pipes) pipe.close()
       this.connections.delete(connection)
@@ -101,7 +102,7 @@
   }
 
   dropConnections (): void {
-    for (const connection of this.connections) for (const socket of connection.sockets) socket.resetAndDestroy()
+    for (const connection of this.connections) for (const socket of connection.sockets) resetSocket(socket)
     this.connections.clear()
   }
 }
--- a/packages/standins/src/server/switchableServer.ts
+++ b/packages/standins/src/server/switchableServer.ts
@@ -1,6 +1,7 @@
 /** An HTTP server on loopback whose port can be closed and opened again while the process runs. */
 import { type RequestListener, type Server, createServer } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
+import { resetSocket } from './resetSocket.js'
 
 /** Address that all stand-ins listen on. */
 export const LOOPBACK = '127.0.0.1'
@@ -61,7 +62,7 @@
 
   /** Resets every open connection, also during a response. */
   dropConnections (): void {
-    for (const socket of this.#sockets) socket.resetAndDestroy()
+    for (const socket of this.#sockets) resetSocket(socket)
   }
 
   async close (): Promise<void> {
--- a/soak/src/world/upstreamStandin.ts
+++ b/soak/src/world/upstreamStandin.ts
@@ -3,6 +3,7 @@
 import type { AddressInfo } from 'node:net'
 import type { Clock, Millis, Timer } from '@fuchsiaworks/kernel'
 import { HEADER } from '@fuchsiaworks/platform-adapter'
+import { resetSocket } from '@fuchsiaworks/standins'
 import type { Arrival, Observations } from '../invariants/observationTypes.js'
 import { plainBody, CRASH_PART, CRASH_REQUEST_BODY, sealOf, EVENTS_PER_STREAM, streamEvent } from './upstreamResponses.js'
 
@@ -74,7 +75,7 @@
   crash (): void {
     for (const run of [...this.#runs]) {
       this.#endRun(run, 'failed')
-      run.res.socket?.resetAndDestroy()
+      if (run.res.socket !== null) resetSocket(run.res.socket)
     }
     this.close()
   }
@@ -181,7 +182,7 @@
     run.res.write(partialBody)
     this.#endRun(run, 'failed')
     // Let the partial response be sent before the reset, which would discard it.
-    this.clock.after(5, () => { run.res.socket?.resetAndDestroy() })
+    this.clock.after(5, () => { if (run.res.socket !== null) resetSocket(run.res.socket) })
   }
 
   #endRun (run: ActiveRun, end: NonNullable<Arrival['end']>): void {
