Tests: run the specs that start a fleet of processes one at a time

Its fleet is to serve callers by the idle processors of its peers. Cause: the machine had none. Change: files in soak/dist/world run one after the other, once the others are through. No check or bound is changed.

--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -9,6 +9,9 @@
 /** Timeout of one spec file. */
 const FILE_TIMEOUT_MS = 300_000
 
+/** Folder of the specs that start a fleet of processes. */
+const FLEET_SPECS = join('soak', 'dist', 'world')
+
 const listSpecs = (folder) => readdirSync(folder, { recursive: true })
   .map(name => join(folder, String(name)))
   .filter(name => name.endsWith('.spec.js'))
@@ -25,6 +28,18 @@
   console.error('test: no spec file matches')
   process.exit(1)
 }
-const args = ['--test', '--test-reporter=spec', `--test-timeout=${FILE_TIMEOUT_MS}`, '--test-concurrency=4', ...specs]
-const run = spawnSync(process.execPath, args, { cwd: root, stdio: 'inherit' })
-process.exit(run.status ?? 1)
+
+/** Runs spec files; false when a test fails. */
+const runFiles = (files, concurrency) => {
+  if (files.length === 0) return true
+  const args = ['--test', '--test-reporter=spec', `--test-timeout=${FILE_TIMEOUT_MS}`, `--test-concurrency=${concurrency}`, ...files]
+  return spawnSync(process.execPath, args, { cwd: root, stdio: 'inherit' }).status === 0
+}
+
+// Specs that start a fleet of processes need its processors to themselves.
+const startsFleet = name => name.startsWith(FLEET_SPECS)
+const results = [
+  runFiles(specs.filter(name => !startsFleet(name)), 4),
+  runFiles(specs.filter(startsFleet), 1)
+]
+process.exit(results.every(Boolean) ? 0 : 1)
