--- a/packages/gateway/src/process/gateway.spec.ts
+++ b/packages/gateway/src/process/gateway.spec.ts
@@ -213,17 +213,24 @@
 })
 
 describe('a request that crashes each upstream that runs it', () => {
-  it('is refused after three crashes, while other requests are served', async () => {
-    const crashed = new Set<string>()
-    let crashUpstream = (_upstream: string): void => {}
-    const crash: Script = (req, res, body) => {
-      if (body !== 'poison') return respond(req, res, body)
-      const upstream = String(req.headers['upstream'])
-      crashed.add(upstream)
-      crashUpstream(upstream)
-    }
+  let crashed: Set<string>
+  let crashUpstream: (upstream: string) => void
+  const crash: Script = (req, res, body) => {
+    if (body !== 'poison') return respond(req, res, body)
+    const upstream = String(req.headers['upstream'])
+    crashed.add(upstream)
+    crashUpstream(upstream)
+  }
+  const withCrashes = async (test: (gateway: GatewayUnderTest) => Promise<void>): Promise<void> => {
+    crashed = new Set()
     await withGateway([crash, crash, crash, crash, crash], async gateway => {
       crashUpstream = gateway.crashUpstream
+      await test(gateway)
+    })
+  }
+
+  it('is refused after three crashes, while other requests are served', async () => {
+    await withCrashes(async gateway => {
       for (let tries = 0; tries < 8; tries++) {
         await gateway.sendRequest('/once/x', '', 'poison')
         // Once the upstream is no longer avoided, the next attempt finds that it accepts no connection.
@@ -235,6 +242,16 @@
       expect(statusOf(await gateway.sendRequest('/once/x', '', 'other'))).toEqual(200)
     })
   })
+
+  it('is refused after three crashes also when no other request meets the upstreams that crashed', async () => {
+    await withCrashes(async gateway => {
+      for (let tries = 0; tries < 5; tries++) {
+        await gateway.sendRequest('/once/x', '', 'poison')
+        await pause(350)
+      }
+      expect(crashed.size).toEqual(3)
+    })
+  })
 })
 
 describe('a request whose caller disconnected before it was read', () => {
--- a/packages/gateway/src/process/startGateway.ts
+++ b/packages/gateway/src/process/startGateway.ts
@@ -10,6 +10,8 @@
 import type { HeaderPort } from '../port/headerPort.js'
 import type { FlowContext } from '../requests/flowContext.js'
 import { RequestFlow } from '../requests/requestFlow.js'
+import { avoidUpstream, recordUnreachable, UNREACHABLE_AVOID_MS } from '../requests/upstreamFailure.js'
+import { ReachabilityCheck } from '../upstreams/reachabilityCheck.js'
 import { UpstreamClients } from '../upstreams/upstreamClients.js'
 import { ConnectionDispatcher } from '../offload/connectionDispatcher.js'
 import { ConnectionOffloader } from '../offload/connectionOffloader.js'
@@ -87,6 +89,10 @@
     fleet: ports.fleet,
     headers: ports.headers,
     clients: new UpstreamClients(),
+    reachability: new ReachabilityCheck(clock, upstream => {
+      recordUnreachable(ctx, upstream)
+      avoidUpstream(ctx, upstream.id, UNREACHABLE_AVOID_MS)
+    }),
     placement,
     shares,
     crashSuspects,
@@ -145,6 +151,7 @@
   const kernel = new Kernel()
   const register = (id: string, service: Service): void => { kernel.register({ id, dependencies: [], create: () => service }) }
   register('clients', { close: async () => { await ctx.clients.close() } })
+  register('reachability', ctx.reachability)
   register('fleet', ports.fleet)
   register('mesh', mesh)
   register('flow', flow)
--- a/packages/gateway/src/requests/callerExchange.ts
+++ b/packages/gateway/src/requests/callerExchange.ts
@@ -8,15 +8,12 @@
 import type { ResponseHead } from '../port/headerPort.js'
 import type { GatewayUpstream } from '../routing/routingTypes.js'
 import { Admission } from './admission.js'
-import { logCrash } from './crashLog.js'
 import { ResponseRelay } from './responseRelay.js'
 import type { CallerRequest } from './callerRequest.js'
 import { CallerTraits } from './callerTraits.js'
 import type { FlowContext } from './flowContext.js'
 import { type Refusal, sendRefusal } from './refusals.js'
-
-/** How long an upstream is avoided after it accepted no connection. */
-const UNREACHABLE_AVOID_MS = 1500
+import { avoidUpstream, recordUnreachable, UNREACHABLE_AVOID_MS } from './upstreamFailure.js'
 
 /** How long an upstream is avoided after it rejected a request because it was full. */
 const FULL_AVOID_MS = 150
@@ -388,17 +385,15 @@
     const { upstream } = attempt
     this.#recordCrash(attempt, failure)
     const avoidMs = avoidDurationMs(failure)
-    if (avoidMs === 0) return
-    this.#ctx.placement.avoid(upstream.id, this.#now + avoidMs)
-    this.#ctx.mesh.scheduleUpdate()
+    if (avoidMs > 0) avoidUpstream(this.#ctx, upstream.id, avoidMs)
   }
 
   #recordCrash ({ upstream, firstByteAt }: Attempt, failure: AttemptFailure): void {
-    const { crashSuspects } = this.#ctx
-    if (failure.kind === 'uncertain' && failure.reason === 'reset') crashSuspects.recordBrokenConnection(upstream, firstByteAt === undefined ? this.#traits : undefined, this.#now)
-    if (failure.kind !== 'not-run' || failure.reason !== 'unreachable') return
-    const crash = crashSuspects.recordUnreachable(upstream, this.#now)
-    if (crash !== undefined) logCrash(this.#ctx, upstream.id, 'unreachable', crash)
+    if (failure.kind === 'uncertain' && failure.reason === 'reset') {
+      this.#ctx.crashSuspects.recordBrokenConnection(upstream, firstByteAt === undefined ? this.#traits : undefined, this.#now)
+      this.#ctx.reachability.schedule(upstream)
+    }
+    if (failure.kind === 'not-run' && failure.reason === 'unreachable') recordUnreachable(this.#ctx, upstream)
   }
 
   /** Refuses the request when it is known to crash upstreams; a trial, once granted, stays so. */
--- a/packages/gateway/src/requests/flowContext.ts
+++ b/packages/gateway/src/requests/flowContext.ts
@@ -7,6 +7,7 @@
 import type { FleetPort } from '../port/fleetPort.js'
 import type { GatewaySettings } from '@fuchsiaworks/settings'
 import type { HeaderPort } from '../port/headerPort.js'
+import type { ReachabilityCheck } from '../upstreams/reachabilityCheck.js'
 import type { UpstreamClients } from '../upstreams/upstreamClients.js'
 
 /** Shared services and state of one process. */
@@ -18,6 +19,7 @@
   readonly fleet: FleetPort
   readonly headers: HeaderPort
   readonly clients: UpstreamClients
+  readonly reachability: ReachabilityCheck
   readonly placement: PlacementDb
   readonly shares: TokenShareDb
   readonly crashSuspects: CrashSuspectDb
