Spec: an upstream that crashed behind a relay gets no requests

The spec that came with the check of broken connections passed without the change as well, as later requests happened to meet the upstreams that had crashed; it is replaced by one that fails first. Its two `expect` lines go with it: the spec of three crashes keeps both of them as they were. Now: the relay accepts connections and resets them after 5 ms, when a request may have been sent.

--- a/packages/gateway/src/process/gateway.spec.ts
+++ b/packages/gateway/src/process/gateway.spec.ts
@@ -213,24 +213,17 @@
 })
 
 describe('a request that crashes each upstream that runs it', () => {
-  let crashed: Set<string>
-  let crashUpstream: (upstream: string) => void
-  const crash: Script = (req, res, body) => {
-    if (body !== 'poison') return respond(req, res, body)
-    const upstream = String(req.headers['upstream'])
-    crashed.add(upstream)
-    crashUpstream(upstream)
-  }
-  const withCrashes = async (test: (gateway: GatewayUnderTest) => Promise<void>): Promise<void> => {
-    crashed = new Set()
+  it('is refused after three crashes, while other requests are served', async () => {
+    const crashed = new Set<string>()
+    let crashUpstream = (_upstream: string): void => {}
+    const crash: Script = (req, res, body) => {
+      if (body !== 'poison') return respond(req, res, body)
+      const upstream = String(req.headers['upstream'])
+      crashed.add(upstream)
+      crashUpstream(upstream)
+    }
     await withGateway([crash, crash, crash, crash, crash], async gateway => {
       crashUpstream = gateway.crashUpstream
-      await test(gateway)
-    })
-  }
-
-  it('is refused after three crashes, while other requests are served', async () => {
-    await withCrashes(async gateway => {
       for (let tries = 0; tries < 8; tries++) {
         await gateway.sendRequest('/once/x', '', 'poison')
         // Once the upstream is no longer avoided, the next attempt finds that it accepts no connection.
@@ -242,14 +235,22 @@
       expect(statusOf(await gateway.sendRequest('/once/x', '', 'other'))).toEqual(200)
     })
   })
+})
 
-  it('is refused after three crashes also when no other request meets the upstreams that crashed', async () => {
-    await withCrashes(async gateway => {
-      for (let tries = 0; tries < 5; tries++) {
-        await gateway.sendRequest('/once/x', '', 'poison')
-        await pause(350)
-      }
-      expect(crashed.size).toEqual(3)
+describe('an upstream that crashed behind a relay', () => {
+  it('gets no requests when its connections have broken, though the relay accepts them', async () => {
+    let crashUpstream = (_upstream: string): void => {}
+    const crash: Script = (req, res, body) => {
+      if (body !== 'poison') return respond(req, res, body)
+      crashUpstream(String(req.headers['upstream']))
+    }
+    await withGateway([crash, crash], async gateway => {
+      crashUpstream = gateway.crashBehindRelay
+      await gateway.sendRequest('/once/x', '', 'poison')
+      await pause(350)
+      const statuses: number[] = []
+      for (let nth = 0; nth < 8; nth++) statuses.push(statusOf(await gateway.sendRequest('/once/x', '', `good ${nth}`)))
+      expect(statuses).toEqual(Array.from({ length: 8 }, () => 200))
     })
   })
 })
--- a/packages/gateway/src/process/gatewayFixtures.ts
+++ b/packages/gateway/src/process/gatewayFixtures.ts
@@ -1,6 +1,6 @@
 /** Test fixtures: a gateway in front of upstreams with scripted responses. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import { connect, type AddressInfo } from 'node:net'
+import { connect, createServer as createRelay, type AddressInfo, type Server as NetServer } from 'node:net'
 import { asId, EventSource, type Millis, type RunningProcess, type ServiceId, type UpstreamId, type WorkspaceId, type ZoneId } from '@fuchsiaworks/kernel'
 import type { GatewaySettings } from '@fuchsiaworks/settings'
 import { findPorts } from '@fuchsiaworks/standins'
@@ -62,6 +62,9 @@
 /** Responds to a request in place of an upstream. */
 export type Script = (req: IncomingMessage, res: ServerResponse, body: string) => void
 
+/** Time after which a relay finds that its upstream has crashed; a request may have been sent by then. */
+const RELAY_RESET_MS: Millis = 5
+
 /** A request that reached an upstream. */
 export interface Arrival {
   readonly upstream: string
@@ -78,6 +81,8 @@
   readonly running: RunningProcess
   /** Stops an upstream at once and closes its connections; it stays listed. */
   crashUpstream: (id: string) => void
+  /** As `crashUpstream`, with a relay in front of the upstream that accepts connections and resets them when it cannot connect. */
+  crashBehindRelay: (id: string) => void
   /** Removes all upstreams from the list. */
   removeUpstreams: () => void
   /** Lists an upstream again as a new process under the same id and address. */
@@ -161,12 +166,21 @@
     close: async () => {}
   }
   const localAddress = (port: number) => ({ host: '127.0.0.1', port })
+  const relays: NetServer[] = []
   const closeUpstreams = (): void => {
+    for (const relay of relays) relay.close()
     for (const { server } of started) {
       server.close()
       server.closeAllConnections()
     }
   }
+  const crashUpstream = (id: string, onClosed = (_port: number): void => {}): void => {
+    for (const { server, upstream } of started) {
+      if (upstream.id !== id) continue
+      server.close(() => { onClosed(Number(upstream.address.split(':')[1])) })
+      server.closeAllConnections()
+    }
+  }
   const running = await startGateway({
     role: 'gateway',
     host: asId('h1'),
@@ -189,12 +203,9 @@
   })
   return Object.assign(state, {
     running,
-    crashUpstream: (id: string) => {
-      for (const { server, upstream } of started) {
-        if (upstream.id !== id) continue
-        server.close()
-        server.closeAllConnections()
-      }
+    crashUpstream: (id: string) => { crashUpstream(id) },
+    crashBehindRelay: (id: string) => {
+      crashUpstream(id, port => { relays.push(createRelay(socket => { setTimeout(() => { socket.resetAndDestroy() }, RELAY_RESET_MS) }).listen(port, '127.0.0.1')) })
     },
     restartUpstream: (id: string) => {
       const upstreams = [...current.upstreams.values()].map(upstream => upstream.id === id ? { ...upstream, startedAt: (upstream.startedAt ?? 0) + 1 } : upstream)
