--- a/soak/src/regressions.ts
+++ b/soak/src/regressions.ts
@@ -13,5 +13,6 @@
   { seed: 2, seconds: 24, gateways: 4, cause: 'callers that pressed on a gateway waited in its listen queue until they left' },
   { seed: 3, seconds: 24, gateways: 4, cause: 'as seed 2' },
   { seed: 5, seconds: 24, gateways: 4, cause: 'as seed 2' },
+  { seed: 5031, seconds: 18, gateways: 4, cause: 'a store that came back from an older copy made the gateways forget that an upstream was cold' },
   { seed: 5032, seconds: 18, gateways: 4, cause: 'crashes of upstreams that no other request met were recognized too late, so that a request crashed all of a service' }
 ]
