--- a/packages/policy/src/crashSuspect/crashSuspect.spec.ts
+++ b/packages/policy/src/crashSuspect/crashSuspect.spec.ts
@@ -267,6 +267,18 @@
     expect([isRefused(first, request(8, RARE), 7300), isRefused(second, request(8, RARE), 7300)]).toEqual([false, false])
   })
 
+  it('is cleared at all gateways by one report also when the sound responses are known before the crash', () => {
+    const [first, second, third] = [new CrashSuspectDb(), new CrashSuspectDb(), new CrashSuspectDb()]
+    for (const [nth, at] of [[1, 0], [2, 3000], [3, 6000]] as const) crashUnder(first, nth, [request(nth, 70), request(nth + 10, 70)], at)
+    for (const db of [second, third]) serve(db, request(20, 70), 6100)
+    exchange(first, [second, third], 7400)
+    second.settle(7500)
+    exchange(second, [first, third], 7600)
+    third.settle(7700)
+    expect([first, second, third].map(db => isRefused(db, request(21, 70), 8000))).toEqual([false, false, false])
+    expect(third.takeUnsentReports(7800).sound).toEqual([])
+  })
+
   it('is not cleared by a response that begins just before its upstream crashes', () => {
     const db = new CrashSuspectDb()
     for (const nth of [1, 2, 3]) crashUnder(db, nth, [request(nth, BAD)], nth * 1000)
--- a/packages/policy/src/crashSuspect/crashSuspectDb.ts
+++ b/packages/policy/src/crashSuspect/crashSuspectDb.ts
@@ -62,6 +62,8 @@
   #accusations: ReadonlyMap<Trait, Accusation> | undefined
   #unsentReports: UnsentReport[] = []
   readonly #unsentSound = new Map<Trait, Millis>()
+  /** Times of crashes that peers have reported, by candidate part that this gateway has seen soundly since. */
+  readonly #soundSinceCrash = new Map<Trait, Millis>()
 
   /** Requests and parts that crash upstreams. */
   get accusations (): ReadonlyMap<Trait, Accusation> {
@@ -123,13 +125,16 @@
     if (ageMs > CRASH_RETENTION_MS || (!isConfirmed && recognized === undefined)) return recognized
     const record = this.#openRecord(crash, now - ageMs)
     this.#addCandidates(record, candidates)
+    this.#recordPeerCandidates(record.at, candidates)
     this.#addOwn(crash, record, this.#takeJustBegun(crash, record.at))
     return recognized
   }
 
   /** Applies the report of a peer gateway that a request began soundly. */
   applySound ({ trait, ageMs }: SoundReport, now: Millis): void {
-    this.#setSound(trait, now - ageMs)
+    const at = now - ageMs
+    if (at > (this.#soundSinceCrash.get(trait) ?? Infinity)) this.#soundSinceCrash.delete(trait)
+    this.#setSound(trait, at)
   }
 
   /** Settles which responses were sound, and removes what is old. */
@@ -141,6 +146,7 @@
     }
     for (const [crash, begun] of this.#begunResponses) this.#settleBegun(crash, begun, now)
     for (const [trait, at] of this.#trialsAt) if (now - at > TRIAL_INTERVAL_MS) this.#trialsAt.delete(trait)
+    this.#reportSoundSinceCrash()
     if (this.#crashes.size > 0) this.#prune(now)
   }
 
@@ -225,6 +231,20 @@
     }
   }
 
+  /** Remembers the parts that this gateway has seen soundly since a crash, which it did not know of when that was settled. */
+  #recordPeerCandidates (crashedAt: Millis, candidates: readonly RequestTraits[]): void {
+    for (const part of candidates.flatMap(({ parts }) => parts)) if ((this.#lastSoundAt.get(part) ?? -Infinity) > crashedAt) this.#soundSinceCrash.set(part, crashedAt)
+  }
+
+  /** Queues reports of sound parts that no peer has reported in the meantime: gateways settle at different times, and the first report is enough. */
+  #reportSoundSinceCrash (): void {
+    for (const part of this.#soundSinceCrash.keys()) {
+      const soundAt = this.#lastSoundAt.get(part)
+      if (soundAt !== undefined) this.#unsentSound.set(part, soundAt)
+    }
+    this.#soundSinceCrash.clear()
+  }
+
   #settleBegun (crash: string, begun: readonly BegunResponse[], now: Millis): void {
     const crashedAt = this.#crashes.get(crash)?.at ?? Infinity
     // Whether the upstream has crashed shows some time after its connections broke.
