Soak: a cold start that is announced anew does not shorten one that goes on

The check counted a cold start of three seconds from its start; the fault `turn-cold` for 440 ms had announced 440 ms in its place meanwhile, so that the gateways were right to end it. Cause: the world of the soak, not the gateways: a worker that is still cold does not announce less than it has left. Change: the announcement is the longer of the two. The check and its bound are unchanged.

--- a/soak/src/world/upstreams.ts
+++ b/soak/src/world/upstreams.ts
@@ -31,7 +31,7 @@
   readonly service: string
   readonly zone: string
   /** Undefined between the end of an instance and the start of the next. */
-  instance: { readonly standin: UpstreamStandin, readonly relay: Relay } | undefined
+  instance: { readonly standin: UpstreamStandin, readonly relay: Relay, coldUntil: Millis } | undefined
 }
 
 /** All upstreams. */
@@ -61,7 +61,7 @@
     const { service, zone } = replica
     const standin: UpstreamStandin = new UpstreamStandin(this.clock, { id: `u${this.#startedCount}`, service, zone, slots: SLOTS_PER_UPSTREAM }, this.observations, () => { this.#onCrashRequest(replica, standin.properties.id) })
     await standin.start()
-    replica.instance = { standin, relay: await Relay.start(standin.port) }
+    replica.instance = { standin, relay: await Relay.start(standin.port), coldUntil: this.clock.now() + coldMs }
     if (coldMs > 0) this.observations.cold.push({ name: standin.properties.id, from: this.clock.now(), to: this.clock.now() + coldMs })
     this.#register(replica, false, coldMs)
   }
@@ -100,12 +100,13 @@
     this.#scheduleReplacement(replica, downtimeMs)
   }
 
-  /** Announces a new cold start of the instance of a replica. */
+  /** Announces a new cold start of the instance of a replica; one that lasts longer goes on. */
   enterColdStart (replica: UpstreamReplica, durationMs: Millis): void {
     const { instance } = replica
     if (instance === undefined) return
     const now = this.clock.now()
-    this.#register(replica, false, durationMs)
+    instance.coldUntil = Math.max(instance.coldUntil, now + durationMs)
+    this.#register(replica, false, instance.coldUntil - now)
     if (durationMs > COLD_PROPAGATION_MS) this.observations.cold.push({ name: instance.standin.properties.id, from: now + COLD_PROPAGATION_MS, to: now + durationMs })
   }
 
