Do not suspect a part that explains fewer of the crashes, though as many separate ones (BUDGET)

Cause: a stream that crashes its upstream is resumed at another one, and crashes that too, 70 ms later. Crashes within 250 ms count as one when parts are ranked, so that a part that was in one of each two crashes ranked as high as the cause, which was in both; and as the cause was in five crashes, both counted as clear. The new spec fails without the change. Change: among parts with as many separate crashes, the one that was in more crashes is the cause; only parts that are equal in both are told apart later.

--- a/packages/policy/src/crashSuspect/accuse.ts
+++ b/packages/policy/src/crashSuspect/accuse.ts
@@ -67,10 +67,10 @@
       const times = [...crashes].filter(([crash]) => !explained.has(crash)).map(([, at]) => at)
       const accusation = accusationOf('part', separateCrashes(times))
       return accusation === undefined ? [] : [{ part, crashes, unexplained: times.length, accusation, hasBeenSound: lastSoundAt(part) !== undefined }]
-    }).sort((a, b) => Number(a.hasBeenSound) - Number(b.hasBeenSound) || b.accusation.crashes - a.accusation.crashes)
+    }).sort((a, b) => Number(a.hasBeenSound) - Number(b.hasBeenSound) || b.accusation.crashes - a.accusation.crashes || b.unexplained - a.unexplained)
     const [first] = rated
     if (first === undefined) return accused
-    const equals = rated.filter(({ hasBeenSound, accusation }) => hasBeenSound === first.hasBeenSound && accusation.crashes === first.accusation.crashes)
+    const equals = rated.filter(({ hasBeenSound, accusation, unexplained }) => hasBeenSound === first.hasBeenSound && accusation.crashes === first.accusation.crashes && unexplained === first.unexplained)
     const isClear = equals.length === 1 || first.unexplained >= MIN_CRASHES_OF_EQUALS
     for (const { part, crashes, accusation } of equals) {
       if (isClear) accused.set(part, accusation)
--- a/packages/policy/src/crashSuspect/crashSuspect.spec.ts
+++ b/packages/policy/src/crashSuspect/crashSuspect.spec.ts
@@ -248,6 +248,16 @@
     expect([isRefused(db, request(8, BAD), 6500), isRefused(db, request(8, RARE), 6500)]).toEqual([true, false])
   })
 
+  it('is not refused because it was in one of the two crashes, shortly one after the other, of each request that caused them', () => {
+    const db = new CrashSuspectDb()
+    for (const nth of [1, 2, 3]) {
+      const [cause, other] = [request(nth, BAD), request(nth + 10, RARE)]
+      crashUnder(db, 2 * nth, [cause], nth * 1700)
+      crashUnder(db, 2 * nth + 1, [cause, other], nth * 1700 + 70)
+    }
+    expect([isRefused(db, request(20, BAD), 6000), isRefused(db, request(21, RARE), 6000)]).toEqual([true, false])
+  })
+
   it('is not refused before the fifth crash when it cannot be told from the part that causes them', () => {
     const db = new CrashSuspectDb()
     const refused = [1, 2, 3, 4, 5].map(nth => {
