Soak: show when its own process was stalled while a request was open

Callers, upstreams and links of a soak share one process, so that a stall of it makes responses and cancellations look late. A violation now lists the stalls of 100 ms and more that overlap the requests in question; no check changed.

--- a/soak/src/soak.ts
+++ b/soak/src/soak.ts
@@ -3,12 +3,13 @@
 import { type Clock, type Millis, systemClock } from '@fuchsiaworks/kernel'
 import { LoadGenerator } from './callers/loadGenerator.js'
 import { findViolation } from './invariants/allChecks.js'
-import { type Violation, emptyObservations, type Observations } from './invariants/observationTypes.js'
+import { type Violation, emptyObservations, type Observations, type SentRequest } from './invariants/observationTypes.js'
 import { drawSchedule } from './schedule/faultSchedule.js'
 import type { ScheduledFault } from './schedule/faultTypes.js'
 import { buildFleet, type Fleet } from './world/fleet.js'
 import { Operator } from './world/operator.js'
 import { FaultInjector } from './world/faultInjector.js'
+import { StallRecorder } from './world/stallRecorder.js'
 import { Upstreams } from './world/upstreams.js'
 
 /** Time between two checks of the invariants. */
@@ -46,17 +47,21 @@
 /** Most attempts for which evidence is shown. */
 const MAX_ATTEMPTS_SHOWN = 3
 
-const collectEvidence = (fleet: Fleet, { attempts }: Violation, observations: Observations): string[] => {
+const describeStalls = (stalls: StallRecorder, { attempt, sentAt, end }: SentRequest, now: Millis): string[] =>
+  stalls.during(sentAt, end?.at ?? now).map(({ from, to }) => `stall of the soak's process while ${attempt} was open: from ${Math.round(from)} to ${Math.round(to)}`)
+
+const collectEvidence = (fleet: Fleet, { attempts }: Violation, observations: Observations, stalls: StallRecorder, now: Millis): string[] => {
   const shownAttempts = attempts.slice(0, MAX_ATTEMPTS_SHOWN)
   const records = shownAttempts.flatMap(attempt => [
     ...observations.requests.filter(req => req.attempt === attempt),
     ...observations.arrivals.filter(arrival => arrival.attempt === attempt)
   ].map(record => JSON.stringify(record)))
+  const ownStalls = observations.requests.filter(({ attempt }) => shownAttempts.includes(attempt)).flatMap(req => describeStalls(stalls, req, now))
   const evidence = fleet.gateways.flatMap(({ index, output }) => [
     ...output.filter(line => shownAttempts.some(attempt => line.includes(`"${attempt}"`))),
     ...output.slice(-LAST_LINES_SHOWN)
   ].map(line => `gateway ${index}: ${line}`))
-  return [...records, ...evidence]
+  return [...records, ...ownStalls, ...evidence]
 }
 
 const sleep = async (ms: Millis): Promise<void> => { await new Promise(resolve => { setTimeout(resolve, ms) }) }
@@ -86,6 +91,7 @@
 export const runSoak = async ({ seed, seconds, gateways }: SoakOptions): Promise<SoakResult> => {
   const clock = systemClock
   const observations = emptyObservations()
+  const stalls = new StallRecorder(clock)
   const lengthMs = seconds * 1000
   const schedule = drawSchedule(seed, Math.max(0, lengthMs - FAULT_FREE_MS))
   const fleet = await buildFleet(clock, gateways)
@@ -107,7 +113,8 @@
     await sleep(SETTLE_MS)
     violation = findAnyViolation(fleet, observations, clock.now())
   }
-  const evidence = violation === undefined ? [] : collectEvidence(fleet, violation, observations)
+  const evidence = violation === undefined ? [] : collectEvidence(fleet, violation, observations, stalls, clock.now())
+  stalls.close()
   loadGenerator.close()
   await fleet.close()
   await upstreams.close()
