Upstream stand-ins of specs repeat the id of the request in refusals and errors, too

The protocol says that upstreams echo the attempt id in their responses. Five scripted upstreams left it out: reject, failWith500, turnAway and the one that does not end its refusal in gateway.spec, and reject in zoneBytes.spec. No check changes.

--- a/packages/gateway/src/log/zoneBytes.spec.ts
+++ b/packages/gateway/src/log/zoneBytes.spec.ts
@@ -9,7 +9,7 @@
 
 const EVENT = `id: 1\ndata: ${'x'.repeat(500)}\n\n`
 const respond: Script = (req, res, body) => { res.writeHead(200, { seal: 's', try: String(req.headers['try']) }).end(body.repeat(2)) }
-const reject: Script = (_req, res) => { res.writeHead(503, { 'not-run': '1' }).end() }
+const reject: Script = (req, res) => { res.writeHead(503, { 'not-run': '1', try: String(req.headers['try']) }).end() }
 const breakOnce: Script = (req, res) => {
   res.writeHead(200, { seal: 's', try: String(req.headers['try']), 'content-type': 'text/event-stream' })
   if (req.headers['last-event-id'] !== undefined) return res.end(EVENT.replace('id: 1', 'id: 2'))
--- a/packages/gateway/src/process/gateway.spec.ts
+++ b/packages/gateway/src/process/gateway.spec.ts
@@ -11,8 +11,8 @@
 setLogLevel('error')
 
 const respond: Script = (req, res, body) => { res.writeHead(200, { seal: 's', try: String(req.headers['try']) }).end(`got ${body}`) }
-const reject: Script = (_req, res) => { res.writeHead(503, { 'not-run': '1' }).end() }
-const failWith500: Script = (_req, res) => { res.writeHead(500, { seal: 's' }).end('broken') }
+const reject: Script = (req, res) => { res.writeHead(503, { 'not-run': '1', try: String(req.headers['try']) }).end() }
+const failWith500: Script = (req, res) => { res.writeHead(500, { seal: 's', try: String(req.headers['try']) }).end('broken') }
 const reset: Script = req => { req.socket.resetAndDestroy() }
 const events = (from: number, to: number): string => Array.from({ length: to - from + 1 }, (_, at) => `id: ${from + at}\ndata: d${from + at}\n\n`).join('')
 
@@ -120,7 +120,7 @@
     let isClosed = false
     const endless: Script = (req, res) => {
       req.socket.on('close', () => { isClosed = true })
-      res.writeHead(503, { 'not-run': '1' }).write('and')
+      res.writeHead(503, { 'not-run': '1', try: String(req.headers['try']) }).write('and')
     }
     await withGateway([endless], async gateway => {
       expect(statusOf(await gateway.sendRequest('/once/x'))).toEqual(503)
@@ -512,7 +512,7 @@
 })
 
 describe('an upstream that turns requests away for some time', () => {
-  const turnAway: Script = (_req, res) => { res.writeHead(503, { 'not-run': '1', 'wait-ms': '1500' }).end() }
+  const turnAway: Script = (req, res) => { res.writeHead(503, { 'not-run': '1', try: String(req.headers['try']), 'wait-ms': '1500' }).end() }
 
   it('gets no request in that time, and callers are refused at once with the time that is left', async () => {
     await withGateway([turnAway], async gateway => {
