A response without an id on a used connection is not taken for the answer to the request in flight

What callers saw: "not run, try again" (503) for requests that an upstream was running (REFUSED), such requests at a second upstream (TWICE), and, found while tracing, the answer of an earlier request, seal and all (MIXED).

Cause: an attempt id that a response lacks counted as matching.

Fix: attributeResponse. A response that names the request is its own; one that names another is not; one that names none is its own only on the first exchange of a connection, which can hold no earlier response. Anything else is 'uncertain', closes the connection, and nothing that it announces is recorded. Refusals that name their request, and those on a new connection, are retried at once as before.

--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -1,6 +1,6 @@
 /** One attempt: the request is sent to one upstream, whose response is checked and forwarded. */
 import { type Millis, newId } from '@fuchsiaworks/kernel'
-import type { AttemptFailure, Placement, RunId } from '@fuchsiaworks/policy'
+import { type AttemptFailure, attributeResponse, type Placement, type ResponseAttribution, type RunId } from '@fuchsiaworks/policy'
 import type { UpstreamExchange } from '@fuchsiaworks/upstreams'
 import type { HeaderList } from '@fuchsiaworks/wire'
 import { headBytes, type ZoneBytesCause } from '../log/zoneBytes.js'
@@ -177,9 +177,10 @@
     const { ctx, request, relay } = this.#scope
     if (this.#isOtherZone) ctx.zoneBytes.count(this.#causes.response, this.upstream.zone, headBytes(headers))
     const head = ctx.headers.decodeResponseHead(status, headers)
-    recordAnnouncements(ctx, request, this.upstream, status, head)
+    const attribution = attributeResponse({ requestId: request.head.attempt, responseId: head.attempt, isFirstExchange: this.#exchange?.isFirstOnConnection === true })
+    recordAnnouncements(ctx, request, this.upstream, status, head, attribution)
     if (this.#isOver) return
-    const failure = this.#headFailure(head, status)
+    const failure = this.#headFailure(head, status, attribution)
     if (failure !== undefined) return this.#handlers.onFailed(failure)
     if (status >= 500 && !relay.hasStarted) {
       const error: AttemptFailure = { kind: 'error-answer', status }
@@ -190,9 +191,9 @@
   }
 
   /** Returns why a response must not be forwarded; undefined when it may be. */
-  #headFailure (head: ResponseHead, status: number): AttemptFailure | undefined {
-    const { request, relay } = this.#scope
-    if (head.attempt !== undefined && head.attempt !== request.head.attempt) return { kind: 'uncertain', reason: 'garbled' }
+  #headFailure (head: ResponseHead, status: number, attribution: ResponseAttribution): AttemptFailure | undefined {
+    const { relay } = this.#scope
+    if (attribution !== 'own') return { kind: 'uncertain', reason: attribution }
     if (head.isNotExecuted || status === MISDIRECTED_REQUEST_STATUS) return { kind: 'not-run', reason: status === UNAVAILABLE_STATUS ? 'full' : 'declined' }
     if (head.isEncoded || (status < 300 && !head.isSealed)) return { kind: 'uncertain', reason: 'garbled' }
     if (relay.hasStarted && status !== relay.status) return { kind: 'error-answer', status }
--- a/packages/gateway/src/requests/upstreamAnnouncements.ts
+++ b/packages/gateway/src/requests/upstreamAnnouncements.ts
@@ -1,6 +1,6 @@
 /** What an upstream says of itself beside its response: its load, that it shuts down, or wants no further requests for some time. */
 import type { Millis } from '@fuchsiaworks/kernel'
-import type { InstanceLoadRejection } from '@fuchsiaworks/policy'
+import type { InstanceLoadRejection, ResponseAttribution } from '@fuchsiaworks/policy'
 import type { ResponseHead } from '../port/headerPort.js'
 import type { GatewayUpstream } from '../routing/routingTypes.js'
 import type { CallerRequest } from './callerRequest.js'
@@ -23,18 +23,19 @@
 }
 
 /** Records what the headers of a response say of the upstream. */
-export const recordAnnouncements = (ctx: FlowContext, request: CallerRequest, upstream: GatewayUpstream, status: number, head: ResponseHead): void => {
+export const recordAnnouncements = (ctx: FlowContext, request: CallerRequest, upstream: GatewayUpstream, status: number, head: ResponseHead, attribution: ResponseAttribution): void => {
   const { id, startedAt } = upstream
   const { isLeaving, retryAfterMs, requestLimit } = head
   const { attempt } = request.head
   const now = ctx.clock.now()
-  // A response of another process, or to another request, says nothing of this upstream.
-  const isOwnAnswer = status !== MISDIRECTED_REQUEST_STATUS && (head.attempt === undefined || head.attempt === attempt)
+  // A response of another process, or one that may be to another request, says nothing of this upstream.
+  const isOwnAnswer = status !== MISDIRECTED_REQUEST_STATUS && attribution === 'own'
   recordInstanceLoad(ctx, upstream, isOwnAnswer, head, now)
   if (isOwnAnswer && ctx.requestLimits.recordAnswer(upstream, requestLimit, now)) {
     ctx.requestLog.write('upstream changed its limit of requests', { upstream: id, request: attempt, perSecond: requestLimit ?? -1 })
     ctx.mesh.scheduleUpdate()
   }
+  if (attribution !== 'own') return
   if (isLeaving && ctx.leaving.record({ upstream: id, startedAt }, now)) {
     ctx.requestLog.write('upstream announced its shutdown in a response', { upstream: id, request: attempt })
     ctx.mesh.scheduleUpdate()
--- a/packages/policy/src/attempt/attempt.spec.ts
+++ b/packages/policy/src/attempt/attempt.spec.ts
@@ -17,7 +17,7 @@
 
 const failures = fc.constantFrom<AttemptFailure>(
   { kind: 'not-run', reason: 'full' }, { kind: 'not-run', reason: 'unreachable' }, { kind: 'uncertain', reason: 'reset' },
-  { kind: 'uncertain', reason: 'silent' }, { kind: 'uncertain', reason: 'garbled' }, { kind: 'error-answer', status: 500 }
+  { kind: 'uncertain', reason: 'silent' }, { kind: 'uncertain', reason: 'garbled' }, { kind: 'uncertain', reason: 'unattributed' }, { kind: 'error-answer', status: 500 }
 )
 const anyAttempt = fc.record({
   repeatability: fc.constantFrom<Repeatability>('idempotent', 'once', 'resumable'),
--- a/packages/policy/src/attempt/attemptTypes.ts
+++ b/packages/policy/src/attempt/attemptTypes.ts
@@ -1,5 +1,6 @@
 /** Failures of an attempt at an upstream, and the steps that may follow. */
 import type { Millis } from '@fuchsiaworks/kernel'
+import type { ResponseAttribution } from './responseAttribution.js'
 
 /** Whether a request may run again after a failed attempt. */
 export type Repeatability =
@@ -25,10 +26,10 @@
     /** The request may have run. */
     readonly kind: 'uncertain'
     /**
-     * `reset`: connection lost; `silent`: no data from the upstream for too long; `garbled`: malformed or incomplete response,
-     * or one to another attempt.
+     * `reset`: connection lost; `silent`: no data from the upstream for too long; `garbled`: malformed or incomplete response;
+     * otherwise a response that cannot be attributed to the request.
      */
-    readonly reason: 'reset' | 'silent' | 'garbled'
+    readonly reason: 'reset' | 'silent' | 'garbled' | Exclude<ResponseAttribution, 'own'>
   } |
   {
     /** The upstream ran the request and responded with an error. */
--- a/packages/upstreams/src/client/exchange.ts
+++ b/packages/upstreams/src/client/exchange.ts
@@ -10,6 +10,14 @@
     return Array.isArray(value) ? value.map(one => [name, one] as const) : [[name, value] as const]
   })
 
+/** The connection of an exchange. */
+export interface ExchangeConnection {
+  /** Reads how many bytes the connection has received since the request was dispatched. */
+  readonly receivedBytes: () => number
+  /** Counts a request that is sent on the connection; returns true for its first. */
+  readonly recordExchange: () => boolean
+}
+
 /** One request in progress. */
 export class Exchange implements Dispatcher.DispatchHandler, UpstreamExchange {
   readonly #handler: UpstreamResponseHandler
@@ -18,23 +26,29 @@
   #paused = false
   #isEnded = false
   #bodyBytes = 0
-  readonly #receivedBytes: () => number
+  readonly #connection: ExchangeConnection
+  #isFirstOnConnection = false
 
   /**
    * @param handler - receives the response
-   * @param receivedBytes - reads how many bytes the connection has received since the request was dispatched
+   * @param connection - the connection on which the request is sent
    */
-  constructor (handler: UpstreamResponseHandler, receivedBytes: () => number) {
+  constructor (handler: UpstreamResponseHandler, connection: ExchangeConnection) {
     this.#handler = handler
-    this.#receivedBytes = receivedBytes
+    this.#connection = connection
   }
 
   get overheadBytes (): number {
-    return this.#receivedBytes() - this.#bodyBytes
+    return this.#connection.receivedBytes() - this.#bodyBytes
+  }
+
+  get isFirstOnConnection (): boolean {
+    return this.#isFirstOnConnection
   }
 
   onRequestStart (controller: Dispatcher.DispatchController): void {
     this.#controller = controller
+    this.#isFirstOnConnection = this.#connection.recordExchange()
     if (this.#cancelReason !== undefined) controller.abort(this.#cancelReason)
   }
 
--- a/packages/upstreams/src/client/upstreamClient.spec.ts
+++ b/packages/upstreams/src/client/upstreamClient.spec.ts
@@ -2,6 +2,7 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
 import { UpstreamClient } from './upstreamClient.js'
+import type { UpstreamExchange, UpstreamRequest } from './upstreamTypes.js'
 
 const OPTIONS = { connectTimeoutMs: 500, keepAliveMs: 2000, keepAliveMarginMs: 100, freshConnectionForNonIdempotent: false }
 
@@ -17,11 +18,11 @@
 const urlOf = (server: Server): string => `http://127.0.0.1:${(server.address() as AddressInfo).port}`
 
 /** Sends one request and returns how it ended. */
-const exchange = async (client: UpstreamClient): Promise<{ end: 'complete' | 'failed', sent: boolean, body: string }> =>
+const exchange = async (client: UpstreamClient, request: Partial<UpstreamRequest> = {}, onHead: (exchange: UpstreamExchange, status: number) => void = () => {}): Promise<{ end: 'complete' | 'failed', sent: boolean, body: string }> =>
   await new Promise(resolve => {
     let body = ''
-    client.send({ method: 'GET', path: '/', headers: [], body: undefined, idempotent: true, headTimeoutMs: 0 }, {
-      head: () => {},
+    const sent = client.send({ method: 'GET', path: '/', headers: [], body: undefined, idempotent: true, headTimeoutMs: 0, ...request }, {
+      head: status => { onHead(sent, status) },
       data: chunk => { body += chunk.toString() },
       end: () => { resolve({ end: 'complete', sent: true, body }) },
       failed: (_err, sent) => { resolve({ end: 'failed', sent, body }) }
@@ -80,3 +81,79 @@
     server.close()
   })
 })
+
+const OK = 'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+const REFUSAL = 'HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n'
+
+const pause = async (ms: number): Promise<void> => { await new Promise(resolve => { setTimeout(resolve, ms) }) }
+
+/** Sends one request and returns the status of its response, with whether the response came on the first exchange of its connection. */
+const statusOf = async (client: UpstreamClient, request: Partial<UpstreamRequest> = {}): Promise<string> => {
+  let status = 'failed'
+  await exchange(client, request, (sent, received) => { status = `${received}${sent.isFirstOnConnection ? ' first' : ''}` })
+  return status
+}
+
+/** Runs a test with an upstream that responds to all requests with `OK`, and passes the sockets of its connections. */
+const withUpstream = async (act: (client: UpstreamClient, sockets: readonly Socket[]) => Promise<void>, onData = (socket: Socket): void => { socket.write(OK) }): Promise<void> => {
+  const sockets: Socket[] = []
+  const server = await listen(socket => {
+    sockets.push(socket)
+    socket.on('data', () => { onData(socket) })
+  })
+  const client = new UpstreamClient(urlOf(server), OPTIONS)
+  try {
+    await act(client, sockets)
+  } finally {
+    await client.close()
+    server.close()
+  }
+}
+
+describe('an exchange', () => {
+  it('is the first on a connection that is new, and on one that was opened again', async () => {
+    await withUpstream(async (client, sockets) => {
+      expect([await statusOf(client), await statusOf(client), await statusOf(client)]).toEqual(['200 first', '200', '200'])
+      sockets[0]?.end()
+      await pause(30)
+      expect([await statusOf(client), await statusOf(client)]).toEqual(['200 first', '200'])
+    })
+  })
+
+  for (const [title, write] of [
+    ['whose head arrives while no request waits', async (socket: Socket) => { await pause(20); socket.write(REFUSAL); await pause(20) }],
+    ['whose head begins while no request waits', async (socket: Socket) => {
+      socket.write(REFUSAL.slice(0, 15))
+      await pause(20)
+      setTimeout(() => { if (!socket.destroyed) socket.write(REFUSAL.slice(15)) }, 20)
+    }],
+    ['that is written in the tick in which the next request is dispatched', async (socket: Socket) => { await pause(20); socket.write(REFUSAL) }],
+    ['that is on its way when the next request is sent', async (socket: Socket) => { await pause(20); setImmediate(() => { socket.write(REFUSAL) }) }],
+    ['whose head begins in the tick in which the next request is dispatched', async (socket: Socket) => {
+      await pause(20)
+      socket.write(REFUSAL.slice(0, 15))
+      setTimeout(() => { if (!socket.destroyed) socket.write(REFUSAL.slice(15)) }, 20)
+    }]
+  ] as const) {
+    it(`never gets an earlier refusal as a first response: one ${title}`, async () => {
+      await withUpstream(async (client, sockets) => {
+        expect(await statusOf(client)).toEqual('200 first')
+        if (sockets[0] !== undefined) await write(sockets[0])
+        expect(await statusOf(client)).not.toEqual('503 first')
+      })
+    })
+  }
+
+  it('does not take a refusal that arrives before a large body is sent for a first response on a used connection', async () => {
+    let requests = 0
+    await withUpstream(async client => {
+      expect(await statusOf(client)).toEqual('200 first')
+      expect(await statusOf(client, { method: 'POST', body: Buffer.alloc(16 * 1024 * 1024) })).toEqual('503')
+    }, socket => {
+      requests += 1
+      if (requests > 2) return
+      socket.write(requests === 1 ? OK : REFUSAL)
+      if (requests === 2) socket.pause()
+    })
+  })
+})
--- a/packages/upstreams/src/client/upstreamClient.ts
+++ b/packages/upstreams/src/client/upstreamClient.ts
@@ -29,6 +29,8 @@
   /** True while a connection is open, so that a request can be sent without connecting first. */
   isOpen = false
   #socket: Socket | undefined
+  /** Requests that were sent over the current connection. */
+  #exchanges = 0
 
   constructor (url: string, options: ConnectionOptions) {
     const connect = buildConnector({ timeout: options.connectTimeoutMs, keepAlive: true, keepAliveInitialDelay: TCP_KEEP_ALIVE_DELAY_MS })
@@ -52,9 +54,16 @@
     return this.#socket?.bytesRead ?? 0
   }
 
+  /** Counts a request that is sent; returns true for the first one of the current connection. */
+  recordExchange (): boolean {
+    this.#exchanges += 1
+    return this.#exchanges === 1
+  }
+
   /** Detects resets on the socket, as undici treats a reset as the end of a response without a length. */
   #trackSocket (socket: Socket): void {
     this.#socket = socket
+    this.#exchanges = 0
     this.wasReset = false
     this.isOpen = true
     socket.on('error', () => { this.wasReset = true })
@@ -96,7 +105,7 @@
         this.#release(connection, true)
         handler.failed(err, sent)
       }
-    }, () => connection.bytesRead - bytesBefore)
+    }, { receivedBytes: () => connection.bytesRead - bytesBefore, recordExchange: () => connection.recordExchange() })
     connection.client.dispatch({
       method: request.method as Dispatcher.HttpMethod,
       path: request.path,
--- a/packages/upstreams/src/client/upstreamTypes.ts
+++ b/packages/upstreams/src/client/upstreamTypes.ts
@@ -39,6 +39,8 @@
   resume: () => void
   /** Bytes received that were not part of the body: status line, headers, framing, and whatever the upstream sends in place of a response. */
   readonly overheadBytes: number
+  /** True once the request was sent on a connection that had carried no other, so that the connection holds no earlier response. */
+  readonly isFirstOnConnection: boolean
   /** Cancels the request and closes its connection; `failed` is called next. Does nothing when it has ended. */
   cancel: (reason: Error) => void
 }
--- a/soak/src/world/upstreamStandin.ts
+++ b/soak/src/world/upstreamStandin.ts
@@ -5,6 +5,7 @@
 import { HEADER } from '@fuchsiaworks/platform-adapter'
 import { resetSocket } from '@fuchsiaworks/standins'
 import type { Arrival, Observations } from '../invariants/observationTypes.js'
+import type { RefusalRepeater } from './refusalRepeater.js'
 import { plainBody, CRASH_PART, CRASH_REQUEST_BODY, sealOf, EVENTS_PER_STREAM, streamEvent } from './upstreamResponses.js'
 
 /** Processing time of a plain response, and time between two events of a stream. */
@@ -56,6 +57,8 @@
   requestLimit: number | undefined
   /** Time for which the upstream wants no requests: it turns all away and says so; undefined while it serves. */
   askedTimeMs: Millis | undefined
+  /** Refuses some requests and repeats the refusals; undefined for a sound upstream. */
+  refusalRepeater: RefusalRepeater | undefined
   readonly #server: Server
   readonly #runs = new Set<ActiveRun>()
 
@@ -108,11 +111,12 @@
 
   #admit (req: IncomingMessage, res: ServerResponse, body: string): void {
     const isExpectedUpstream = req.headers[HEADER.expectedUpstream] === this.properties.id
-    const isFull = this.fault === 'full' || this.askedTimeMs !== undefined || this.#runs.size >= this.properties.slots + QUEUE_CAPACITY
+    const isFull = this.fault === 'full' || this.askedTimeMs !== undefined || this.#runs.size >= this.properties.slots + QUEUE_CAPACITY || this.refusalRepeater?.countArrival() === true
     const arrival = this.#recordArrival(req, body, isExpectedUpstream && !isFull, singleHeader(req, HEADER.promptParts))
     if (arrival.ran) return this.#execute(arrival, res)
     if (isExpectedUpstream) this.#announceLimit(res)
     if (isExpectedUpstream && this.askedTimeMs !== undefined) return this.#askForTime(arrival, res, this.askedTimeMs)
+    if (isExpectedUpstream) this.refusalRepeater?.recordRefusal(res, arrival.attempt)
     res.writeHead(isExpectedUpstream ? 503 : 421, { [HEADER.notExecuted]: '1', [HEADER.attemptId]: arrival.attempt }).end()
   }
 
@@ -155,6 +159,7 @@
     this.#announceLimit(res)
     this.#runs.add(run)
     res.on('close', () => { this.#endRun(run, 'cancelled') })
+    this.refusalRepeater?.repeat(res, arrival.attempt)
     if (arrival.body === CRASH_REQUEST_BODY) return this.onCrashRequest()
     if (this.fault === 'hang') {
       arrival.end = 'failed'
