A response that names several requests is the answer to none of them

What callers saw: "not run" (503) for a request that was running, and such a request at a second upstream, where a refusal named the request in flight and an earlier one.

Cause: of several X-Attempt-Id headers the codec read the first.

Evidence: headerCodec.spec before: The value ["9c41", "other", undefined] includes "9c41", but it was expected not to. Through a gateway, before: The value 503 is not equal to 502. The codec of the test fixture reads ids in the same way now.

--- a/packages/gateway/src/port/headerPort.ts
+++ b/packages/gateway/src/port/headerPort.ts
@@ -43,7 +43,7 @@
 
 /** Decoded headers of an upstream's response. */
 export interface ResponseHead {
-  /** The caller's attempt id as repeated by the upstream; undefined when missing. */
+  /** The caller's attempt id as repeated by the upstream; undefined when missing, and equal to none when the response names several. */
   readonly attempt: string | undefined
   /** True when the response has the upstream's seal header; a successful response without the seal is not forwarded. */
   readonly isSealed: boolean
--- a/packages/gateway/src/process/gatewayFixtures.ts
+++ b/packages/gateway/src/process/gatewayFixtures.ts
@@ -13,6 +13,12 @@
 
 const valueOf = (headers: HeaderList, name: string): string | undefined => headers.find(([key]) => key.toLowerCase() === name)?.[1]
 
+/** Several different ids name no single request. */
+const decodeResponseId = (headers: HeaderList): string | undefined => {
+  const ids = headers.filter(([key]) => key.toLowerCase() === 'try').map(([, value]) => value)
+  return ids.length === 0 ? undefined : [...new Set(ids)].join(', ')
+}
+
 /** Reads `RUNNING,WAITING,SLOTS,PERCENT`. */
 const decodeLoad = (value: string | undefined): Pick<ResponseHead, 'instanceLoad' | 'instanceLoadProblem'> => {
   if (value === undefined) return {}
@@ -37,7 +43,7 @@
     ...context.lastEventId === undefined ? [] : [['last-event-id', String(context.lastEventId)] as const]
   ],
   decodeResponseHead: (_status, headers) => ({
-    attempt: valueOf(headers, 'try'),
+    attempt: decodeResponseId(headers),
     isSealed: valueOf(headers, 'seal') !== undefined,
     isNotExecuted: valueOf(headers, 'not-run') !== undefined,
     isEncoded: valueOf(headers, 'content-encoding') !== undefined,
--- a/packages/gateway/src/requests/repeatedRefusal.spec.ts
+++ b/packages/gateway/src/requests/repeatedRefusal.spec.ts
@@ -56,7 +56,8 @@
   { name: 'with 400 and no id', repeated: ['HTTP/1.1 400 Bad Request\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n'] },
   { name: 'in parts', repeated: [refusal().slice(0, 20), refusal().slice(20)] },
   { name: 'after an interim response', repeated: ['HTTP/1.1 102 Processing\r\n\r\n', refusal()] },
-  { name: 'with the id of the earlier request', repeated: [refusal(idOf('t1'))] }
+  { name: 'with the id of the earlier request', repeated: [refusal(idOf('t1'))] },
+  { name: 'with two ids, of which one is that of the request in flight', repeated: [refusal(idOf('t2') + idOf('t1'))] }
 ]
 
 const sendServed = async (gateway: GatewayUnderTest): Promise<void> => {
