A response whose head contains the begin of another response fails its exchange

What callers saw: "not run" (503) for a request that had run, and such a request at a second upstream, where an upstream wrote the begin of an earlier refusal, cut off inside a header or its status line, and then the true response.

Cause: the true response's status line became the rest of a header or of the reason phrase, and its id and seal were read as those of the refusal: a refusal that names the request in flight.

Fix: an exchange fails, as after other bytes that are no response, when its reason phrase or a header contains a status line. A cut at the end of a line or inside a header name is a syntax error already.

--- a/packages/gateway/src/requests/repeatedRefusal.spec.ts
+++ b/packages/gateway/src/requests/repeatedRefusal.spec.ts
@@ -57,7 +57,10 @@
   { name: 'in parts', repeated: [refusal().slice(0, 20), refusal().slice(20)] },
   { name: 'after an interim response', repeated: ['HTTP/1.1 102 Processing\r\n\r\n', refusal()] },
   { name: 'with the id of the earlier request', repeated: [refusal(idOf('t1'))] },
-  { name: 'with two ids, of which one is that of the request in flight', repeated: [refusal(idOf('t2') + idOf('t1'))] }
+  { name: 'with two ids, of which one is that of the request in flight', repeated: [refusal(idOf('t2') + idOf('t1'))] },
+  { name: 'cut off inside a header, before the true response', repeated: ['HTTP/1.1 503 Service Unavailable\r\nnot-run: 1\r\nretry-after: 1', success(idOf('t2'))] },
+  { name: 'cut off inside the status line, before the true response', repeated: ['HTTP/1.1 503 Service Unav', success(idOf('t2'))] },
+  { name: 'with 421 and cut off inside the status line, before the true response', repeated: ['HTTP/1.1 421 Misdir', success(idOf('t2'))] }
 ]
 
 const sendServed = async (gateway: GatewayUnderTest): Promise<void> => {
--- a/packages/upstreams/src/client/exchange.ts
+++ b/packages/upstreams/src/client/exchange.ts
@@ -1,5 +1,6 @@
 /** Handler of one exchange for undici's dispatcher. */
 import type { IncomingHttpHeaders } from 'node:http'
+import { FuchsiaError } from '@fuchsiaworks/kernel'
 import type { HeaderList } from '@fuchsiaworks/wire'
 import type { Dispatcher } from 'undici'
 import type { UpstreamResponseHandler, UpstreamExchange } from './upstreamTypes.js'
@@ -10,6 +11,16 @@
     return Array.isArray(value) ? value.map(one => [name, one] as const) : [[name, value] as const]
   })
 
+/** Begin of a response. */
+const STATUS_LINE = /HTTP\/1\.[01] [1-5]\d\d/
+
+/** The upstream broke a response off inside its head and wrote another one behind it, so that the status of one would be read with headers of the other. */
+export class SplicedHeadError extends FuchsiaError {
+  constructor () {
+    super('spliced-head', 'the head of a response contains the begin of another one')
+  }
+}
+
 /** The connection of an exchange. */
 export interface ExchangeConnection {
   /** Reads how many bytes the connection has received since the request was dispatched. */
@@ -52,9 +63,11 @@
     if (this.#cancelReason !== undefined) controller.abort(this.#cancelReason)
   }
 
-  onResponseStart (controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
+  onResponseStart (controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders, statusMessage = ''): void {
     if (status < 200) return
-    this.#handler.head(status, toHeaderList(headers))
+    const list = toHeaderList(headers)
+    if (STATUS_LINE.test(statusMessage) || list.some(([, value]) => STATUS_LINE.test(value))) return controller.abort(new SplicedHeadError())
+    this.#handler.head(status, list)
     if (this.#paused) controller.pause()
   }
 
