A request is not sent on a connection on which an earlier one with its id got an error response

What callers saw: 503 for a request that was running, where the caller had used the id of a refused request again and the upstream wrote that refusal once more on the connection.

Cause: such a refusal names the request in flight, and nothing else tells the two apart. Within one request an upstream is tried once (placement excludes `tried`), so only an id that a caller uses twice gets there. The protocol gives each attempt an id of its own; a gateway cannot rely on that for a promise.

Fix: a connection keeps the ids of its last 128 error responses, and requests with one of them are sent on another connection. With ids of their own nothing changes, and no connection is opened.

--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -119,6 +119,7 @@
     })
     this.#countRequest(headBytes(headers))
     this.#exchange = ctx.clients.get(upstream).send({
+      id: request.head.attempt,
       method: request.method,
       path: request.target,
       headers,
--- a/packages/gateway/src/requests/repeatedRefusal.spec.ts
+++ b/packages/gateway/src/requests/repeatedRefusal.spec.ts
@@ -103,6 +103,28 @@
     })
   }
 
+  it('is not believed when a caller uses the id of the refused request again', async () => {
+    const runs: string[] = []
+    const sockets: Socket[] = []
+    const script: Script = ({ socket, headers }) => {
+      const id = idOf(String(headers['try']))
+      sockets.push(socket)
+      if (sockets.length === 1) return socket.write(refusal(id))
+      runs.push(id)
+      sockets[0]?.write(refusal(id))
+      setTimeout(() => { socket.write(success(id, 'true answer')) }, 50)
+    }
+    const gateway = await startUnderTest(script)
+    try {
+      expect(statusOf(await send(gateway, '/once/x', 't1'))).toEqual(503)
+      await pause(AVOID_MS)
+      expect(await send(gateway, '/once/x', 't1')).toMatchRegex(/^HTTP\/1.1 200[^]*true answer$/)
+      expect(runs.length).toEqual(1)
+    } finally {
+      await gateway.close()
+    }
+  })
+
   it('says nothing of the upstream: neither that it leaves nor that it wants no requests', async () => {
     const repeated = 'HTTP/1.1 503 Service Unavailable\r\nnot-run: 1\r\nleaving: 1\r\nwait-ms: 60000\r\nload: 8,8,8\r\ncontent-length: 0\r\n\r\n'
     const upstream = new RepeatingUpstream(attempt => success(idOf(attempt), 'ok'), [repeated])
--- a/packages/upstreams/src/client/upstreamClient.spec.ts
+++ b/packages/upstreams/src/client/upstreamClient.spec.ts
@@ -156,4 +156,12 @@
       if (requests === 2) socket.pause()
     })
   })
+
+  it('with an id that got an error response on a connection is sent on another one, and others are still sent on it', async () => {
+    await withUpstream(async (client, sockets) => {
+      const statuses: string[] = []
+      for (const id of ['a', 'b', 'a', 'c']) statuses.push(await statusOf(client, { id }))
+      expect([statuses, sockets.length]).toEqual([['503 first', '503', '503 first', '503'], 2])
+    }, socket => { socket.write(REFUSAL) })
+  })
 })
--- a/packages/upstreams/src/client/upstreamClient.ts
+++ b/packages/upstreams/src/client/upstreamClient.ts
@@ -14,6 +14,12 @@
 /** Size of the headers of a response up to which it is read. The default of Node.js, 16 KiB, fails a response with one useless header of that length. */
 const MAX_HEADER_BYTES = 64 * 1024
 
+/** Lowest status of a response that is an error. */
+const FIRST_ERROR_STATUS = 400
+
+/** Maximum number of requests with an error response that a connection keeps in mind. */
+const MAX_FAILED_IDS = 128
+
 /** The connection was reset during a response that is delimited by the end of the connection, so the body may be truncated. */
 export class ResetInBodyError extends FuchsiaError {
   constructor () {
@@ -31,6 +37,8 @@
   #socket: Socket | undefined
   /** Requests that were sent over the current connection. */
   #exchanges = 0
+  /** Ids of requests that got an error response over the current connection, oldest first; created when there is one. */
+  #failedIds: Set<string> | undefined
 
   constructor (url: string, options: ConnectionOptions) {
     const connect = buildConnector({ timeout: options.connectTimeoutMs, keepAlive: true, keepAliveInitialDelay: TCP_KEEP_ALIVE_DELAY_MS })
@@ -60,10 +68,24 @@
     return this.#exchanges === 1
   }
 
+  /** Remembers the id of a request that got an error response. */
+  recordFailedId (id: string): void {
+    this.#failedIds ??= new Set()
+    this.#failedIds.add(id)
+    const [oldest] = this.#failedIds
+    if (this.#failedIds.size > MAX_FAILED_IDS && oldest !== undefined) this.#failedIds.delete(oldest)
+  }
+
+  /** True when a request with that id may be sent without connecting first: an error response to an earlier request with the id, repeated, would pass for its own. */
+  isOpenFor (id: string | undefined): boolean {
+    return this.isOpen && (id === undefined || this.#failedIds?.has(id) !== true)
+  }
+
   /** Detects resets on the socket, as undici treats a reset as the end of a response without a length. */
   #trackSocket (socket: Socket): void {
     this.#socket = socket
     this.#exchanges = 0
+    this.#failedIds = undefined
     this.wasReset = false
     this.isOpen = true
     socket.on('error', () => { this.wasReset = true })
@@ -91,10 +113,14 @@
    */
   send (request: UpstreamRequest, handler: UpstreamResponseHandler): UpstreamExchange {
     const isFresh = this.options.freshConnectionForNonIdempotent && !request.idempotent
-    const connection = isFresh ? this.#open() : this.#takeIdle() ?? this.#open()
+    const connection = isFresh ? this.#open() : this.#takeIdle(request.id) ?? this.#open()
     const bytesBefore = connection.isOpen ? connection.bytesRead : 0
     const exchange = new Exchange({
       ...handler,
+      head: (status, headers) => {
+        if (status >= FIRST_ERROR_STATUS && request.id !== undefined) connection.recordFailedId(request.id)
+        handler.head(status, headers)
+      },
       end: trailers => {
         const { wasReset } = connection
         this.#release(connection, isFresh || wasReset)
@@ -130,9 +156,10 @@
   }
 
   /** Prefers the most recently used open connection, so that surplus ones reach their idle timeout. */
-  #takeIdle (): PooledConnection | undefined {
-    const open = this.#idle.findLastIndex(connection => connection.isOpen)
-    return open === -1 ? this.#idle.pop() : this.#idle.splice(open, 1)[0]
+  #takeIdle (id: string | undefined): PooledConnection | undefined {
+    const open = this.#idle.findLastIndex(connection => connection.isOpenFor(id))
+    const index = open === -1 ? this.#idle.findLastIndex(({ isOpen }) => !isOpen) : open
+    return index === -1 ? undefined : this.#idle.splice(index, 1)[0]
   }
 
   #open (): PooledConnection {
--- a/packages/upstreams/src/client/upstreamTypes.ts
+++ b/packages/upstreams/src/client/upstreamTypes.ts
@@ -5,6 +5,8 @@
 
 /** One request as it is sent to the upstream. */
 export interface UpstreamRequest {
+  /** Id that the upstream repeats in its response; undefined for one that repeats none. */
+  readonly id?: string
   readonly method: string
   readonly path: string
   readonly headers: HeaderList
