--- a/packages/upstreams/src/client/exchange.ts
+++ b/packages/upstreams/src/client/exchange.ts
@@ -1,5 +1,6 @@
 /** Handler of one exchange for undici's dispatcher. */
 import type { IncomingHttpHeaders } from 'node:http'
+import { FuchsiaError } from '@fuchsiaworks/kernel'
 import type { HeaderList } from '@fuchsiaworks/wire'
 import type { Dispatcher } from 'undici'
 import type { UpstreamResponseHandler, UpstreamExchange } from './upstreamTypes.js'
@@ -10,6 +11,24 @@
     return Array.isArray(value) ? value.map(one => [name, one] as const) : [[name, value] as const]
   })
 
+/** Begin of a response. */
+const STATUS_LINE = /HTTP\/1\.[01] [1-5]\d\d/
+
+/** The upstream broke a response off inside its head and wrote another one behind it, so that the status of one would be read with headers of the other. */
+export class SplicedHeadError extends FuchsiaError {
+  constructor () {
+    super('spliced-head', 'the head of a response contains the begin of another one')
+  }
+}
+
+/** The connection of an exchange. */
+export interface ExchangeConnection {
+  /** Reads how many bytes the connection has received since the request was dispatched. */
+  readonly receivedBytes: () => number
+  /** Counts a request that is sent on the connection; returns true for its first. */
+  readonly recordExchange: () => boolean
+}
+
 /** One request in progress. */
 export class Exchange implements Dispatcher.DispatchHandler, UpstreamExchange {
   readonly #handler: UpstreamResponseHandler
@@ -18,29 +37,37 @@
   #paused = false
   #isEnded = false
   #bodyBytes = 0
-  readonly #receivedBytes: () => number
+  readonly #connection: ExchangeConnection
+  #isFirstOnConnection = false
 
   /**
    * @param handler - receives the response
-   * @param receivedBytes - reads how many bytes the connection has received since the request was dispatched
+   * @param connection - the connection on which the request is sent
    */
-  constructor (handler: UpstreamResponseHandler, receivedBytes: () => number) {
+  constructor (handler: UpstreamResponseHandler, connection: ExchangeConnection) {
     this.#handler = handler
-    this.#receivedBytes = receivedBytes
+    this.#connection = connection
   }
 
   get overheadBytes (): number {
-    return this.#receivedBytes() - this.#bodyBytes
+    return this.#connection.receivedBytes() - this.#bodyBytes
+  }
+
+  get isFirstOnConnection (): boolean {
+    return this.#isFirstOnConnection
   }
 
   onRequestStart (controller: Dispatcher.DispatchController): void {
     this.#controller = controller
+    this.#isFirstOnConnection = this.#connection.recordExchange()
     if (this.#cancelReason !== undefined) controller.abort(this.#cancelReason)
   }
 
-  onResponseStart (controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
+  onResponseStart (controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders, statusMessage = ''): void {
     if (status < 200) return
-    this.#handler.head(status, toHeaderList(headers))
+    const list = toHeaderList(headers)
+    if (STATUS_LINE.test(statusMessage) || list.some(([, value]) => STATUS_LINE.test(value))) return controller.abort(new SplicedHeadError())
+    this.#handler.head(status, list)
     if (this.#paused) controller.pause()
   }
 
--- a/packages/upstreams/src/client/upstreamTypes.ts
+++ b/packages/upstreams/src/client/upstreamTypes.ts
@@ -5,6 +5,8 @@
 
 /** One request as it is sent to the upstream. */
 export interface UpstreamRequest {
+  /** Id that the upstream repeats in its response; undefined for one that repeats none. */
+  readonly id?: string
   readonly method: string
   readonly path: string
   readonly headers: HeaderList
@@ -39,6 +41,8 @@
   resume: () => void
   /** Bytes received that were not part of the body: status line, headers, framing, and whatever the upstream sends in place of a response. */
   readonly overheadBytes: number
+  /** True once the request was sent on a connection that had carried no other, so that the connection holds no earlier response. */
+  readonly isFirstOnConnection: boolean
   /** Cancels the request and closes its connection; `failed` is called next. Does nothing when it has ended. */
   cancel: (reason: Error) => void
 }
