Check that a response goes on with a stream before it is forwarded

A gateway that resumed a stream compared only the status of the next response with that of the first, and forwarded whatever bytes came up to a blank line. An upstream that answered 200 with a seal could so add a body of another type, a second head, events that the caller had, or nothing at all. A stream that its caller took up was not checked either. A response of another kind that broke off beyond the 64 KiB that are buffered, on a route whose streams may be resumed, was joined with the next one, and a stream whose events have no ids began again.

A response that has to go on with a stream needs status 200 and the media type of the first one, and each of its events has to consist of event lines with an id above that of the event before. Ids need not be consecutive, as the protocol only says that they increase. What does not go on counts as a failed attempt with the reason not-continued: nothing of it is forwarded, another upstream is tried where it may, and the stream is broken off otherwise. A response without an event does not end a stream: whether the caller has its last event cannot be known here. After an event without an id, or a body that is no stream, no other response follows.

--- a/packages/gateway/src/port/headerPort.ts
+++ b/packages/gateway/src/port/headerPort.ts
@@ -65,6 +65,8 @@
 
 /** Decodes and encodes headers. */
 export interface HeaderPort {
+  /** Names of headers that an upstream may repeat as the first line of an event of a stream, in lower case; their values are integers. */
+  readonly eventHeaders: ReadonlySet<string>
   /**
    * Decodes the headers of a caller's request.
    *
--- a/packages/gateway/src/process/gatewayFixtures.ts
+++ b/packages/gateway/src/process/gatewayFixtures.ts
@@ -23,6 +23,7 @@
 
 /** Header codec of these tests. */
 export const testHeaders: HeaderPort = {
+  eventHeaders: new Set(['versions']),
   decodeCallerHead: headers => {
     const attempt = valueOf(headers, 'try')
     const lastEventId = valueOf(headers, 'last-event-id')
@@ -67,7 +68,8 @@
   route('safe', {}),
   route('once', { repeatability: 'once' }),
   route('keyed', { isPublic: false }),
-  route('stream', { repeatability: 'resumable', isStream: true })
+  route('stream', { repeatability: 'resumable', isStream: true }),
+  route('long', { repeatability: 'resumable', isStream: true, maxAttempts: 3 })
 ]
 
 /** Responds to a request in place of an upstream. */
--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -179,7 +179,7 @@
     const head = ctx.headers.decodeResponseHead(status, headers)
     recordAnnouncements(ctx, request, this.upstream, status, head)
     if (this.#isOver) return
-    const failure = this.#headFailure(head, status)
+    const failure = this.#headFailure(head, status, headers)
     if (failure !== undefined) return this.#handlers.onFailed(failure)
     if (status >= 500 && !relay.hasStarted) {
       const error: AttemptFailure = { kind: 'error-answer', status }
@@ -190,13 +190,13 @@
   }
 
   /** Returns why a response must not be forwarded; undefined when it may be. */
-  #headFailure (head: ResponseHead, status: number): AttemptFailure | undefined {
+  #headFailure (head: ResponseHead, status: number, headers: HeaderList): AttemptFailure | undefined {
     const { request, relay } = this.#scope
     if (head.attempt !== undefined && head.attempt !== request.head.attempt) return { kind: 'uncertain', reason: 'garbled' }
     if (head.isNotExecuted || status === MISDIRECTED_REQUEST_STATUS) return { kind: 'not-run', reason: status === UNAVAILABLE_STATUS ? 'full' : 'declined' }
     if (head.isEncoded || (status < 300 && !head.isSealed)) return { kind: 'uncertain', reason: 'garbled' }
     if (relay.hasStarted && status !== relay.status) return { kind: 'error-answer', status }
-    return undefined
+    return relay.accepts(status, headers) ? undefined : { kind: 'uncertain', reason: 'not-continued' }
   }
 
   #onData (chunk: Buffer): void {
@@ -210,6 +210,7 @@
     const isWritable = relay.data(chunk)
     if (forwardedBytes === 0 && relay.forwardedBytes > 0) origin.recordBegin(this.upstream)
     if (!hasPartialEvent || relay.forwardedBytes > forwardedBytes) this.#progressAt = this.#now
+    if (relay.hasLeftStream) return this.#handlers.onFailed({ kind: 'uncertain', reason: 'not-continued' })
     if (relay.isEventTooLong) return this.#handlers.onFailed({ kind: 'uncertain', reason: 'garbled' })
     if (isWritable) return
     this.#exchange?.pause()
@@ -228,7 +229,8 @@
 
   #onEnd (): void {
     if (this.#isOver) return
-    if (!this.#scope.relay.end()) return this.#handlers.onFailed({ kind: 'uncertain', reason: 'reset' })
+    const { relay } = this.#scope
+    if (!relay.end()) return this.#handlers.onFailed({ kind: 'uncertain', reason: relay.isContinued ? 'reset' : 'not-continued' })
     this.end('answered')
     this.#handlers.onAnswered()
   }
--- a/packages/gateway/src/requests/attemptSeries.ts
+++ b/packages/gateway/src/requests/attemptSeries.ts
@@ -235,7 +235,7 @@
   #decideNext (failure: AttemptFailure): ReturnType<typeof decideAttempt> {
     const { route, service } = this.#request
     return decideAttempt({
-      repeatability: route.repeatability,
+      repeatability: this.#relay.canResume ? route.repeatability : 'once',
       failure,
       responseStarted: this.#relay.hasStarted,
       attemptsLeft: route.maxAttempts - this.versions.length,
--- a/packages/gateway/src/requests/callerExchange.ts
+++ b/packages/gateway/src/requests/callerExchange.ts
@@ -28,7 +28,7 @@
     this.#ctx = ctx
     this.#request = request
     const { route, head, res } = request
-    this.#relay = new ResponseRelay(res, route.isStream, head.lastEventId)
+    this.#relay = new ResponseRelay(res, route.isStream, head.lastEventId, route.repeatability === 'resumable' ? ctx.headers : undefined)
     const deadlineAt = request.arrivedAt + Math.min(head.deadlineMs ?? route.timeoutMs, route.timeoutMs)
     this.attempts = new AttemptSeries(ctx, request, this.#relay, deadlineAt, {
       isDone: () => this.#isDone,
--- a/packages/gateway/src/requests/eventSplitter.spec.ts
+++ b/packages/gateway/src/requests/eventSplitter.spec.ts
@@ -29,4 +29,18 @@
       expect(events.flatMap(one => one?.lastId ?? []).at(-1)).toEqual(searchLastId(complete))
     }))
   })
+
+  // Guards the resume position: after an event without an id, a resumed stream would bring it again.
+  it('tells whether an event without an id follows the last one that has one', () => {
+    const endsWithId = (text: string): boolean => {
+      const [whole, cut] = [new EventSplitter(), new EventSplitter()]
+      whole.push(Buffer.from(text))
+      // A blank line that has arrived ends its event.
+      for (const part of text.split(/(?<=\n\r?\n)/)) cut.push(Buffer.from(part))
+      expect(cut.endsWithId).toEqual(whole.endsWithId)
+      return whole.endsWithId
+    }
+    for (const text of ['id: 1\ndata: a\n\n', 'data: a\nid: 1\n\n', 'id: 1\r\ndata: a\r\n\r\n', 'data: a\n\nid: 2\ndata: b\n\n', 'id: 1\n\n: note\n\n\n', ': note\n\n']) expect([text, endsWithId(text)]).toEqual([text, true])
+    for (const text of ['data: a\n\n', 'id: 1\ndata: a\n\ndata: b\n\n', 'id: 1\r\n\r\n: note\r\ndata: b\r\n\r\n', 'id: 1\n\nid: 2x\n\n']) expect([text, endsWithId(text)]).toEqual([text, false])
+  })
 })
--- a/packages/gateway/src/requests/eventSplitter.ts
+++ b/packages/gateway/src/requests/eventSplitter.ts
@@ -5,6 +5,8 @@
   readonly bytes: Buffer
   /** Id of the last event that has one; undefined when none has. */
   readonly lastId: number | undefined
+  /** Offset of that id; -1 when there is none. */
+  readonly lastIdAt: number
 }
 
 const LF = 0x0a
@@ -12,16 +14,29 @@
 const SPACE = 0x20
 const ZERO = 0x30
 const NINE = 0x39
+const COLON = 0x3a
 
 /** Splits one stream. */
 export class EventSplitter {
   #pending: Buffer = Buffer.alloc(0)
+  /** The last events with an id. */
+  #numbered: CompleteEvents | undefined
+  /** True when an event without an id came in a later chunk. */
+  #hasUnnumbered = false
 
   /** Size of the incomplete event at the end. */
   get pendingBytes (): number {
     return this.#pending.length
   }
 
+  /** False when the last event has no id, so that the position in the stream is not known; read from the last chunk only when it is asked for. */
+  get endsWithId (): boolean {
+    if (this.#hasUnnumbered) return false
+    if (this.#numbered === undefined) return true
+    const { bytes, lastIdAt } = this.#numbered
+    return hasOnlyComments(bytes, eventEndAfter(bytes, lastIdAt))
+  }
+
   /**
    * Adds the next chunk.
    *
@@ -36,7 +51,13 @@
     }
     this.#pending = buffered.subarray(end)
     const bytes = buffered.subarray(0, end)
-    return { bytes, lastId: lastEventIdOf(bytes) }
+    const events = readLastId(bytes)
+    if (events.lastId === undefined) this.#hasUnnumbered ||= !hasOnlyComments(bytes, 0)
+    else {
+      this.#numbered = events
+      this.#hasUnnumbered = false
+    }
+    return events
   }
 }
 
@@ -52,12 +73,34 @@
 const ID_FIELD = Buffer.from('id:')
 
 /** Reads the id of the last event that has one, from the end, so that the data before it is not searched. */
-const lastEventIdOf = (bytes: Buffer): number | undefined => {
+const readLastId = (bytes: Buffer): CompleteEvents => {
   for (let at = bytes.lastIndexOf(ID_FIELD); at !== -1; at = at === 0 ? -1 : bytes.lastIndexOf(ID_FIELD, at - 1)) {
-    const id = at === 0 || bytes[at - 1] === LF ? eventIdAt(bytes, at + ID_FIELD.length) : undefined
-    if (id !== undefined) return id
+    const lastId = at === 0 || bytes[at - 1] === LF ? eventIdAt(bytes, at + ID_FIELD.length) : undefined
+    if (lastId !== undefined) return { bytes, lastId, lastIdAt: at }
+  }
+  return { bytes, lastId: undefined, lastIdAt: -1 }
+}
+
+/** Returns the offset after the first blank line from an offset on. */
+const eventEndAfter = (bytes: Buffer, start: number): number => {
+  for (let at = bytes.indexOf(LF, start); at !== -1; at = bytes.indexOf(LF, at + 1)) {
+    if (bytes[at + 1] === LF) return at + 2
+    if (bytes[at + 1] === CR && bytes[at + 2] === LF) return at + 3
+  }
+  return bytes.length
+}
+
+/** True when no line from an offset on, which is the start of a line, is a field of an event. */
+const hasOnlyComments = (bytes: Buffer, start: number): boolean => {
+  let at = start
+  while (at < bytes.length) {
+    const first = bytes[at]
+    if (first !== COLON && first !== LF && first !== CR) return false
+    const end = bytes.indexOf(LF, at)
+    if (end === -1) return true
+    at = end + 1
   }
-  return undefined
+  return true
 }
 
 /** Reads the digits up to the end of a line, after at most one space; undefined when there is something else. */
--- a/packages/gateway/src/requests/responseRelay.ts
+++ b/packages/gateway/src/requests/responseRelay.ts
@@ -3,6 +3,7 @@
 import type { Socket } from 'node:net'
 import { endToEndHeaders, type HeaderList } from '@fuchsiaworks/wire'
 import { EventSplitter } from './eventSplitter.js'
+import { EVENT_STREAM, mayContinue, mediaTypeOf, StreamContinuation } from './streamContinuation.js'
 
 /** A response that is not a stream is buffered up to this size until it is complete, so that another attempt can replace it when it breaks off. */
 const MAX_BUFFERED_BYTES = 64 * 1024
@@ -13,6 +14,9 @@
 /** Headers that delimit a body. */
 const FRAMING_HEADERS = new Set(['content-length', 'transfer-encoding'])
 
+/** Status from which a response is not a success, so that its body is no stream of events. */
+const FIRST_OTHER_STATUS = 300
+
 const CHUNK_END = '\r\n'
 
 const LAST_CHUNK = '0\r\n\r\n'
@@ -27,11 +31,25 @@
   return framed
 }
 
+/** A stream that another response may continue. */
+export interface ResumableStream {
+  /** Names of headers that may be the first line of an event, in lower case. */
+  readonly eventHeaders: ReadonlySet<string>
+}
+
 /** Response to one caller. */
 export class ResponseRelay {
   readonly #res: ServerResponse
   readonly #isStream: boolean
+  readonly #resumable: ResumableStream | undefined
+  /** True when the caller has a part of the stream from an earlier response. */
+  readonly #isTakenUp: boolean
   #status = 0
+  #mediaType: string | undefined
+  /** True when the body of the current response is a series of events. */
+  #hasEvents = false
+  /** Checks the current response, if it has to go on with the stream. */
+  #continuation: StreamContinuation | undefined
   /** True when the body is delimited only by the end of the upstream's connection, so that truncation cannot be detected. */
   #isUnframed = false
   #headers: HeaderList = []
@@ -52,11 +70,14 @@
    * @param res - the caller's response
    * @param isStream - whether the body is a stream of server-sent events
    * @param resumedAfter - id of the last event that the caller already has
+   * @param resumable - given when another response may continue the stream
    */
-  constructor (res: ServerResponse, isStream: boolean, resumedAfter: number | undefined) {
+  constructor (res: ServerResponse, isStream: boolean, resumedAfter: number | undefined, resumable?: ResumableStream) {
     this.#res = res
     this.#target = res
     this.#isStream = isStream
+    this.#resumable = resumable
+    this.#isTakenUp = resumable !== undefined && resumedAfter !== undefined
     this.#lastEventId = resumedAfter
   }
 
@@ -80,19 +101,48 @@
     return this.#splitter.pendingBytes > MAX_EVENT_BYTES
   }
 
+  /** True when another response may follow: nothing has been forwarded, or the events up to a known id. */
+  get canResume (): boolean {
+    return !this.hasStarted || (this.#hasEvents && (this.#continuation !== undefined || this.#splitter.endsWithId))
+  }
+
+  /** True when the current response has sent something that does not go on with the stream. */
+  get hasLeftStream (): boolean {
+    return this.#continuation?.hasLeft === true
+  }
+
+  /** False when the current response has to go on with the stream and has not brought an event. */
+  get isContinued (): boolean {
+    return this.#continuation?.hasEvents !== false
+  }
+
   get status (): number {
     return this.#status
   }
 
+  /** Tells whether a response may be forwarded, by its head: one that has to go on with a stream, or to begin one that may be resumed, has events. */
+  accepts (status: number, headers: HeaderList): boolean {
+    if (this.#resumable === undefined) return true
+    if (this.hasStarted) return mayContinue(status, mediaTypeOf(headers), this.#mediaType)
+    if (status >= FIRST_OTHER_STATUS) return true
+    return this.#isTakenUp ? mayContinue(status, mediaTypeOf(headers), undefined) : [EVENT_STREAM, undefined].includes(mediaTypeOf(headers))
+  }
+
   /** Starts the response of an attempt; once something has been forwarded, status and headers stay those of the earlier attempt. */
   head (status: number, headers: HeaderList): void {
     this.#splitter = new EventSplitter()
     this.#buffered = []
     this.#bufferedBytes = 0
+    this.#hasEvents = this.#isStream && status < FIRST_OTHER_STATUS
+    const mustContinue = this.#hasEvents && (this.hasStarted || this.#isTakenUp)
+    this.#continuation = mustContinue && this.#resumable !== undefined ? new StreamContinuation(this.#lastEventId, this.#resumable.eventHeaders) : undefined
     if (this.hasStarted) return
     this.#status = status
+    this.#mediaType = mediaTypeOf(headers)
     this.#isUnframed = !headers.some(([name]) => FRAMING_HEADERS.has(name.toLowerCase()))
     this.#headers = endToEndHeaders(headers)
+    // The length is that of one response; the stream may be continued by another one.
+    if (this.#hasEvents && this.#resumable !== undefined) this.#headers = this.#headers.filter(([name]) => name.toLowerCase() !== 'content-length')
   }
 
   /**
@@ -101,9 +151,10 @@
    * @returns false when the caller reads too slowly; `onDrain` calls back when to continue
    */
   data (chunk: Buffer): boolean {
-    if (!this.#isStream) return this.#bufferOrWrite(chunk)
+    if (!this.#hasEvents) return this.#bufferOrWrite(chunk)
     const events = this.#splitter.push(chunk)
     if (events === undefined) return true
+    if (this.#continuation !== undefined) return this.#writeContinued(this.#continuation, events.bytes)
     if (events.lastId !== undefined) this.#lastEventId = events.lastId
     return this.#write(events.bytes)
   }
@@ -111,11 +162,11 @@
   /**
    * Ends the response.
    *
-   * @returns false when the body stops inside an event, so that it is incomplete
+   * @returns false when the body stops inside an event, or has to go on with a stream and has no event, so that it is incomplete
    */
   end (): boolean {
-    if (this.#isStream && this.#splitter.pendingBytes > 0) return false
-    if (!this.hasStarted && !this.#isStream && !this.#isUnframed) this.#headers = [...this.#headers.filter(([name]) => name !== 'content-length'), ['content-length', String(this.#bufferedBytes)]]
+    if (this.#hasEvents && (this.#splitter.pendingBytes > 0 || !this.isContinued)) return false
+    if (!this.hasStarted && !this.#hasEvents && !this.#isUnframed) this.#headers = [...this.#headers.filter(([name]) => name !== 'content-length'), ['content-length', String(this.#bufferedBytes)]]
     this.#flushBuffer()
     this.#writeHead()
     if (this.#framesChunks) this.#res.end(LAST_CHUNK)
@@ -128,6 +179,12 @@
     this.#target.once('drain', resume)
   }
 
+  #writeContinued (continuation: StreamContinuation, events: Buffer): boolean {
+    const bytes = continuation.accept(events)
+    this.#lastEventId = continuation.lastId
+    return bytes.length === 0 || this.#write(bytes)
+  }
+
   #bufferOrWrite (chunk: Buffer): boolean {
     if (this.hasStarted) return this.#write(chunk)
     this.#buffered.push(chunk)
--- a/packages/policy/src/attempt/attemptTypes.ts
+++ b/packages/policy/src/attempt/attemptTypes.ts
@@ -26,9 +26,9 @@
     readonly kind: 'uncertain'
     /**
      * `reset`: connection lost; `silent`: no data from the upstream for too long; `garbled`: malformed or incomplete response,
-     * or one to another attempt.
+     * or one to another attempt; `not-continued`: a response that does not go on with the stream.
      */
-    readonly reason: 'reset' | 'silent' | 'garbled'
+    readonly reason: 'reset' | 'silent' | 'garbled' | 'not-continued'
   } |
   {
     /** The upstream ran the request and responded with an error. */
