Reset the connection of a response without a length that breaks off

A response that an upstream sends without a length is forwarded without one and ends with the caller's connection. When it broke off, reached its time or the gateway ended, the gateway closed the connection in an orderly way, which is the end of a complete response to the caller. The connection is reset now; a response in chunks or with a length is closed as before, as its caller can tell. On shutdown the open responses end before their connections are closed.

--- a/packages/gateway/src/callers/callerServer.ts
+++ b/packages/gateway/src/callers/callerServer.ts
@@ -148,6 +148,8 @@
 
   close (): void {
     this.#server.close()
+    // An orderly close would declare a response complete that ends with its connection.
+    this.flow.close()
     this.#server.closeAllConnections()
   }
 
--- a/packages/gateway/src/requests/callerExchange.ts
+++ b/packages/gateway/src/requests/callerExchange.ts
@@ -58,17 +58,19 @@
   }
 
   #breakOff (reason: string): void {
-    this.#request.res.destroy()
+    this.#relay.breakOff()
     this.#finish('broken-off', reason)
   }
 
   /** Responds with 502: the request may or may not have run. */
   #respondUnknown (reason: string): void {
+    if (this.#relay.hasStarted) return this.#breakOff(reason)
     sendRefusal(this.#request.res, this.#ctx.headers, { status: 502, reason })
     this.#finish('unknown', reason)
   }
 
   #refuse (refusal: Refusal): void {
+    if (this.#relay.hasStarted) return this.#breakOff(refusal.reason)
     // Status 503 states that the request did not run; if it may have run, the caller must get 502 instead.
     const status = this.attempts.mayHaveRun ? 502 : refusal.status
     sendRefusal(this.#request.res, this.#ctx.headers, { ...refusal, status })
@@ -78,7 +80,7 @@
   #onTimeout (): void {
     if (this.#isDone) return
     this.attempts.endAttempt('timeout')
-    if (this.#relay.hasStarted) this.#request.res.destroy()
+    if (this.#relay.hasStarted) this.#relay.breakOff()
     else sendRefusal(this.#request.res, this.#ctx.headers, { status: 504, reason: 'timeout' })
     this.#finish('timeout', 'timeout')
   }
--- a/packages/gateway/src/requests/errorInStream.spec.ts
+++ b/packages/gateway/src/requests/errorInStream.spec.ts
@@ -1,4 +1,3 @@
-import { once } from 'node:events'
 import { connect } from 'node:net'
 import { describe, it } from 'node:test'
 import { setLogLevel } from '@fuchsiaworks/kernel'
@@ -55,7 +54,8 @@
   { name: 'an event without its end', bytes: stream('id: 4\ndata: d4\n'), until: 3 },
   { name: 'no content', bytes: head('', '204 No Content'), until: 3 },
   { name: 'a part of the content', bytes: sized('text/event-stream', events(4, 6), '206 Partial Content'), until: 3 },
-  { name: 'a text that ends with its connection', bytes: `${head('content-type: text/event-stream\r\nconnection: close\r\n')}lost\n\n`, until: 3 }
+  { name: 'a text that ends with its connection', bytes: `${head('content-type: text/event-stream\r\nconnection: close\r\n')}lost\n\n`, until: 3 },
+  { name: 'a part of an event that ends with its connection', bytes: `${head('content-type: text/event-stream\r\nconnection: close\r\n')}${events(4, 5)}id: 6\nda`, until: 5 }
 ]
 
 /** The same with an error's status: a response of its own to a caller that takes a stream up, and no part of one that has begun. */
@@ -115,7 +115,7 @@
   socket.on('data', bytes => { text += bytes.toString('latin1') })
   socket.on('error', () => { wasReset = true })
   socket.write(`POST ${path} HTTP/1.1\r\nHost: a.example\r\nTry: t1\r\nConnection: close\r\n${headers}Content-Length: 0\r\n\r\n`)
-  await once(socket, 'close')
+  await new Promise(resolve => { socket.on('close', resolve) })
   return decode(text, wasReset)
 }
 
@@ -227,4 +227,33 @@
       })
     }
   }
+
+  // A response without a length is complete for its caller where the connection is closed in an orderly way.
+  for (const { path, type, body } of [{ path: '/once/x', type: 'text/plain', body: PART }, { path: '/stream/x', type: 'text/event-stream', body: events(1, 3) }]) {
+    it(`resets the connection of a response without a length: ${path}`, async () => {
+      const unframed: Script = ({ socket }) => {
+        socket.write(head(`content-type: ${type}\r\nconnection: close\r\n`) + body)
+        setTimeout(() => { socket.resetAndDestroy() }, 50)
+      }
+      await withUpstreams(inTurn(unframed, respondRaw(stream('lost\n\n'))), async gateway => {
+        const received = await call(gateway, path)
+        expect([received.body === body, received.wasReset]).toEqual([true, true])
+      })
+    })
+  }
+
+  it('resets the connection of a response without a length when its time is over, or the gateway ends', async () => {
+    const unframed: Script = ({ socket }) => {
+      socket.on('error', () => {})
+      socket.write(head('content-type: text/plain\r\nconnection: close\r\n') + PART)
+    }
+    await withUpstreams(unframed, async gateway => {
+      const late = await call(gateway, '/once/x')
+      expect([late.body === PART, late.wasReset]).toEqual([true, true])
+      const ended = call(gateway, '/once/x')
+      await new Promise(resolve => { setTimeout(resolve, 100) })
+      await gateway.running.close()
+      expect((await ended).wasReset).toEqual(true)
+    })
+  })
 })
--- a/packages/gateway/src/requests/responseRelay.ts
+++ b/packages/gateway/src/requests/responseRelay.ts
@@ -1,6 +1,6 @@
 /** Forwards the response to one caller; a stream may be assembled from the responses of several attempts. */
 import type { ServerResponse } from 'node:http'
-import type { Socket } from 'node:net'
+import { Socket } from 'node:net'
 import { endToEndHeaders, type HeaderList } from '@fuchsiaworks/wire'
 import { EventSplitter } from './eventSplitter.js'
 import { EVENT_STREAM, mayContinue, mediaTypeOf, StreamContinuation } from './streamContinuation.js'
@@ -57,6 +57,8 @@
   #bufferedBytes = 0
   /** True when this class frames the chunks of the body: Node.js passes each one to the socket in four pieces. */
   #framesChunks = false
+  /** True when the caller finds the end of the body by the end of its connection only. */
+  #endsWithConnection = false
   /** True once a chunk was written behind the head. */
   #hasWrittenChunk = false
   /** What was written to last, and emits `drain`. */
@@ -174,6 +176,13 @@
     return true
   }
 
+  /** Breaks the response off. Where the body ends with the connection, an orderly close would declare it complete, so that the connection is reset. */
+  breakOff (): void {
+    const { socket } = this.#res
+    if (this.#endsWithConnection && socket instanceof Socket) socket.resetAndDestroy()
+    this.#res.destroy()
+  }
+
   /** Calls back once when the caller's send buffer has drained. */
   onDrain (resume: () => void): void {
     this.#target.once('drain', resume)
@@ -219,6 +228,7 @@
     // A body without a length is forwarded without one: adding a length would declare a possibly truncated body complete.
     if (this.#isUnframed) this.#res.useChunkedEncodingByDefault = false
     this.#res.writeHead(this.#status, this.#headers.flatMap(([name, value]) => [name, value]))
+    this.#endsWithConnection = !this.#res.chunkedEncoding && !this.#headers.some(([name]) => name.toLowerCase() === 'content-length')
     // The header announces chunks from here on; a response without a body, as to HEAD, has none.
     if (!this.#res.chunkedEncoding) return
     this.#framesChunks = true
