Write no refusal into a response of an offloaded connection that is in progress

A gateway that passes a connection on to a peer answers 502 itself when the link to the peer is lost before the response. The gateway follows the responses on the connection now and refuses only between two of them. Of a response to HEAD, whose head has a length that no body follows, nothing is known; such a connection is closed without a refusal.

offload.spec on the code before printed

✖ is cut without a further byte when the peer is lost while a response is in progress and the caller has sent the next request actual: '...7\r\nid: 1\n\n\r\nHTTP/1.1 502 Bad Gateway\r\ncontent-type: application/json\r\n...{"error":"peer-lost"}'

and passes now.

--- a/packages/gateway/src/offload/offload.spec.ts
+++ b/packages/gateway/src/offload/offload.spec.ts
@@ -202,6 +202,39 @@
     expect(await started).toMatchRegex(/part\r\n$/)
   })
 
+  // Guards against the head of a refusal in the middle of a stream.
+  it('is cut without a further byte when the peer is lost while a response is in progress and the caller has sent the next request', async () => {
+    const { port, loseLink } = await startOffloaded((_req, res) => { res.write('id: 1\n\n') })
+    const socket = connect({ port, host: '127.0.0.1', noDelay: true })
+    let received = ''
+    socket.on('data', chunk => { received += chunk.toString() })
+    socket.on('error', () => {})
+    const closed = new Promise(resolve => { socket.on('close', resolve) })
+    socket.write('GET /stream HTTP/1.1\r\nHost: a\r\n\r\n')
+    await waitUntil(() => received.includes('id: 1'))
+    const before = received
+    socket.write('GET /next HTTP/1.1\r\nHost: a\r\n\r\n')
+    await new Promise(resolve => { setTimeout(resolve, 100) })
+    loseLink()
+    await closed
+    expect(received).toEqual(before)
+  })
+
+  it('ends with 502 when the peer is lost before it responds to a further request on the connection', async () => {
+    const { port, loseLink, served } = await startOffloaded((req, res) => { if (req.url === '/first') res.end('done') })
+    const socket = connect({ port, host: '127.0.0.1', noDelay: true })
+    let received = ''
+    socket.on('data', chunk => { received += chunk.toString() })
+    const closed = new Promise(resolve => { socket.on('close', resolve) })
+    socket.write('GET /first HTTP/1.1\r\nHost: a\r\n\r\n')
+    await waitUntil(() => received.endsWith('done'))
+    socket.write('GET /next HTTP/1.1\r\nHost: a\r\n\r\n')
+    await waitUntil(() => served[0]?.openRequests === 1)
+    loseLink()
+    await closed
+    expect(received).toMatchRegex(/doneHTTP\/1.1 502[^]*"peer-lost"/)
+  })
+
   it('answers 503, as not run, to a request that crosses the close of an idle connection', async () => {
     const { port, served } = await startOffloaded(echo)
     const socket = connect({ port, host: '127.0.0.1', noDelay: true })
--- a/packages/gateway/src/offload/offloadedCaller.ts
+++ b/packages/gateway/src/offload/offloadedCaller.ts
@@ -5,6 +5,10 @@
 import { ReceiveCredit, SendCredit } from './creditWindow.js'
 import type { OffloadLink } from './offloadLink.js'
 import type { ConnectionNumber } from './offloadTypes.js'
+import { ResponseBoundary } from './responseBoundary.js'
+
+/** Start of a request whose response has a head with a length, and no body. */
+const BODILESS_REQUEST = 'HEAD /'
 
 /** The peer was lost before it responded; whether it has run the request is not known. */
 const PEER_LOST: Refusal = { status: 502, reason: 'peer-lost' }
@@ -22,6 +26,8 @@
   readonly #receiveCredit = new ReceiveCredit()
   /** True from the first bytes of a request to the first bytes of its response. */
   #awaitsResponse = false
+  /** The caller may send bytes while a response is in progress, so that its requests do not tell whether one is. */
+  readonly #boundary = new ResponseBoundary()
   #isClosed = false
 
   /**
@@ -50,6 +56,7 @@
   /** Passes on bytes of a response. */
   receive (bytes: Buffer): void {
     this.#awaitsResponse = false
+    this.#boundary.push(bytes)
     if (this.#socket.write(bytes)) return this.#returnCredit(bytes.length)
     this.#socket.once('drain', () => { this.#returnCredit(bytes.length) })
   }
@@ -62,7 +69,7 @@
   /** The peer has closed the connection. */
   receiveClose (isIdle: boolean): void {
     this.#isClosed = true
-    if (isIdle && this.#awaitsResponse) this.#refuse(NOT_READ)
+    if (isIdle && this.#mayRefuse) this.#refuse(NOT_READ)
     else this.#socket.destroySoon()
   }
 
@@ -75,10 +82,14 @@
   /** Ends the connection, as the link to the peer is lost. */
   fail (): void {
     this.#isClosed = true
-    if (this.#awaitsResponse) this.#refuse(PEER_LOST)
+    if (this.#mayRefuse) this.#refuse(PEER_LOST)
     else this.#socket.destroy()
   }
 
+  get #mayRefuse (): boolean {
+    return this.#awaitsResponse && this.#boundary.isBetween
+  }
+
   #refuse (refusal: Refusal): void {
     this.#socket.end(rawRefusal(this.#headers, refusal))
     this.#socket.destroySoon()
@@ -86,6 +97,7 @@
 
   #passOn (bytes: Buffer): void {
     this.#awaitsResponse = true
+    if (bytes.includes(BODILESS_REQUEST)) this.#boundary.stopFollowing()
     this.#link.send({ kind: 'data', connection: this.#connection, bytes })
     this.#sendCredit.consume(bytes.length)
     if (this.#sendCredit.isExhausted) this.#socket.pause()
