Reset an offloaded connection whose response without a length breaks off

Where a peer serves the connection, a response that ends with it and breaks off was followed by an orderly close, when the peer broke it off and when the peer was lost, and looked complete to its caller. An orderly end arrives as an end frame before the close; without one the caller's connection is reset.

offload.spec on the code before printed

✖ is reset where the peer breaks off a response without a length, or is lost, and not where it ends one The value ["part closed", "parts closed"] is not equal to ["part reset", "parts closed"], but it was expected to be equal.

and passes now, in three runs.

--- a/packages/gateway/src/offload/offload.spec.ts
+++ b/packages/gateway/src/offload/offload.spec.ts
@@ -235,6 +235,28 @@
     expect(received).toMatchRegex(/doneHTTP\/1.1 502[^]*"peer-lost"/)
   })
 
+  it('is reset where the peer breaks off a response without a length, or is lost, and not where it ends one', async () => {
+    const { port, loseLink } = await startOffloaded((req, res) => {
+      res.useChunkedEncodingByDefault = false
+      res.write('part')
+      if (req.url === '/broken') setTimeout(() => { res.destroy() }, 100)
+      if (req.url === '/whole') setTimeout(() => { res.end('s') }, 100)
+    })
+    const endOf = async (path: string): Promise<string> => await new Promise(resolve => {
+      const socket = connect({ port, host: '127.0.0.1' })
+      let received = ''
+      let outcome = 'closed'
+      socket.on('data', chunk => { received += chunk.toString() })
+      socket.on('error', () => { outcome = 'reset' })
+      socket.on('close', () => { resolve(`${received.split('\r\n\r\n')[1] ?? ''} ${outcome}`) })
+      socket.write(`GET ${path} HTTP/1.1\r\nHost: a\r\n\r\n`)
+    })
+    const lost = endOf('/lost')
+    expect(await Promise.all([endOf('/broken'), endOf('/whole')])).toEqual(['part reset', 'parts closed'])
+    loseLink()
+    expect(await lost).toEqual('part reset')
+  })
+
   it('answers 503, as not run, to a request that crosses the close of an idle connection', async () => {
     const { port, served } = await startOffloaded(echo)
     const socket = connect({ port, host: '127.0.0.1', noDelay: true })
--- a/packages/gateway/src/offload/offloadedCaller.ts
+++ b/packages/gateway/src/offload/offloadedCaller.ts
@@ -28,6 +28,8 @@
   #awaitsResponse = false
   /** The caller may send bytes while a response is in progress, so that its requests do not tell whether one is. */
   readonly #boundary = new ResponseBoundary()
+  /** True when the peer has ended the connection in an orderly way. */
+  #hasEnded = false
   #isClosed = false
 
   /**
@@ -63,6 +65,7 @@
 
   /** The peer sends nothing more. */
   receiveEnd (): void {
+    this.#hasEnded = true
     this.#socket.end()
   }
 
@@ -70,6 +73,7 @@
   receiveClose (isIdle: boolean): void {
     this.#isClosed = true
     if (isIdle && this.#mayRefuse) this.#refuse(NOT_READ)
+    else if (!isIdle && this.#isCutOff) this.#socket.resetAndDestroy()
     else this.#socket.destroySoon()
   }
 
@@ -83,6 +87,7 @@
   fail (): void {
     this.#isClosed = true
     if (this.#mayRefuse) this.#refuse(PEER_LOST)
+    else if (this.#isCutOff) this.#socket.resetAndDestroy()
     else this.#socket.destroy()
   }
 
@@ -90,6 +95,11 @@
     return this.#awaitsResponse && this.#boundary.isBetween
   }
 
+  /** True when an orderly close would declare a response complete that broke off. */
+  get #isCutOff (): boolean {
+    return this.#boundary.endsWithConnection && !this.#hasEnded
+  }
+
   #refuse (refusal: Refusal): void {
     this.#socket.end(rawRefusal(this.#headers, refusal))
     this.#socket.destroySoon()
