Begin a stream that may be resumed with nothing but events

A stream whose first response broke off before an event has not begun for its caller. When the next response was a success of another media type, it was forwarded and ended the stream. It counts as garbled now, so that another upstream is tried where it may.

The specs of the other cases that were tried land with it. Bytes that a caller sends during a stream were tried in five ways; none put foreign bytes into it, before or now.

--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -196,7 +196,8 @@
     if (head.isNotExecuted || status === MISDIRECTED_REQUEST_STATUS) return { kind: 'not-run', reason: status === UNAVAILABLE_STATUS ? 'full' : 'declined' }
     if (head.isEncoded || (status < 300 && !head.isSealed)) return { kind: 'uncertain', reason: 'garbled' }
     if (relay.hasStarted && status !== relay.status) return { kind: 'error-answer', status }
-    return relay.accepts(status, headers) ? undefined : { kind: 'uncertain', reason: 'not-continued' }
+    const reason = relay.headProblem(status, headers)
+    return reason && { kind: 'uncertain', reason }
   }
 
   #onData (chunk: Buffer): void {
--- a/packages/gateway/src/requests/errorInStream.spec.ts
+++ b/packages/gateway/src/requests/errorInStream.spec.ts
@@ -257,3 +257,61 @@
     })
   })
 })
+
+describe('a stream whose first response broke off before an event', () => {
+  const inEvent: Script = ({ socket }) => {
+    socket.write(CHUNKED_STREAM + chunk('id: 1\nda'))
+    setTimeout(() => { socket.resetAndDestroy() }, 20)
+  }
+  const json = '{"error":"lost"}'
+  const CASES = [
+    { name: 'the whole stream', bytes: stream(events(1, 6)), status: 200, body: events(1, 6) },
+    { name: 'an error', bytes: sized('application/json', json, '500 Internal Server Error'), status: 500, body: json },
+    { name: 'an error that has blank lines and an id', bytes: sized('text/plain', 'lost\n\nid: 5\n\nlost', '404 Not Found'), status: 404, body: 'lost\n\nid: 5\n\nlost' },
+    { name: 'JSON', bytes: sized('application/json', `${json}\n\n`), status: 502, body: '{"error":"garbled"}' }
+  ]
+
+  for (const { name, bytes, status, body } of CASES) {
+    it(`is ended by the second response only when that is ${name}`, async () => {
+      await withUpstreams(inTurn(inEvent, respondRaw(bytes)), async gateway => {
+        const received = await call(gateway, '/stream/x')
+        expect([Number(/^http\/1.1 (\d+)/.exec(received.head)?.[1]), received.body, received.isComplete]).toEqual([status, body, true])
+      })
+    })
+  }
+})
+
+describe('a stream during which its caller sends further bytes', () => {
+  const slow: Script = ({ socket }) => {
+    socket.on('error', () => {})
+    socket.write(CHUNKED_STREAM + chunk(events(1, 3)))
+    setTimeout(() => { socket.write(`${chunk(events(4, 6))}0\r\n\r\n`) }, 300)
+  }
+  const CASES = [
+    { name: 'no request', bytes: 'lost\r\n\r\n' },
+    { name: 'a part of a head', bytes: 'GET /stream/y HTTP/1.1\r\nHost: a.ex' },
+    { name: 'a request without a route', bytes: 'GET /none HTTP/1.1\r\nHost: a.example\r\nTry: t2\r\n\r\n' },
+    { name: 'a body that is too long', bytes: `POST /safe/y HTTP/1.1\r\nHost: a.example\r\nTry: t2\r\nContent-Length: 5000\r\n\r\n${'a'.repeat(5000)}` },
+    { name: 'a request that asks to continue', bytes: 'POST /none HTTP/1.1\r\nHost: a.example\r\nTry: t2\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\na' }
+  ]
+
+  for (const { name, bytes } of CASES) {
+    it(`carries nothing but its events: ${name}`, async () => {
+      await withUpstreams(slow, async gateway => {
+        const socket = connect(gateway.callersPort, '127.0.0.1')
+        let text = ''
+        socket.on('error', () => {})
+        socket.once('data', () => { socket.write(bytes) })
+        socket.on('data', part => { text += part.toString('latin1') })
+        const closed = new Promise(resolve => { socket.on('close', resolve) })
+        socket.write('GET /stream/x HTTP/1.1\r\nHost: a.example\r\nTry: t1\r\n\r\n')
+        await Promise.race([closed, new Promise(resolve => { setTimeout(resolve, 1500) })])
+        socket.destroy()
+        const [first = '', rest = ''] = text.split(/(?<=\r\n0\r\n\r\n)/)
+        const { body, isComplete } = decode(first, false)
+        expect(body).toEqual(isComplete ? events(1, LAST_ID) : events(1, RECEIVED_ID))
+        expect(rest).toMatchRegex(/^(?:HTTP\/1.1 \d+ [^]*)?$/)
+      })
+    })
+  }
+})
--- a/packages/gateway/src/requests/responseRelay.ts
+++ b/packages/gateway/src/requests/responseRelay.ts
@@ -45,6 +45,7 @@
   /** True when the caller has a part of the stream from an earlier response. */
   readonly #isTakenUp: boolean
   #status = 0
+  /** Media type of the response that was begun last, until a part of one has been forwarded. */
   #mediaType: string | undefined
   /** True when the body of the current response is a series of events. */
   #hasEvents = false
@@ -122,12 +123,12 @@
     return this.#status
   }
 
-  /** Tells whether a response may be forwarded, by its head: one that has to go on with a stream, or to begin one that may be resumed, has events. */
-  accepts (status: number, headers: HeaderList): boolean {
-    if (this.#resumable === undefined) return true
-    if (this.hasStarted) return mayContinue(status, mediaTypeOf(headers), this.#mediaType)
-    if (status >= FIRST_OTHER_STATUS) return true
-    return this.#isTakenUp ? mayContinue(status, mediaTypeOf(headers), undefined) : [EVENT_STREAM, undefined].includes(mediaTypeOf(headers))
+  /** Returns why a response must not be forwarded, by its head: one that has to go on with a stream, or to begin one that may be resumed, has events. */
+  headProblem (status: number, headers: HeaderList): 'garbled' | 'not-continued' | undefined {
+    if (this.#resumable === undefined || (!this.hasStarted && status >= FIRST_OTHER_STATUS)) return undefined
+    const mediaType = mediaTypeOf(headers)
+    if (this.hasStarted || this.#isTakenUp) return mayContinue(status, mediaType, this.hasStarted ? this.#mediaType : undefined) ? undefined : 'not-continued'
+    return mediaType === undefined || mediaType === EVENT_STREAM ? undefined : 'garbled'
   }
 
   /** Starts the response of an attempt; once something has been forwarded, status and headers stay those of the earlier attempt. */
