Resume no stream after an event whose id a number does not hold

An id of more than 15 digits was read as the nearest number, or as 1e+21, and sent to the next upstream as the position. It counts as no id now, so that the stream is broken off.

--- a/packages/gateway/src/requests/eventSplitter.spec.ts
+++ b/packages/gateway/src/requests/eventSplitter.spec.ts
@@ -41,6 +41,6 @@
       return whole.endsWithId
     }
     for (const text of ['id: 1\ndata: a\n\n', 'data: a\nid: 1\n\n', 'id: 1\r\ndata: a\r\n\r\n', 'data: a\n\nid: 2\ndata: b\n\n', 'id: 1\n\n: note\n\n\n', ': note\n\n']) expect([text, endsWithId(text)]).toEqual([text, true])
-    for (const text of ['data: a\n\n', 'id: 1\ndata: a\n\ndata: b\n\n', 'id: 1\r\n\r\n: note\r\ndata: b\r\n\r\n', 'id: 1\n\nid: 2x\n\n']) expect([text, endsWithId(text)]).toEqual([text, false])
+    for (const text of ['data: a\n\n', 'id: 1\ndata: a\n\ndata: b\n\n', 'id: 1\r\n\r\n: note\r\ndata: b\r\n\r\n', 'id: 1\n\nid: 2x\n\n', 'id: 1\n\nid: 1234567890123456\n\n']) expect([text, endsWithId(text)]).toEqual([text, false])
   })
 })
--- a/packages/gateway/src/requests/eventSplitter.ts
+++ b/packages/gateway/src/requests/eventSplitter.ts
@@ -16,6 +16,9 @@
 const NINE = 0x39
 const COLON = 0x3a
 
+/** Digits that a number holds exactly. */
+const MAX_ID_DIGITS = 15
+
 /** Splits one stream. */
 export class EventSplitter {
   #pending: Buffer = Buffer.alloc(0)
@@ -109,7 +112,7 @@
   let id = 0
   let at = first
   for (; isDigit(bytes[at]); at++) id = id * 10 + (bytes[at] ?? ZERO) - ZERO
-  if (at === first) return undefined
+  if (at === first || at - first > MAX_ID_DIGITS) return undefined
   const end = bytes[at] === CR ? at + 1 : at
   return bytes[end] === LF ? id : undefined
 }
