--- a/packages/gateway/src/offload/offload.spec.ts
+++ b/packages/gateway/src/offload/offload.spec.ts
@@ -202,6 +202,61 @@
     expect(await started).toMatchRegex(/part\r\n$/)
   })
 
+  // Guards against the head of a refusal in the middle of a stream.
+  it('is cut without a further byte when the peer is lost while a response is in progress and the caller has sent the next request', async () => {
+    const { port, loseLink } = await startOffloaded((_req, res) => { res.write('id: 1\n\n') })
+    const socket = connect({ port, host: '127.0.0.1', noDelay: true })
+    let received = ''
+    socket.on('data', chunk => { received += chunk.toString() })
+    socket.on('error', () => {})
+    const closed = new Promise(resolve => { socket.on('close', resolve) })
+    socket.write('GET /stream HTTP/1.1\r\nHost: a\r\n\r\n')
+    await waitUntil(() => received.includes('id: 1'))
+    const before = received
+    socket.write('GET /next HTTP/1.1\r\nHost: a\r\n\r\n')
+    await new Promise(resolve => { setTimeout(resolve, 100) })
+    loseLink()
+    await closed
+    expect(received).toEqual(before)
+  })
+
+  it('ends with 502 when the peer is lost before it responds to a further request on the connection', async () => {
+    const { port, loseLink, served } = await startOffloaded((req, res) => { if (req.url === '/first') res.end('done') })
+    const socket = connect({ port, host: '127.0.0.1', noDelay: true })
+    let received = ''
+    socket.on('data', chunk => { received += chunk.toString() })
+    const closed = new Promise(resolve => { socket.on('close', resolve) })
+    socket.write('GET /first HTTP/1.1\r\nHost: a\r\n\r\n')
+    await waitUntil(() => received.endsWith('done'))
+    socket.write('GET /next HTTP/1.1\r\nHost: a\r\n\r\n')
+    await waitUntil(() => served[0]?.openRequests === 1)
+    loseLink()
+    await closed
+    expect(received).toMatchRegex(/doneHTTP\/1.1 502[^]*"peer-lost"/)
+  })
+
+  it('is reset where the peer breaks off a response without a length, or is lost, and not where it ends one', async () => {
+    const { port, loseLink } = await startOffloaded((req, res) => {
+      res.useChunkedEncodingByDefault = false
+      res.write('part')
+      if (req.url === '/broken') setTimeout(() => { res.destroy() }, 100)
+      if (req.url === '/whole') setTimeout(() => { res.end('s') }, 100)
+    })
+    const endOf = async (path: string): Promise<string> => await new Promise(resolve => {
+      const socket = connect({ port, host: '127.0.0.1' })
+      let received = ''
+      let outcome = 'closed'
+      socket.on('data', chunk => { received += chunk.toString() })
+      socket.on('error', () => { outcome = 'reset' })
+      socket.on('close', () => { resolve(`${received.split('\r\n\r\n')[1] ?? ''} ${outcome}`) })
+      socket.write(`GET ${path} HTTP/1.1\r\nHost: a\r\n\r\n`)
+    })
+    const lost = endOf('/lost')
+    expect(await Promise.all([endOf('/broken'), endOf('/whole')])).toEqual(['part reset', 'parts closed'])
+    loseLink()
+    expect(await lost).toEqual('part reset')
+  })
+
   it('answers 503, as not run, to a request that crosses the close of an idle connection', async () => {
     const { port, served } = await startOffloaded(echo)
     const socket = connect({ port, host: '127.0.0.1', noDelay: true })
--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -181,7 +181,7 @@
     const attribution = attributeResponse({ requestId: request.head.attempt, responseId: head.attempt, isFirstExchange: this.#exchange?.isFirstOnConnection === true })
     recordAnnouncements(ctx, request, this.upstream, status, head, attribution)
     if (this.#isOver) return
-    const failure = this.#headFailure(head, status, attribution)
+    const failure = this.#headFailure(head, status, headers, attribution)
     if (failure !== undefined) return this.#handlers.onFailed(failure)
     if (status >= 500 && !relay.hasStarted) {
       const error: AttemptFailure = { kind: 'error-answer', status }
@@ -192,13 +192,14 @@
   }
 
   /** Returns why a response must not be forwarded; undefined when it may be. */
-  #headFailure (head: ResponseHead, status: number, attribution: ResponseAttribution): AttemptFailure | undefined {
+  #headFailure (head: ResponseHead, status: number, headers: HeaderList, attribution: ResponseAttribution): AttemptFailure | undefined {
     const { relay } = this.#scope
     if (attribution !== 'own') return { kind: 'uncertain', reason: attribution }
     if (head.isNotExecuted || status === MISDIRECTED_REQUEST_STATUS) return { kind: 'not-run', reason: status === UNAVAILABLE_STATUS ? 'full' : 'declined' }
     if (head.isEncoded || (status < 300 && !head.isSealed)) return { kind: 'uncertain', reason: 'garbled' }
     if (relay.hasStarted && status !== relay.status) return { kind: 'error-answer', status }
-    return undefined
+    const reason = relay.headProblem(status, headers)
+    return reason && { kind: 'uncertain', reason }
   }
 
   #onData (chunk: Buffer): void {
@@ -212,6 +213,7 @@
     const isWritable = relay.data(chunk)
     if (forwardedBytes === 0 && relay.forwardedBytes > 0) origin.recordBegin(this.upstream)
     if (!hasPartialEvent || relay.forwardedBytes > forwardedBytes) this.#progressAt = this.#now
+    if (relay.hasLeftStream) return this.#handlers.onFailed({ kind: 'uncertain', reason: 'not-continued' })
     if (relay.isEventTooLong) return this.#handlers.onFailed({ kind: 'uncertain', reason: 'garbled' })
     if (isWritable) return
     this.#exchange?.pause()
@@ -230,7 +232,8 @@
 
   #onEnd (): void {
     if (this.#isOver) return
-    if (!this.#scope.relay.end()) return this.#handlers.onFailed({ kind: 'uncertain', reason: 'reset' })
+    const { relay } = this.#scope
+    if (!relay.end()) return this.#handlers.onFailed({ kind: 'uncertain', reason: relay.isContinued ? 'reset' : 'not-continued' })
     this.end('answered')
     this.#handlers.onAnswered()
   }
--- a/packages/policy/src/attempt/attemptTypes.ts
+++ b/packages/policy/src/attempt/attemptTypes.ts
@@ -27,9 +27,9 @@
     readonly kind: 'uncertain'
     /**
      * `reset`: connection lost; `silent`: no data from the upstream for too long; `garbled`: malformed or incomplete response;
-     * otherwise a response that cannot be attributed to the request.
+     * `not-continued`: a response that does not go on with the stream; otherwise a response that cannot be attributed to the request.
      */
-    readonly reason: 'reset' | 'silent' | 'garbled' | Exclude<ResponseAttribution, 'own'>
+    readonly reason: 'reset' | 'silent' | 'garbled' | 'not-continued' | Exclude<ResponseAttribution, 'own'>
   } |
   {
     /** The upstream ran the request and responded with an error. */
