A refusal of bytes behind a running request is not sent in place of its answer

What callers saw: 408 ("not run") for a request that an upstream was running, where the caller had begun the head of another request on the connection and did not end it within the headers timeout. Likewise 400 and 431 for bytes behind a running request that are no request.

Cause: Node.js writes these responses itself, and does so while a request is in progress as long as nothing of its response has been written. The caller takes the bytes for the answer to the request that it sent first.

Fix: `clientError` is handled: the refusal is written only when the connection has no request that was passed on; otherwise the connection is closed, which promises nothing. Before, the connection was closed as well, after the refusal. Connections without a request get the same statuses as before.

--- a/packages/gateway/src/callers/callerServer.ts
+++ b/packages/gateway/src/callers/callerServer.ts
@@ -10,7 +10,7 @@
 import type { GatewayRoute, RoutingTable } from '../routing/routingTypes.js'
 import { OffloadedSocket } from '../offload/offloadedSocket.js'
 import type { FlowContext } from '../requests/flowContext.js'
-import { type Refusal, sendRefusal } from '../requests/refusals.js'
+import { rawRefusal, type Refusal, sendRefusal } from '../requests/refusals.js'
 import type { RequestFlow } from '../requests/requestFlow.js'
 import { readCallerBody } from './readBody.js'
 
@@ -49,6 +49,16 @@
   })
 }
 
+/** Refusal of bytes that are no complete request, by the code of the parser's error. */
+const parseRefusal = (code: string | undefined): Refusal => {
+  switch (code) {
+    case 'ERR_HTTP_REQUEST_TIMEOUT': return { status: 408, reason: 'headers-timeout' }
+    case 'HPE_HEADER_OVERFLOW': return { status: 431, reason: 'headers-too-long' }
+    case 'HPE_CHUNK_EXTENSIONS_OVERFLOW': return { status: 413, reason: 'body-too-long' }
+    default: return { status: 400, reason: 'malformed-request' }
+  }
+}
+
 /** A request that was admitted by its headers, before its body is read. */
 interface AdmittedRequest {
   readonly table: RoutingTable
@@ -72,6 +82,8 @@
   readonly #server: Server
   readonly #listeners: readonly ConnectionListener[]
   readonly #sockets = new Set<Socket>()
+  /** Requests that were passed to the flow and have not ended, by their connection. */
+  readonly #running = new WeakMap<Duplex, number>()
   /** Requests read since the last sample, and how many of them their callers had abandoned by then. */
   #sample = { read: 0, abandoned: 0 }
   #isStopping = false
@@ -93,6 +105,7 @@
     this.#listeners = this.#server.listeners('connection') as ConnectionListener[]
     this.#server.removeAllListeners('connection')
     this.#server.on('connection', (socket: Socket) => { this.#accept(socket) })
+    this.#server.on('clientError', (err: NodeJS.ErrnoException, socket) => { this.#onClientError(err, socket) })
     this.#server.on('checkContinue', (req, res) => {
       res.writeContinue()
       this.#receive(req, res)
@@ -220,6 +233,7 @@
     if ('status' in rechecked) return this.#reject(req, res, rechecked)
     const service = this.#serviceOfStream(rechecked) ?? pickServiceByWeight(rechecked.route, this.ctx.random())
     if (service === undefined) return this.#reject(req, res, { status: 503, reason: 'no-service', retryAfterMs: NOT_READY_RETRY_AFTER_MS })
+    this.#trackRunning(req.socket, res)
     this.flow.open({
       head,
       headers: endToEndHeaders(pairHeaders(req.rawHeaders)),
@@ -235,6 +249,17 @@
     })
   }
 
+  #trackRunning (socket: Duplex, res: ServerResponse): void {
+    this.#running.set(socket, (this.#running.get(socket) ?? 0) + 1)
+    res.on('close', () => { this.#running.set(socket, (this.#running.get(socket) ?? 0) - 1) })
+  }
+
+  /** Refuses what is no request, unless its connection has one in progress: the caller would take the refusal for the answer to that one. */
+  #onClientError ({ code }: NodeJS.ErrnoException, socket: Duplex): void {
+    if (socket.writable && (this.#running.get(socket) ?? 0) === 0) socket.write(rawRefusal(this.ctx.headers, parseRefusal(code)))
+    socket.destroy()
+  }
+
   /** @returns the service at which a stream has begun that the caller takes up, if its route still leads there */
   #serviceOfStream ({ route, head }: AdmittedRequest): ServiceId | undefined {
     if (!route.isStream || head.resumes === undefined || route.targets.length < 2) return undefined
