A refusal that does not state that nothing ran is not forwarded for a request that may run once

What callers saw: 408, 429 or 503 for a request that an upstream had run, where the upstream gave that status with the id of the request and without X-Not-Executed.

Cause: the status was forwarded like any other. Callers take these statuses for the statement that the request has not run, and send it once more; of upstreams, only X-Not-Executed (and 421) states that. Sound upstreams mark their refusals, so nothing changes for them.

Fix: such a response fails the attempt with `unconfirmed`; the caller of a request that may run once gets 502, and no other upstream is tried. Requests that may run again are handled as before.

Evidence: unmarkedRefusal.spec before, 3 of 6 failed: The value 408 is not equal to 502; The value 429 is not equal to 502; The value 503 is not equal to 502 After: 6 of 6; specs of gateway/process 53 of 53, gateway/requests 68 of 68, policy/attempt 13 of 13.

--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -20,6 +20,9 @@
 /** Lowest status of a response that is an error; how long it took says nothing of the time of work. */
 const FIRST_ERROR_STATUS = 400
 
+/** Statuses that tell callers that a request has not run; 421, the fourth, states so by itself. */
+const NOT_RUN_STATUSES = new Set([408, 429, UNAVAILABLE_STATUS])
+
 /** Share of the latency target for which an upstream that is not an engine may send no byte before another one is tried. */
 const NON_ENGINE_SILENCE_TARGET_RATIO = 0.9
 
@@ -193,9 +196,11 @@
 
   /** Returns why a response must not be forwarded; undefined when it may be. */
   #headFailure (head: ResponseHead, status: number, attribution: ResponseAttribution): AttemptFailure | undefined {
-    const { relay } = this.#scope
+    const { request, relay } = this.#scope
     if (attribution !== 'own') return { kind: 'uncertain', reason: attribution }
     if (head.isNotExecuted || status === MISDIRECTED_REQUEST_STATUS) return { kind: 'not-run', reason: status === UNAVAILABLE_STATUS ? 'full' : 'declined' }
+    // The caller would send the request once more.
+    if (request.route.repeatability === 'once' && NOT_RUN_STATUSES.has(status)) return { kind: 'uncertain', reason: 'unconfirmed' }
     if (head.isEncoded || (status < 300 && !head.isSealed)) return { kind: 'uncertain', reason: 'garbled' }
     if (relay.hasStarted && status !== relay.status) return { kind: 'error-answer', status }
     return undefined
--- a/packages/policy/src/attempt/attemptTypes.ts
+++ b/packages/policy/src/attempt/attemptTypes.ts
@@ -27,9 +27,10 @@
     readonly kind: 'uncertain'
     /**
      * `reset`: connection lost; `silent`: no data from the upstream for too long; `garbled`: malformed or incomplete response;
+     * `unconfirmed`: a status that tells callers that the request has not run, from an upstream that does not state so;
      * otherwise a response that cannot be attributed to the request.
      */
-    readonly reason: 'reset' | 'silent' | 'garbled' | Exclude<ResponseAttribution, 'own'>
+    readonly reason: 'reset' | 'silent' | 'garbled' | 'unconfirmed' | Exclude<ResponseAttribution, 'own'>
   } |
   {
     /** The upstream ran the request and responded with an error. */
