--- a/packages/gateway/src/log/gatewayMetrics.ts
+++ b/packages/gateway/src/log/gatewayMetrics.ts
@@ -11,6 +11,7 @@
   readonly attempts = new Counter({ name: 'fuchsiaworks_attempts_total', help: 'Requests sent to upstreams by how the attempt ended', labelNames: ['service', 'outcome'], registers: [this.registry] })
   readonly backOffs = new Counter({ name: 'fuchsiaworks_upstream_back_offs_total', help: 'Responses in which an upstream asked for no further requests', labelNames: ['service'], registers: [this.registry] })
   readonly rejectedLoads = new Counter({ name: 'fuchsiaworks_instance_load_rejected_total', help: 'Loads reported by upstreams that were ignored, by reason', labelNames: ['reason'], registers: [this.registry] })
+  readonly rejectedEntries = new Counter({ name: 'fuchsiaworks_upstream_entries_rejected_total', help: 'Entries of the list of upstreams that name no upstream, by reason', labelNames: ['reason'], registers: [this.registry] })
   readonly upstreamCrashes = new Counter({ name: 'fuchsiaworks_upstream_crashes_total', help: 'Crashes of upstreams that this gateway recognized, by evidence', labelNames: ['evidence'], registers: [this.registry] })
   readonly crashReports = new Counter({ name: 'fuchsiaworks_crash_reports_received_total', help: 'Crash reports received from peer gateways', registers: [this.registry] })
   readonly crashSuspects = new Gauge({ name: 'fuchsiaworks_crash_suspects', help: 'Requests and prompt parts that are suspected of crashing upstreams', registers: [this.registry] })
--- a/packages/gateway/src/port/fleetPort.ts
+++ b/packages/gateway/src/port/fleetPort.ts
@@ -14,11 +14,19 @@
   readonly excludedZones: ReadonlySet<ZoneId>
 }
 
+/**
+ * Why an entry of the list names no upstream. `unreadable`: its bytes are no JSON; `field`: one is missing or of another type, or its value has no
+ * meaning; `id`: no header can carry it.
+ */
+export type UpstreamEntryProblem = 'unreadable' | 'too-deep' | 'number-out-of-range' | 'field' | 'address' | 'id'
+
 /** Watches the platform's lists. */
 export interface FleetPort {
   readonly view: FleetView
   /** Emits the new view after each change. */
   readonly changes: Stream<FleetView>
+  /** Emits why an entry names no upstream, each time that one is written. */
+  readonly entryProblems: Stream<UpstreamEntryProblem>
   /** Milliseconds since the view was last confirmed to be up to date, including time in which the process was suspended; undefined before the first confirmation. */
   confirmedAgeMs: () => Millis | undefined
   /** Milliseconds of monotonic time for which the list of upstreams has been followed without missing a change; 0 before it is complete. */
--- a/packages/gateway/src/process/engineFixtures.ts
+++ b/packages/gateway/src/process/engineFixtures.ts
@@ -3,7 +3,7 @@
 import type { AddressInfo } from 'node:net'
 import { asId, EventSource, type Millis, type RunningProcess, type ServiceId, type UpstreamId, type WorkspaceId } from '@fuchsiaworks/kernel'
 import { findPorts } from '@fuchsiaworks/standins'
-import type { FleetPort, FleetView } from '../port/fleetPort.js'
+import type { FleetPort, FleetView, UpstreamEntryProblem } from '../port/fleetPort.js'
 import type { HeaderPort, PromptMetadata } from '../port/headerPort.js'
 import type { GatewayRoute, GatewayUpstream } from '../routing/routingTypes.js'
 import { testHeaders } from './gatewayFixtures.js'
@@ -111,7 +111,7 @@
   const portOf = (gateway: number, nth: number): number => ports[gateway * 4 + nth]!
   const startOne = async (gateway: number): Promise<RunningProcess> => {
     const changes = new EventSource<FleetView>()
-    const fleet: FleetPort = { view, changes: changes.stream, confirmedAgeMs: () => 0, completeForMs: () => 60_000, confirm: async () => true, setRole: () => {}, handlePeerRequest: () => false, start: () => { changes.emit(view) }, close: async () => {} }
+    const fleet: FleetPort = { view, changes: changes.stream, entryProblems: new EventSource<UpstreamEntryProblem>().stream, confirmedAgeMs: () => 0, completeForMs: () => 60_000, confirm: async () => true, setRole: () => {}, handlePeerRequest: () => false, start: () => { changes.emit(view) }, close: async () => {} }
     return await startGateway({
       role: 'gateway',
       host: asId(`h${gateway}`),
--- a/packages/gateway/src/process/gatewayFixtures.ts
+++ b/packages/gateway/src/process/gatewayFixtures.ts
@@ -6,7 +6,7 @@
 import type { GatewaySettings } from '@fuchsiaworks/settings'
 import { findPorts } from '@fuchsiaworks/standins'
 import type { HeaderList } from '@fuchsiaworks/wire'
-import type { FleetPort, FleetView } from '../port/fleetPort.js'
+import type { FleetPort, FleetView, UpstreamEntryProblem } from '../port/fleetPort.js'
 import type { CallerAttemptId, HeaderPort, ResponseHead } from '../port/headerPort.js'
 import type { GatewayRoute, GatewayUpstream } from '../routing/routingTypes.js'
 import { startGateway } from './startGateway.js'
@@ -179,6 +179,7 @@
   const fleet: FleetPort = {
     get view () { return current },
     changes: viewChanges.stream,
+    entryProblems: new EventSource<UpstreamEntryProblem>().stream,
     confirmedAgeMs: () => state.viewAgeMs,
     completeForMs: () => state.completeForMs,
     confirm: async () => state.viewAgeMs === 0,
--- a/packages/gateway/src/process/startGateway.ts
+++ b/packages/gateway/src/process/startGateway.ts
@@ -156,6 +156,7 @@
     upstreams = view.upstreams
     applyFleetView(ctx, callerServer, view)
   })
+  onEvent(ports.fleet.entryProblems, log, reason => { metrics.rejectedEntries.inc({ reason }) })
   onEvent(mesh.states.stream, log, state => { applyPeerState(ctx, state) })
   onEvent(mesh.lost.stream, log, peer => {
     placement.removePeer(peer, clock.now())
