Take an upstream to which a request cannot be handed as unusable, not as an internal error

The client library throws where a client is made for an address that is none, and rejects a request with a header that it does not write. Callers saw their connections closed without an answer ("request dropped: internal error") though another upstream was sound; where the request was sent again in a timer, because its upstream was silent, the gateway ended. A request that the library rejects for its own content counted as a sign that the upstream accepts no connections: all gateways avoided it for 1.5 s, and with it every other request of the service was refused.

The client of an upstream now reports either through its handler, as any other failure before a byte was sent, in a later iteration of the event loop. The first counts as `unreachable`, so that the upstream is avoided; the second as `unsendable`, which says nothing of the upstream. Both mean that the request did not run, so that another upstream is tried where the policy allows it. The check whether an upstream still listens skips an address that is none.

--- a/packages/gateway/src/process/gateway.spec.ts
+++ b/packages/gateway/src/process/gateway.spec.ts
@@ -106,6 +106,39 @@
     })
   })
 
+  it('sends requests elsewhere when no client can be made for the address of an upstream', async () => {
+    for (const address of ['127.0.0.1:70000', '127.0.0.999:80', 'no address']) {
+      let unreachable = 0
+      for (const id of ['u0', 'u1']) {
+        await withGateway([respond, respond], async gateway => {
+          gateway.setAddress(id, address)
+          for (let at = 0; at < 4; at++) expect(statusOf(await gateway.sendRequest(at % 2 === 0 ? '/once/x' : '/safe/x'))).toEqual(200)
+          unreachable += (await gateway.readMetric('fuchsiaworks_attempts_total'))['service="plain",outcome="unreachable"'] ?? 0
+        })
+      }
+      expect(unreachable).toBeGreaterThan(0)
+    }
+  })
+
+  it('goes on when the request of a silent upstream is sent again, in a timer, to an address for which no client can be made', async () => {
+    await withGateway([() => {}, respond], async gateway => {
+      gateway.setAddress('u1', '127.0.0.1:70000')
+      await Promise.all(Array.from({ length: 6 }, async () => await gateway.sendRequest('/safe/x')))
+      const attempts = await gateway.readMetric('fuchsiaworks_attempts_total')
+      expect(['silent', 'unreachable'].filter(outcome => (attempts[`service="plain",outcome="${outcome}"`] ?? 0) === 0)).toEqual([])
+      expect(statusOf(await gateway.checkReadiness())).toEqual(200)
+    })
+  })
+
+  it('does not avoid an upstream because of a request that cannot be sent to any', async () => {
+    await withGateway([respond, respond], async gateway => {
+      for (let at = 0; at < 4; at++) {
+        expect(await gateway.sendRequest('/safe/x', 'Expect: 100-continue\r\n')).toMatchRegex(/HTTP\/1.1 503/)
+        expect(statusOf(await gateway.sendRequest('/safe/x'))).toEqual(200)
+      }
+    })
+  })
+
   it('reuses a connection after a declined request', async () => {
     await withGateway([reject], async gateway => {
       await gateway.sendRequest('/once/x')
--- a/packages/gateway/src/process/gatewayFixtures.ts
+++ b/packages/gateway/src/process/gatewayFixtures.ts
@@ -103,6 +103,8 @@
   removeUpstreams: () => void
   /** Lists an upstream with another software version; undefined for none. */
   setVersion: (id: string, version: string | undefined) => void
+  /** Lists an upstream with another address. */
+  setAddress: (id: string, address: string) => void
   /** Lists an upstream again as a new process under the same id and address. */
   restartUpstream: (id: string) => void
   /** Sends raw bytes over a new connection and returns what is received until it closes or nothing more arrives for `quietMs`. */
@@ -241,6 +243,7 @@
       crashUpstream(id, port => { relays.push(createRelay(socket => { setTimeout(() => { socket.resetAndDestroy() }, RELAY_RESET_MS) }).listen(port, '127.0.0.1')) })
     },
     setVersion: (id: string, version: string | undefined) => { listAgain(id, { version: version === undefined ? undefined : asId<SoftwareVersion>(version) }) },
+    setAddress: (id: string, address: string) => { listAgain(id, { address }) },
     restartUpstream: (id: string) => { listAgain(id, { startedAt: (current.upstreams.get(asId(id))?.startedAt ?? 0) + 1 }) },
     removeUpstreams: () => {
       current = { ...view, upstreams: new Map() }
--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -1,7 +1,7 @@
 /** One attempt: the request is sent to one upstream, whose response is checked and forwarded. */
-import { type Millis, newId } from '@fuchsiaworks/kernel'
+import { createLog, type Millis, newId, toError } from '@fuchsiaworks/kernel'
 import type { AttemptFailure, Placement, RunId } from '@fuchsiaworks/policy'
-import type { UpstreamExchange } from '@fuchsiaworks/upstreams'
+import { UnsendableRequestError, type UpstreamExchange } from '@fuchsiaworks/upstreams'
 import type { HeaderList } from '@fuchsiaworks/wire'
 import { headBytes, type ZoneBytesCause } from '../log/zoneBytes.js'
 import type { ResponseHead } from '../port/headerPort.js'
@@ -38,6 +38,8 @@
  */
 const MAX_OVERHEAD = { bytes: 256 * 1024, bodyRatio: 8 } as const
 
+const log = createLog('gateway')
+
 /** What all attempts of one request share. */
 export interface AttemptScope {
   readonly ctx: FlowContext
@@ -104,12 +106,24 @@
 
   /** Records the attempt with the policies and sends the request. */
   send (timeLeftMs: Millis): void {
-    const { ctx, request, relay, admission, origin } = this.#scope
+    const { ctx, admission, origin } = this.#scope
     const { upstream, placement } = this
     admission.recordSend(upstream)
     origin.recordSend(upstream)
     ctx.placement.startRun(this.run, upstream.id, admission.placementRequest, placement.readTokens, this.#now)
     ctx.mesh.scheduleUpdate()
+    try {
+      this.#exchange = this.#startExchange(timeLeftMs)
+    } catch (err) {
+      if (this.#isOver) throw err
+      log.error('request not sent: internal error', { upstream: upstream.id, reason: toError(err).stack ?? String(err) })
+      ctx.clock.after(0, () => { this.#onFailed(toError(err), false) })
+    }
+  }
+
+  #startExchange (timeLeftMs: Millis): UpstreamExchange {
+    const { ctx, request, relay } = this.#scope
+    const { upstream, placement } = this
     const headers = ctx.headers.encodeUpstreamHeaders(request.headers, {
       upstream: upstream.id,
       deadlineMs: Math.max(1, Math.floor(timeLeftMs)),
@@ -118,7 +132,7 @@
       copyFrom: placement.copyFrom === undefined ? undefined : ctx.fleet.view.upstreams.get(placement.copyFrom)?.address
     })
     this.#countRequest(headBytes(headers))
-    this.#exchange = ctx.clients.get(upstream).send({
+    return ctx.clients.get(upstream).send({
       method: request.method,
       path: request.target,
       headers,
@@ -129,7 +143,7 @@
       head: (status, responseHeaders) => { this.#onHead(status, responseHeaders) },
       data: chunk => { this.#onData(chunk) },
       end: () => { this.#onEnd() },
-      failed: (_err, sent) => { this.#onFailed(sent) }
+      failed: (err, sent) => { this.#onFailed(err, sent) }
     })
   }
 
@@ -233,9 +247,10 @@
     this.#handlers.onAnswered()
   }
 
-  #onFailed (sent: boolean): void {
+  #onFailed (err: Error, sent: boolean): void {
     if (this.#isOver) return
-    this.#handlers.onFailed(sent ? { kind: 'uncertain', reason: 'reset' } : { kind: 'not-run', reason: 'unreachable' })
+    if (sent) return this.#handlers.onFailed({ kind: 'uncertain', reason: 'reset' })
+    this.#handlers.onFailed({ kind: 'not-run', reason: err instanceof UnsendableRequestError ? 'unsendable' : 'unreachable' })
   }
 
   get #isOtherZone (): boolean {
--- a/packages/gateway/src/upstreams/reachabilityCheck.spec.ts
+++ b/packages/gateway/src/upstreams/reachabilityCheck.spec.ts
@@ -50,6 +50,10 @@
     server.close()
   })
 
+  it('finds nothing about an address that is none', async () => {
+    expect(await countUnreachable(70_000)).toEqual(0)
+  })
+
   it('reports nothing once it is closed', async () => {
     const { server, port } = await listen(socket => { socket.resetAndDestroy() })
     expect(await countUnreachable(port, true)).toEqual(0)
--- a/packages/gateway/src/upstreams/reachabilityCheck.ts
+++ b/packages/gateway/src/upstreams/reachabilityCheck.ts
@@ -15,6 +15,16 @@
 /** Errors of a connection to a port that no process listens on. */
 const UNREACHABLE_CODES: ReadonlySet<string> = new Set(['ECONNREFUSED', 'ECONNRESET'])
 
+/** @returns undefined when the address is none, so that there is nothing to check */
+const openSocket = (address: string): Socket | undefined => {
+  try {
+    const { hostname, port } = new URL(`http://${address}`)
+    return connect({ host: hostname, port: Number(port) })
+  } catch {
+    return undefined
+  }
+}
+
 /** Opens connections and closes them again without a request. */
 export class ReachabilityCheck implements Service {
   /** Sockets by address, and addresses whose check is due soon. */
@@ -43,8 +53,11 @@
   }
 
   #check (upstream: GatewayUpstream): void {
-    const { hostname, port } = new URL(`http://${upstream.address}`)
-    const socket = connect({ host: hostname, port: Number(port) })
+    const socket = openSocket(upstream.address)
+    if (socket === undefined) {
+      this.#checks.delete(upstream.address)
+      return
+    }
     this.#checks.set(upstream.address, socket)
     socket.setTimeout(CONNECT_TIMEOUT_MS, () => { socket.destroy() })
     socket.on('connect', () => { socket.setTimeout(OPEN_MS) })
--- a/packages/policy/src/attempt/attemptTypes.ts
+++ b/packages/policy/src/attempt/attemptTypes.ts
@@ -16,10 +16,10 @@
     /** The upstream did not run the request and never will. */
     readonly kind: 'not-run'
     /**
-     * `unreachable`: no connection; `full`: upstream at capacity; `declined`: any other confirmation that the request did not
-     * run.
+     * `unreachable`: no connection; `unsendable`: the request could not be written, whatever the upstream; `full`: upstream at capacity;
+     * `declined`: any other confirmation that the request did not run.
      */
-    readonly reason: 'unreachable' | 'full' | 'declined'
+    readonly reason: 'unreachable' | 'unsendable' | 'full' | 'declined'
   } |
   {
     /** The request may have run. */
--- a/packages/upstreams/src/client/upstreamClient.spec.ts
+++ b/packages/upstreams/src/client/upstreamClient.spec.ts
@@ -38,6 +38,18 @@
     await client.close()
   })
 
+  it('reports that nothing was sent when its address is none, or a header cannot be sent', async () => {
+    const handle = (client: UpstreamClient, headers: Array<readonly [string, string]>): Promise<string> => new Promise(resolve => {
+      client.send({ method: 'GET', path: '/', headers, body: undefined, idempotent: true, headTimeoutMs: 0 }, { head: () => {}, data: () => {}, end: () => {}, failed: (err, sent) => { resolve(`${err.name} ${sent}`) } })
+    })
+    for (const url of ['http://10.0.0.1:70000', 'http://10.0.0.999:80', 'http://']) expect(await handle(new UpstreamClient(url, OPTIONS), [])).toEqual('TypeError false')
+    const server = await listen(() => { throw new Error('connected') })
+    const client = new UpstreamClient(urlOf(server), OPTIONS)
+    expect(await handle(client, [['x-expect-instance', 'a\r\nb: c']])).toEqual('UnsendableRequestError false')
+    await client.close()
+    server.close()
+  })
+
   it('treats a response without a length as complete when its connection is closed in an orderly way', async () => {
     const server = await listen(socket => {
       socket.once('data', () => { socket.end('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole') })
--- a/packages/upstreams/src/client/upstreamClient.ts
+++ b/packages/upstreams/src/client/upstreamClient.ts
@@ -1,6 +1,6 @@
 /** HTTP client of one upstream: sends each request at most once, without pipelining. */
 import type { Socket } from 'node:net'
-import { FuchsiaError } from '@fuchsiaworks/kernel'
+import { FuchsiaError, toError } from '@fuchsiaworks/kernel'
 import { buildConnector, Client, type Dispatcher } from 'undici'
 import { Exchange } from './exchange.js'
 import type { ConnectionOptions, UpstreamResponseHandler, UpstreamExchange, UpstreamRequest } from './upstreamTypes.js'
@@ -21,6 +21,20 @@
   }
 }
 
+/** The client library has rejected a request, so that nothing was sent; that says nothing of the upstream. */
+export class UnsendableRequestError extends FuchsiaError {
+  /** @param cause - why it was rejected */
+  constructor (cause: Error) {
+    super('unsendable-request', `the request cannot be sent: ${cause.message}`, { cause })
+  }
+}
+
+/** Exchange of a request for which there is no connection; its handler is told in a later iteration of the event loop, as for any other failure. */
+const failUnsent = (err: Error, handler: UpstreamResponseHandler): UpstreamExchange => {
+  setImmediate(() => { handler.failed(err, false) })
+  return { pause: () => {}, resume: () => {}, overheadBytes: 0, cancel: () => {} }
+}
+
 /** A pooled connection, reopened by its client after it was closed. */
 class PooledConnection {
   readonly client: Client
@@ -75,14 +89,24 @@
   constructor (readonly url: string, readonly options: ConnectionOptions) {}
 
   /**
-   * Sends a request.
+   * Sends a request. One that cannot be sent, to an address that is none or with a header that the client library rejects, fails as any other.
    *
    * @param handler - receives the response
    * @returns control over the exchange
    */
   send (request: UpstreamRequest, handler: UpstreamResponseHandler): UpstreamExchange {
     const isFresh = this.options.freshConnectionForNonIdempotent && !request.idempotent
-    const connection = isFresh ? this.#open() : this.#takeIdle() ?? this.#open()
+    let connection: PooledConnection
+    try {
+      connection = isFresh ? this.#open() : this.#takeIdle() ?? this.#open()
+    } catch (err) {
+      return failUnsent(toError(err), handler)
+    }
+    return this.#dispatch(connection, isFresh, request, handler)
+  }
+
+  #dispatch (connection: PooledConnection, isFresh: boolean, request: UpstreamRequest, handler: UpstreamResponseHandler): UpstreamExchange {
+    let isDispatching = true
     const bytesBefore = connection.isOpen ? connection.bytesRead : 0
     const exchange = new Exchange({
       ...handler,
@@ -94,7 +118,8 @@
       },
       failed: (err, sent) => {
         this.#release(connection, true)
-        handler.failed(err, sent)
+        if (isDispatching && !sent) setImmediate(() => { handler.failed(new UnsendableRequestError(err), false) })
+        else handler.failed(err, sent)
       }
     }, () => connection.bytesRead - bytesBefore)
     connection.client.dispatch({
@@ -106,6 +131,7 @@
       reset: isFresh,
       headersTimeout: request.headTimeoutMs
     }, exchange)
+    isDispatching = false
     return exchange
   }
 
