Reject a request at the port for peers whose target is no URL; it ended the gateway

A gateway ended when something sent its port for peers a request with the target `//` or `http://[`: the URL is parsed in the handler of the server, where nothing catches the exception. Found while the same cause as that of odd entries was looked for: bytes of another program that reach a parser which throws.

An exception of a handler of this port now gives 400 and a log line.

Against the code before: "rejects a request at its port for peers whose target is no URL, and goes on" failed, TypeError [Error]: Invalid URL (uncaught); a gateway process ended in the trial.

--- a/packages/gateway/src/peers/peerMesh.ts
+++ b/packages/gateway/src/peers/peerMesh.ts
@@ -121,7 +121,7 @@
    */
   constructor (readonly clock: Clock, readonly options: MeshOptions, readonly localState: LocalStateSource, handlers: PeerPortHandlers) {
     this.#startedAt = clock.now()
-    this.#server = createServer((req, res) => { if (!handlers.onRequest(req, res)) res.writeHead(426).end() })
+    this.#server = createServer((req, res) => { this.#handleRequest(handlers, req, res) })
     this.#sockets = new WebSocketServer({ server: this.#server, maxPayload: MAX_MESSAGE_BYTES, perMessageDeflate: false })
     this.#sockets.on('connection', (socket, req) => {
       const take = handlers.webSockets.get(req.url ?? '')
@@ -191,6 +191,17 @@
     if (zone !== undefined) this.options.onSent?.(zone, bytes)
   }
 
+  /** An exception, for example on a target that is no URL, must not end the process. */
+  #handleRequest (handlers: PeerPortHandlers, req: IncomingMessage, res: ServerResponse): void {
+    try {
+      if (!handlers.onRequest(req, res)) res.writeHead(426).end()
+    } catch (err) {
+      log.warn('request at the port for peer gateways rejected', { reason: toError(err).message })
+      if (!res.headersSent) res.writeHead(400)
+      res.end()
+    }
+  }
+
   #accept (socket: WebSocket): void {
     let peer: PeerId | undefined
     socket.on('error', err => { log.debug('connection from a peer gateway failed', { reason: err.message }) })
--- a/packages/gateway/src/process/gateway.spec.ts
+++ b/packages/gateway/src/process/gateway.spec.ts
@@ -1,3 +1,4 @@
+import { get } from 'node:http'
 import { createServer, type Server } from 'node:net'
 import { describe, it } from 'node:test'
 import { setLogLevel } from '@fuchsiaworks/kernel'
@@ -139,6 +140,17 @@
     })
   })
 
+  it('rejects a request at its port for peers whose target is no URL, and goes on', async () => {
+    const [port = 0] = await findPorts(1)
+    const gateway = await startWithSettings({ peers: { host: '127.0.0.1', port } }, respond)
+    for (const target of ['//', 'http://[', '/%']) {
+      const status = await new Promise(resolve => { get({ host: '127.0.0.1', port, path: target }, res => { resolve(res.resume().statusCode) }).on('error', resolve) })
+      expect(status).toEqual(target === '/%' ? 426 : 400)
+    }
+    expect(statusOf(await gateway.checkReadiness())).toEqual(200)
+    await gateway.close()
+  })
+
   it('reuses a connection after a declined request', async () => {
     await withGateway([reject], async gateway => {
       await gateway.sendRequest('/once/x')
