Reject requests with a tab in the target or several Host headers with 400

Node.js accepts both, and the client library writes neither. Neither is a proper request (RFC 9112, sections 3.2 and 3.2.2).

Against the code before: "rejects a request that cannot be sent on, without sending it" failed: actual 503, expected 400.

--- a/packages/gateway/src/callers/callerServer.ts
+++ b/packages/gateway/src/callers/callerServer.ts
@@ -34,6 +34,13 @@
 
 const log = createLog('callers')
 
+/** Characters of a request target; Node.js also lets tabs pass. */
+const TARGET = /^[!-~\u0080-\u00ff]+$/
+
+/** Whether a request can be sent on: a target with other characters and several Host headers cannot (RFC 9112, section 3.2). */
+const isWellFormed = ({ url, rawHeaders }: IncomingMessage): boolean =>
+  TARGET.test(url ?? '') && rawHeaders.filter((name, at) => at % 2 === 0 && name.length === 4 && name.toLowerCase() === 'host').length <= 1
+
 /** Waits until the event loop has polled its sockets once more: the second immediate runs after the poll phase that follows the first. */
 const nextPoll = async (): Promise<void> => {
   await new Promise<void>(resolve => { setImmediate(() => { setImmediate(resolve) }) })
@@ -186,6 +193,7 @@
     if (this.#takesNoRequests(req.socket)) return { status: 503, reason: 'ending', retryAfterMs: NOT_READY_RETRY_AFTER_MS }
     const headerBytes = req.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0)
     if (headerBytes > table.limits.headerBytes) return { status: 431, reason: 'headers-too-long' }
+    if (!isWellFormed(req)) return { status: 400, reason: 'malformed-request' }
     const route = findGatewayRoute(table, req.headers.host ?? '', req.url ?? '/')
     if (route === undefined) return { status: 404, reason: 'no-route' }
     const head = knownHead ?? this.ctx.headers.decodeCallerHead(pairHeaders(req.rawHeaders))
--- a/packages/gateway/src/process/gateway.spec.ts
+++ b/packages/gateway/src/process/gateway.spec.ts
@@ -140,6 +140,16 @@
     })
   })
 
+  it('rejects a request that cannot be sent on, without sending it', async () => {
+    await withGateway([respond], async gateway => {
+      const headers = 'Try: t1\r\nConnection: close\r\n\r\n'
+      expect(statusOf(await gateway.sendRaw(`GET /safe/a\tb HTTP/1.1\r\nHost: a.example\r\n${headers}`, 2500))).toEqual(400)
+      expect(statusOf(await gateway.sendRaw(`GET /safe/x HTTP/1.1\r\nHost: a.example\r\nHost: a.example\r\n${headers}`, 2500))).toEqual(400)
+      expect(statusOf(await gateway.sendRaw(`GET /safe/%7f\xe9"{}|\\^ HTTP/1.1\r\nHost: a.example\r\n${headers}`, 2500))).toEqual(200)
+      expect(gateway.arrivals.length).toEqual(1)
+    })
+  })
+
   it('rejects a request at its port for peers whose target is no URL, and goes on', async () => {
     const [port = 0] = await findPorts(1)
     const gateway = await startWithSettings({ peers: { host: '127.0.0.1', port } }, respond)
