Clock: wait for the longest delay of a timer instead of a millisecond where a delay is longer

Node.js runs a timer with a delay of 2^31 ms and more after one millisecond. A route with a `timeout_ms` that large had every request without X-Deadline-Ms answered 504 at once (trial on a real gateway: 504 for 1e10 and 1e300). Times from headers and entries reach timers through the same clock.

--- a/packages/kernel/src/clock/clock.ts
+++ b/packages/kernel/src/clock/clock.ts
@@ -15,23 +15,26 @@
   now: () => Millis
   /** Wall-clock time in milliseconds since the Unix epoch. */
   wall: () => Millis
-  /** Calls `run` once after `delay` milliseconds. */
+  /** Calls `run` once after `delay` milliseconds, or after the longest delay of a timer if that is shorter. */
   after: (delay: Millis, run: () => void) => Timer
   /** Calls `run` every `period` milliseconds until the timer is closed. */
   every: (period: Millis, run: () => void) => Timer
 }
 
+/** Longest delay of a timer of Node.js, 24.8 days; it takes a longer one for a millisecond. */
+const MAX_DELAY_MS: Millis = 2 ** 31 - 1
+
 /** Clock of the running process. Its timers are unreferenced, so they do not keep the process alive. */
 export const systemClock: Clock = {
   now: () => performance.now(),
   wall: () => Date.now(),
   after: (delay, run) => {
-    const handle = setTimeout(run, delay)
+    const handle = setTimeout(run, Math.min(delay, MAX_DELAY_MS))
     handle.unref()
     return { close: () => { clearTimeout(handle) } }
   },
   every: (period, run) => {
-    const handle = setInterval(run, period)
+    const handle = setInterval(run, Math.min(period, MAX_DELAY_MS))
     handle.unref()
     return { close: () => { clearInterval(handle) } }
   }
