--- a/packages/gateway/src/process/gateway.spec.ts
+++ b/packages/gateway/src/process/gateway.spec.ts
@@ -1,3 +1,4 @@
+import { get } from 'node:http'
 import { createServer, type Server } from 'node:net'
 import { describe, it } from 'node:test'
 import { setLogLevel } from '@fuchsiaworks/kernel'
@@ -106,6 +107,60 @@
     })
   })
 
+  it('sends requests elsewhere when no client can be made for the address of an upstream', async () => {
+    for (const address of ['127.0.0.1:70000', '127.0.0.999:80', 'no address']) {
+      let unreachable = 0
+      for (const id of ['u0', 'u1']) {
+        await withGateway([respond, respond], async gateway => {
+          gateway.setAddress(id, address)
+          for (let at = 0; at < 4; at++) expect(statusOf(await gateway.sendRequest(at % 2 === 0 ? '/once/x' : '/safe/x'))).toEqual(200)
+          unreachable += (await gateway.readMetric('fuchsiaworks_attempts_total'))['service="plain",outcome="unreachable"'] ?? 0
+        })
+      }
+      expect(unreachable).toBeGreaterThan(0)
+    }
+  })
+
+  it('goes on when the request of a silent upstream is sent again, in a timer, to an address for which no client can be made', async () => {
+    await withGateway([() => {}, respond], async gateway => {
+      gateway.setAddress('u1', '127.0.0.1:70000')
+      await Promise.all(Array.from({ length: 6 }, async () => await gateway.sendRequest('/safe/x')))
+      const attempts = await gateway.readMetric('fuchsiaworks_attempts_total')
+      expect(['silent', 'unreachable'].filter(outcome => (attempts[`service="plain",outcome="${outcome}"`] ?? 0) === 0)).toEqual([])
+      expect(statusOf(await gateway.checkReadiness())).toEqual(200)
+    })
+  })
+
+  it('does not avoid an upstream because of a request that cannot be sent to any', async () => {
+    await withGateway([respond, respond], async gateway => {
+      for (let at = 0; at < 4; at++) {
+        expect(await gateway.sendRequest('/safe/x', 'Expect: 100-continue\r\n')).toMatchRegex(/HTTP\/1.1 503/)
+        expect(statusOf(await gateway.sendRequest('/safe/x'))).toEqual(200)
+      }
+    })
+  })
+
+  it('rejects a request that cannot be sent on, without sending it', async () => {
+    await withGateway([respond], async gateway => {
+      const headers = 'Try: t1\r\nConnection: close\r\n\r\n'
+      expect(statusOf(await gateway.sendRaw(`GET /safe/a\tb HTTP/1.1\r\nHost: a.example\r\n${headers}`, 2500))).toEqual(400)
+      expect(statusOf(await gateway.sendRaw(`GET /safe/x HTTP/1.1\r\nHost: a.example\r\nHost: a.example\r\n${headers}`, 2500))).toEqual(400)
+      expect(statusOf(await gateway.sendRaw(`GET /safe/%7f\xe9"{}|\\^ HTTP/1.1\r\nHost: a.example\r\n${headers}`, 2500))).toEqual(200)
+      expect(gateway.arrivals.length).toEqual(1)
+    })
+  })
+
+  it('rejects a request at its port for peers whose target is no URL, and goes on', async () => {
+    const [port = 0] = await findPorts(1)
+    const gateway = await startWithSettings({ peers: { host: '127.0.0.1', port } }, respond)
+    for (const target of ['//', 'http://[', '/%']) {
+      const status = await new Promise(resolve => { get({ host: '127.0.0.1', port, path: target }, res => { resolve(res.resume().statusCode) }).on('error', resolve) })
+      expect(status).toEqual(target === '/%' ? 426 : 400)
+    }
+    expect(statusOf(await gateway.checkReadiness())).toEqual(200)
+    await gateway.close()
+  })
+
   it('reuses a connection after a declined request', async () => {
     await withGateway([reject], async gateway => {
       for (const attempt of ['t1', 't2']) {
