A response without an id does not keep other requests from its upstream

What callers saw: after one response without an id on a used connection, requests of other callers were refused with 503 for 0.3 s where no other upstream was free.

Cause: the attempt counts as uncertain, and an upstream at which an attempt was uncertain is avoided as if a connection to it had broken. An upstream that rejects a request before it has read the id, such as with 400 or 431, is sound.

Fix: 'unattributed' excludes no upstream; the connection is closed as before.

Evidence: repeatedRefusal.spec before: The value 503 is not equal to 200. After: all of the spec passes.

--- a/packages/gateway/src/requests/repeatedRefusal.spec.ts
+++ b/packages/gateway/src/requests/repeatedRefusal.spec.ts
@@ -136,6 +136,15 @@
     })
   })
 
+  it('does not keep the requests of other callers from the upstream', async () => {
+    const upstream = new RepeatingUpstream(attempt => success(idOf(attempt), 'ok'), [refusal()])
+    await withGateway([upstream], async gateway => {
+      expect(statusOf(await send(gateway, '/once/x', 't1'))).toEqual(200)
+      expect(statusOf(await send(gateway, '/once/x', 't2'))).toEqual(502)
+      expect(statusOf(await send(gateway, '/once/x', 't3'))).toEqual(200)
+    })
+  })
+
   it('is counted by itself', async () => {
     const upstream = new RepeatingUpstream(firstRefusal, [refusal()])
     await withGateway([upstream], async gateway => {
--- a/packages/gateway/src/requests/upstreamFailure.ts
+++ b/packages/gateway/src/requests/upstreamFailure.ts
@@ -55,7 +55,8 @@
       if (failure.reason === 'unreachable') return UNREACHABLE_AVOID_MS
       return failure.reason === 'full' ? FULL_AVOID_MS : 0
     case 'uncertain':
-      return BROKEN_AVOID_MS
+      // A response without an id says nothing of the upstream, which may have rejected one request before it read the id.
+      return failure.reason === 'unattributed' ? 0 : BROKEN_AVOID_MS
     case 'error-answer':
       return 0
   }
