A response head that contains another one counts as garbled, not as a lost connection

What operators saw: 'reset' in the log and the counter, and the request that was in flight among the suspects of a crash, when an upstream wrote a head that contains the begin of another response.

Cause: an attempt told only whether its request had been sent, not why it failed.

Evidence: repeatedRefusal.spec before: The value [undefined, 1] is not equal to [1, undefined] (garbled, reset). After: all of the spec passes.

--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -1,7 +1,7 @@
 /** One attempt: the request is sent to one upstream, whose response is checked and forwarded. */
 import { createLog, type Millis, newId, toError } from '@fuchsiaworks/kernel'
 import { type AttemptFailure, attributeResponse, type Placement, type ResponseAttribution, type RunId } from '@fuchsiaworks/policy'
-import { UnsendableRequestError, type UpstreamExchange } from '@fuchsiaworks/upstreams'
+import { SplicedHeadError, UnsendableRequestError, type UpstreamExchange } from '@fuchsiaworks/upstreams'
 import type { HeaderList } from '@fuchsiaworks/wire'
 import { headBytes, type ZoneBytesCause } from '../log/zoneBytes.js'
 import type { ResponseHead } from '../port/headerPort.js'
@@ -259,7 +259,7 @@
 
   #onFailed (err: Error, sent: boolean): void {
     if (this.#isOver) return
-    if (sent) return this.#handlers.onFailed({ kind: 'uncertain', reason: 'reset' })
+    if (sent) return this.#handlers.onFailed({ kind: 'uncertain', reason: err instanceof SplicedHeadError ? 'garbled' : 'reset' })
     this.#handlers.onFailed({ kind: 'not-run', reason: err instanceof UnsendableRequestError ? 'unsendable' : 'unreachable' })
   }
 
--- a/packages/gateway/src/requests/repeatedRefusal.spec.ts
+++ b/packages/gateway/src/requests/repeatedRefusal.spec.ts
@@ -145,6 +145,17 @@
     })
   })
 
+  it('is not counted as a lost connection when it is cut off inside a header, before the true response', async () => {
+    const upstream = new RepeatingUpstream(firstRefusal, ['HTTP/1.1 503 Service Unavailable\r\nnot-run: 1\r\nretry-after: 1', success(idOf('t2'))])
+    await withGateway([upstream], async gateway => {
+      await send(gateway, '/once/x', 't1')
+      await pause(AVOID_MS)
+      await send(gateway, '/once/x', 't2')
+      const attempts = await gateway.readMetric('fuchsiaworks_attempts_total')
+      expect([attempts['service="plain",outcome="garbled"'], attempts['service="plain",outcome="reset"']]).toEqual([1, undefined])
+    })
+  })
+
   it('is counted by itself', async () => {
     const upstream = new RepeatingUpstream(firstRefusal, [refusal()])
     await withGateway([upstream], async gateway => {
