End all pipelined requests when their caller closes the connection

A caller that had sent a second request before the response to the first, and then closed its connection, was gone for the first request only: the second one ran on at its upstream until it ended or its time was over.

A request is cancelled by the close event of its response. Node.js emits it only on the response that holds the socket; a response that waits for its turn behind another one has no socket and gets none. The callers' server now keeps the open responses of each connection and emits the event on those that had no socket when the connection closed.

callerLeaves.spec, before (own connections and connections of a peer alike):

ends the requests that it has pipelined, not only the first Error: condition not met within 500 ms

and passes with the change. Second attempts end in both; their test stays as a guard, since none covered them.

--- a/packages/gateway/src/callers/callerServer.ts
+++ b/packages/gateway/src/callers/callerServer.ts
@@ -12,6 +12,7 @@
 import type { FlowContext } from '../requests/flowContext.js'
 import { type Refusal, sendRefusal } from '../requests/refusals.js'
 import type { RequestFlow } from '../requests/requestFlow.js'
+import { OpenResponses } from './openResponses.js'
 import { readCallerBody } from './readBody.js'
 
 /** Header size limit of the HTTP parser; the configured, lower limit is checked afterwards. */
@@ -72,6 +73,7 @@
   readonly #server: Server
   readonly #listeners: readonly ConnectionListener[]
   readonly #sockets = new Set<Socket>()
+  readonly #responses = new OpenResponses()
   /** Requests read since the last sample, and how many of them their callers had abandoned by then. */
   #sample = { read: 0, abandoned: 0 }
   #isStopping = false
@@ -159,6 +161,7 @@
 
   #receive (req: IncomingMessage, res: ServerResponse): void {
     const arrivedAt = this.ctx.clock.now()
+    this.#responses.add(req.socket, res)
     if (this.#mustClose(req.socket)) res.setHeader('connection', 'close')
     if (req.socket instanceof OffloadedSocket) trackOffloadedRequest(req, res, req.socket)
     const admitted = this.#admit(req)
--- /dev/null
+++ b/packages/gateway/src/callers/openResponses.ts
@@ -0,0 +1,29 @@
+/** Responses of each connection that have not ended. Node.js emits `close` only on the response that holds the socket, not on those to pipelined requests behind it. */
+import type { ServerResponse } from 'node:http'
+import type { Duplex } from 'node:stream'
+
+/** Ends the responses that wait for their turn when their connection closes. */
+export class OpenResponses {
+  readonly #bySocket = new WeakMap<Duplex, Set<ServerResponse>>()
+
+  /**
+   * Adds the response to a request that was just read.
+   *
+   * @param socket - its connection
+   * @param res - the response; emits `close` when the connection closes, whether or not its turn has come
+   */
+  add (socket: Duplex, res: ServerResponse): void {
+    const open = this.#bySocket.get(socket) ?? this.#follow(socket)
+    open.add(res)
+    res.on('close', () => { open.delete(res) })
+  }
+
+  #follow (socket: Duplex): Set<ServerResponse> {
+    const open = new Set<ServerResponse>()
+    this.#bySocket.set(socket, open)
+    socket.on('close', () => {
+      for (const res of [...open]) if (res.socket === null) res.destroy().emit('close')
+    })
+    return open
+  }
+}
