--- a/packages/upstreams/src/client/upstreamClient.spec.ts
+++ b/packages/upstreams/src/client/upstreamClient.spec.ts
@@ -38,6 +38,20 @@
     await client.close()
   })
 
+  it('sends nothing for an exchange that is cancelled while its connection is being opened', async () => {
+    let received = ''
+    const server = await listen(socket => { socket.on('data', chunk => { received += chunk.toString() }) })
+    const client = new UpstreamClient(urlOf(server), OPTIONS)
+    const error = await new Promise<Error>(resolve => {
+      const handler = { head: () => {}, data: () => {}, end: () => {}, failed: resolve }
+      client.send({ method: 'GET', path: '/', headers: [], body: undefined, idempotent: true, headTimeoutMs: 0 }, handler).cancel(new Error('caller left'))
+    })
+    await new Promise(resolve => { setTimeout(resolve, 50) })
+    expect([error.message, received]).toEqual(['caller left', ''])
+    await client.close()
+    server.close()
+  })
+
   it('treats a response without a length as complete when its connection is closed in an orderly way', async () => {
     const server = await listen(socket => {
       socket.once('data', () => { socket.end('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole') })
