Log which gateway accepted a connection, and the time limit that the last upstream got

The record of GONE does not show which time limit reached the upstream, and the log of the gateway that sent the request could not tell: it names neither the limit nor the gateway that accepted the connection. 'request ended' now has leftMs and acceptedBy. A gateway names its host when it opens an offload link, in a header that older peers ignore; the links of older peers appear as 'unknown'.

--- a/packages/gateway/src/callers/callerServer.ts
+++ b/packages/gateway/src/callers/callerServer.ts
@@ -234,6 +234,7 @@
       workspace: rechecked.workspace,
       revision: rechecked.table.revision,
       arrivedAt,
+      acceptedBy: req.socket instanceof OffloadedSocket ? req.socket.acceptedBy : undefined,
       res
     })
   }
--- a/packages/gateway/src/offload/connectionOffloader.ts
+++ b/packages/gateway/src/offload/connectionOffloader.ts
@@ -7,7 +7,7 @@
 import type { HeaderPort } from '../port/headerPort.js'
 import { OffloadedCaller } from './offloadedCaller.js'
 import { OffloadLink } from './offloadLink.js'
-import { type ConnectionNumber, OFFLOAD_PATH, type OffloadFrame } from './offloadTypes.js'
+import { type ConnectionNumber, OFFLOAD_PATH, OFFLOADING_HOST_HEADER, type OffloadFrame } from './offloadTypes.js'
 
 /** Time for which parts of requests are collected. */
 const BATCH_MS: Millis = 1
@@ -42,6 +42,7 @@
   readonly #clock: Clock
   readonly #headers: HeaderPort
   readonly #onMessage: (zone: ZoneId, bytes: number) => void
+  readonly #host: string
   readonly #links = new Map<PeerId, PeerLink>()
   #nextConnection: ConnectionNumber = 1
   #idleTimer: Timer | undefined
@@ -50,10 +51,12 @@
   /**
    * @param clock - source of time
    * @param headers - encodes refusals
+   * @param host - name of this host, for the log of peers
    * @param onMessage - called with the zone of the peer and the size of each message on its link
    */
-  constructor (clock: Clock, headers: HeaderPort, onMessage: (zone: ZoneId, bytes: number) => void = () => {}) {
+  constructor (clock: Clock, headers: HeaderPort, host: string, onMessage: (zone: ZoneId, bytes: number) => void = () => {}) {
     this.#onMessage = onMessage
+    this.#host = host
     this.#clock = clock
     this.#headers = headers
   }
@@ -144,7 +147,7 @@
     const entry: PeerLink = { address, link: undefined, callers: new Map(), lastUsedAt: this.#clock.now() }
     this.#links.set(peer, entry)
     // Masking protects intermediaries that don't know WebSockets; between two gateways there are none, and it costs time for each byte.
-    const socket = new WebSocket(`ws://${address}${OFFLOAD_PATH}`, { handshakeTimeout: CONNECT_TIMEOUT_MS, perMessageDeflate: false, generateMask: mask => { mask.fill(0) } })
+    const socket = new WebSocket(`ws://${address}${OFFLOAD_PATH}`, { headers: { [OFFLOADING_HOST_HEADER]: this.#host }, handshakeTimeout: CONNECT_TIMEOUT_MS, perMessageDeflate: false, generateMask: mask => { mask.fill(0) } })
     socket.on('open', () => {
       entry.link = new OffloadLink(this.#clock, socket, BATCH_MS, {
         onFrame: frame => { this.#receive(entry, frame) },
--- a/packages/gateway/src/offload/offload.spec.ts
+++ b/packages/gateway/src/offload/offload.spec.ts
@@ -69,7 +69,7 @@
   const webSockets = new WebSocketServer({ server: peerServer, path: OFFLOAD_PATH })
   webSockets.on('connection', socket => { receiver.accept(socket) })
   const peerPort = await listen(peerServer)
-  const offloader = new ConnectionOffloader(systemClock, HEADERS)
+  const offloader = new ConnectionOffloader(systemClock, HEADERS, 'h2')
   offloader.prepare([{ id: PEER, zone: asId<ZoneId>('east'), address: `127.0.0.1:${peerPort}`, isOutOfRotation: false, utilization: 0, revision: 1, acceptedPerSecond: 0 }], () => true)
   await waitUntil(() => offloader.isLinked(PEER))
   const accepted: Socket[] = []
--- a/packages/gateway/src/offload/offloadReceiver.ts
+++ b/packages/gateway/src/offload/offloadReceiver.ts
@@ -13,6 +13,8 @@
 
 /** Link from one peer with the connections that it has passed on. */
 interface ReceivingLink {
+  /** Host of the peer. */
+  readonly host: string
   readonly sockets: Map<ConnectionNumber, OffloadedSocket>
   link: OffloadLink | undefined
   isKeepAliveAllowed: boolean
@@ -39,9 +41,14 @@
     return [...this.#links].reduce((sum, { sockets }) => sum + sockets.size, 0)
   }
 
-  /** Accepts the link of a peer. */
-  accept (webSocket: WebSocket): void {
-    const entry: ReceivingLink = { sockets: new Map(), link: undefined, isKeepAliveAllowed: true, isStopping: false }
+  /**
+   * Accepts the link of a peer.
+   *
+   * @param webSocket - open WebSocket
+   * @param host - host of the peer, for the log
+   */
+  accept (webSocket: WebSocket, host = 'unknown'): void {
+    const entry: ReceivingLink = { host, sockets: new Map(), link: undefined, isKeepAliveAllowed: true, isStopping: false }
     this.#links.add(entry)
     entry.link = new OffloadLink(this.#clock, webSocket, BATCH_MS, {
       onFrame: frame => { this.#receive(entry, frame) },
@@ -83,9 +90,9 @@
     }
   }
 
-  #open ({ link, sockets, isKeepAliveAllowed, isStopping }: ReceivingLink, connection: ConnectionNumber): void {
+  #open ({ host, link, sockets, isKeepAliveAllowed, isStopping }: ReceivingLink, connection: ConnectionNumber): void {
     if (link === undefined) return
-    const socket = new OffloadedSocket(this.#clock, link, connection)
+    const socket = new OffloadedSocket(this.#clock, link, connection, host)
     socket.isKeepAliveAllowed = isKeepAliveAllowed
     socket.isStopping = isStopping
     socket.on('error', () => {})
--- a/packages/gateway/src/offload/offloadTypes.ts
+++ b/packages/gateway/src/offload/offloadTypes.ts
@@ -24,3 +24,6 @@
 
 /** Path at which gateways accept offload links on their peer port. */
 export const OFFLOAD_PATH = '/offload'
+
+/** Header of the request for a link: host of the gateway that opens it. */
+export const OFFLOADING_HOST_HEADER = 'offloading-host'
--- a/packages/gateway/src/offload/offloadedSocket.ts
+++ b/packages/gateway/src/offload/offloadedSocket.ts
@@ -32,8 +32,9 @@
    * @param clock - source of time
    * @param link - carries the bytes
    * @param connection - number of the connection on the link
+   * @param acceptedBy - host of the gateway that accepted the connection
    */
-  constructor (clock: Clock, link: OffloadLink, connection: ConnectionNumber) {
+  constructor (clock: Clock, link: OffloadLink, connection: ConnectionNumber, readonly acceptedBy: string) {
     super({ allowHalfOpen: true })
     this.#clock = clock
     this.#link = link
--- a/packages/gateway/src/peers/peerMesh.ts
+++ b/packages/gateway/src/peers/peerMesh.ts
@@ -84,7 +84,7 @@
   /** Handles a plain HTTP request; returns false for an unknown one. */
   readonly onRequest: (req: IncomingMessage, res: ServerResponse) => boolean
   /** Takes the WebSockets opened with these paths. */
-  readonly webSockets: ReadonlyMap<string, (socket: WebSocket) => void>
+  readonly webSockets: ReadonlyMap<string, (socket: WebSocket, req: IncomingMessage) => void>
 }
 
 /** Connections between this gateway and its peers, and the membership derived from them. */
@@ -126,7 +126,7 @@
     this.#sockets.on('connection', (socket, req) => {
       const take = handlers.webSockets.get(req.url ?? '')
       if (take === undefined) this.#accept(socket)
-      else take(socket)
+      else take(socket, req)
     })
   }
 
--- a/packages/gateway/src/process/callerLeaves.spec.ts
+++ b/packages/gateway/src/process/callerLeaves.spec.ts
@@ -39,7 +39,7 @@
 
 /** Starts the port of the peer. */
 const startPeer = async (peersPort: number): Promise<number> => {
-  const offloader = new ConnectionOffloader(systemClock, testHeaders)
+  const offloader = new ConnectionOffloader(systemClock, testHeaders, 'h2')
   const peer = { id: asId<PeerId>('p1'), zone: asId<ZoneId>('east'), address: `127.0.0.1:${peersPort}`, isOutOfRotation: false, utilization: 0, revision: 1, acceptedPerSecond: 0 }
   offloader.prepare([peer], () => true)
   await waitUntil(() => offloader.isLinked(peer.id))
--- a/packages/gateway/src/process/startGateway.ts
+++ b/packages/gateway/src/process/startGateway.ts
@@ -22,7 +22,7 @@
 import { ConnectionDispatcher } from '../offload/connectionDispatcher.js'
 import { ConnectionOffloader } from '../offload/connectionOffloader.js'
 import { OffloadReceiver } from '../offload/offloadReceiver.js'
-import { OFFLOAD_PATH } from '../offload/offloadTypes.js'
+import { OFFLOAD_PATH, OFFLOADING_HOST_HEADER } from '../offload/offloadTypes.js'
 import { LoadMonitor } from './loadMonitor.js'
 import { PageServer } from './pageServer.js'
 import { createRandom } from './random.js'
@@ -91,7 +91,7 @@
   const mesh: PeerMesh = createPeerMesh(clock, settings, { fleet: ports.fleet, placement, shares, crashSuspects, leaving, requestLimits, streamVersions, eventLoop, zoneBytes, queueDb }, {
     onRequest: (req, res) => streamVersionLookup.handleRequest(req, res) || ports.fleet.handlePeerRequest(req, res),
     webSockets: new Map([
-      [OFFLOAD_PATH, socket => { receiver.accept(socket) }],
+      [OFFLOAD_PATH, (socket, req) => { receiver.accept(socket, req.headers[OFFLOADING_HOST_HEADER]?.toString()) }],
       [RECORDS_PATH, socket => { recorders.accept(socket) }],
       [RECORDER_FLEET_PATH, socket => { recorders.acceptFleetRequest(socket) }]
     ])
@@ -130,7 +130,7 @@
   }
   const flow = new RequestFlow(ctx)
   const probe = new ListenQueueProbe(clock, settings.callers)
-  const offloader = new ConnectionOffloader(clock, ports.headers, (zone, bytes) => { zoneBytes.count('offload', zone, bytes + WEB_SOCKET_FRAME_BYTES) })
+  const offloader = new ConnectionOffloader(clock, ports.headers, settings.host, (zone, bytes) => { zoneBytes.count('offload', zone, bytes + WEB_SOCKET_FRAME_BYTES) })
   const dispatcher: ConnectionDispatcher = new ConnectionDispatcher({
     clock, zone: settings.zone, maxConnections: settings.maxDescriptors * CALLER_DESCRIPTOR_SHARE, random: ctx.random, eventLoop, probe, mesh, offloader, headers: ports.headers, connections: () => callerServer.connections, revision: () => ports.fleet.view.table?.revision ?? -1
   })
--- a/packages/gateway/src/requests/attemptSeries.ts
+++ b/packages/gateway/src/requests/attemptSeries.ts
@@ -8,30 +8,21 @@
 import type { FlowContext } from './flowContext.js'
 import type { Refusal } from './refusals.js'
 import type { ResponseRelay } from './responseRelay.js'
+import type { SeriesHandlers } from './seriesHandlers.js'
 import { StreamOrigin } from './streamOrigin.js'
 import { QueuedRequestHandle } from './queuedRequest.js'
 import { recordAttemptFailure } from './upstreamFailure.js'
 
 const log = createLog('gateway')
 
-/** Ends the request. */
-export interface SeriesHandlers {
-  readonly isDone: () => boolean
-  readonly onAnswered: () => void
-  readonly onRefused: (refusal: Refusal) => void
-  /** The request may or may not have run, and nothing has been forwarded. */
-  readonly onUnknown: (reason: string) => void
-  /** The response stops after a part of it has been forwarded. */
-  readonly onBrokenOff: (reason: string) => void
-  readonly onInternalError: () => void
-}
-
 /** The attempts of one request, in order. */
 export class AttemptSeries {
   /** True while the request waits for an upstream with room. */
   isWaiting = false
   /** Time from the arrival of the request to its last attempt. */
   waitedMs: Millis = 0
+  /** Time until the deadline when the last attempt was sent; undefined when there was none. */
+  leftMs: Millis | undefined
   /** Time from the arrival of the request to the first byte of a response; undefined before it. */
   firstByteMs: Millis | undefined
   /** True when an attempt that failed may have run. */
@@ -229,7 +220,8 @@
     this.versions.push(upstream.version ?? 'none')
     this.isWaiting = false
     this.waitedMs = this.#now - this.#request.arrivedAt
-    attempt.send(this.#timeLeft)
+    this.leftMs = this.#timeLeft
+    attempt.send(this.leftMs)
   }
 
   #decideNext (failure: AttemptFailure): ReturnType<typeof decideAttempt> {
--- a/packages/gateway/src/requests/callerExchange.ts
+++ b/packages/gateway/src/requests/callerExchange.ts
@@ -105,7 +105,7 @@
 
   #writeLog (outcome: Outcome, reason: string): void {
     const request = this.#request
-    const { admission, placement, versions, waitedMs, firstByteMs } = this.attempts
+    const { admission, placement, versions, waitedMs, leftMs, firstByteMs } = this.attempts
     this.#ctx.requestLog.write('request ended', {
       request: request.head.attempt,
       route: request.route.id,
@@ -122,7 +122,9 @@
       pressure: Number((placement?.pressure ?? -1).toFixed(2)),
       zoneDecision: placement?.zoneDecision?.reason ?? '',
       ownZonePressure: Number((placement?.zoneDecision?.ownPressure ?? -1).toFixed(2)),
+      acceptedBy: request.acceptedBy ?? 'self',
       waitedMs: Math.round(waitedMs),
+      leftMs: Math.round(leftMs ?? -1),
       expectedMs: Math.round(placement?.expectedMs ?? -1),
       slowness: Number((placement?.slowness ?? -1).toFixed(2)),
       reportAgeMs: Math.round(placement?.reportAgeMs ?? -1),
--- a/packages/gateway/src/requests/callerRequest.ts
+++ b/packages/gateway/src/requests/callerRequest.ts
@@ -20,5 +20,7 @@
   readonly revision: number
   /** Monotonic time in milliseconds at which the headers were read. */
   readonly arrivedAt: Millis
+  /** Host of the gateway that accepted the connection; undefined for this one. */
+  readonly acceptedBy: string | undefined
   readonly res: ServerResponse
 }
