Refuse a request whose time is over when it has been read

A caller whose body arrived after its deadline got 504, which says that the request may have run: it was placed and sent with the time limit of 1 ms, and cancelled by the deadline timer, which was due at once. It is now refused with 503 'too-late' before it is placed, without a Retry-After, as its caller has no time left. An attempt that a late event loop would start with less than a millisecond left is not sent either.

gateway.spec, before:

sends no request whose time is over when its body has been read, and says that it has not run The value [504, 1] is not equal to [503, 1]

(the second value counts arrivals at the upstream, of which one is the request that opened the connection: the cancelled one was not seen there).

--- a/packages/gateway/src/callers/callerServer.ts
+++ b/packages/gateway/src/callers/callerServer.ts
@@ -9,8 +9,9 @@
 import { pickServiceByWeight, findGatewayRoute } from '../routing/findRoute.js'
 import type { GatewayRoute, RoutingTable } from '../routing/routingTypes.js'
 import { OffloadedSocket } from '../offload/offloadedSocket.js'
+import { deadlineOf } from '../requests/callerRequest.js'
 import type { FlowContext } from '../requests/flowContext.js'
-import { type Refusal, sendRefusal } from '../requests/refusals.js'
+import { type Refusal, sendRefusal, TOO_LATE } from '../requests/refusals.js'
 import type { RequestFlow } from '../requests/requestFlow.js'
 import { OpenResponses } from './openResponses.js'
 import { readCallerBody } from './readBody.js'
@@ -221,6 +222,7 @@
     // Reading the body can take long; meanwhile the configuration or the state of the process may have changed.
     const rechecked = this.#admit(req, head)
     if ('status' in rechecked) return this.#reject(req, res, rechecked)
+    if (deadlineOf(rechecked.route, head, arrivedAt) <= this.ctx.clock.now()) return this.#reject(req, res, TOO_LATE)
     const service = this.#serviceOfStream(rechecked) ?? pickServiceByWeight(rechecked.route, this.ctx.random())
     if (service === undefined) return this.#reject(req, res, { status: 503, reason: 'no-service', retryAfterMs: NOT_READY_RETRY_AFTER_MS })
     this.flow.open({
--- a/packages/gateway/src/process/gateway.spec.ts
+++ b/packages/gateway/src/process/gateway.spec.ts
@@ -1,4 +1,4 @@
-import { createServer, type Server } from 'node:net'
+import { connect, createServer, type Server } from 'node:net'
 import { describe, it } from 'node:test'
 import { setLogLevel } from '@fuchsiaworks/kernel'
 import { findPorts } from '@fuchsiaworks/standins'
@@ -160,6 +160,22 @@
     })
   })
 
+  it('sends no request whose time is over when its body has been read, and says that it has not run', async () => {
+    await withGateway([respond], async gateway => {
+      await gateway.sendRequest('/once/x')
+      const socket = connect(gateway.callersPort, '127.0.0.1')
+      let received = ''
+      socket.on('data', chunk => { received += chunk.toString() })
+      socket.write('POST /once/x HTTP/1.1\r\nHost: a.example\r\nTry: t1\r\nDeadline: 100\r\nContent-Length: 5\r\n\r\nhe')
+      await pause(150)
+      socket.write('llo')
+      await pause(100)
+      socket.destroy()
+      expect([statusOf(received), gateway.arrivals.length]).toEqual([503, 1])
+      expect(received).not.toMatchRegex(/retry-after/)
+    })
+  })
+
   it('closes connections after their responses once idle ones hold half of its file descriptors', async () => {
     const gateway = await startWithSettings({ maxDescriptors: 8 }, respond)
     const keepOpen = async (): Promise<string> => await gateway.sendRaw('POST /safe/x HTTP/1.1\r\nHost: a.example\r\nTry: t1\r\n\r\n', 400)
--- a/packages/gateway/src/process/gatewayFixtures.ts
+++ b/packages/gateway/src/process/gatewayFixtures.ts
@@ -28,11 +28,12 @@
     const lastEventId = valueOf(headers, 'last-event-id')
     if (attempt === undefined) return undefined
     const resumes = valueOf(headers, 'resumes')
-    return { attempt: asId(attempt), deadlineMs: 4000, key: valueOf(headers, 'key'), lastEventId: lastEventId === undefined ? undefined : Number(lastEventId), resumes: resumes === undefined ? undefined : asId<CallerAttemptId>(resumes), prompt: undefined }
+    return { attempt: asId(attempt), deadlineMs: Number(valueOf(headers, 'deadline') ?? 4000), key: valueOf(headers, 'key'), lastEventId: lastEventId === undefined ? undefined : Number(lastEventId), resumes: resumes === undefined ? undefined : asId<CallerAttemptId>(resumes), prompt: undefined }
   },
   encodeUpstreamHeaders: (headers, context) => [
-    ...headers.filter(([name]) => !['key', 'workspace', 'content-length', 'last-event-id'].includes(name.toLowerCase())),
+    ...headers.filter(([name]) => !['key', 'workspace', 'content-length', 'last-event-id', 'deadline'].includes(name.toLowerCase())),
     ['upstream', context.upstream],
+    ['deadline', String(context.deadlineMs)],
     ...context.workspace === undefined ? [] : [['workspace', context.workspace] as const],
     ...context.lastEventId === undefined ? [] : [['last-event-id', String(context.lastEventId)] as const]
   ],
--- a/packages/gateway/src/requests/attemptSeries.ts
+++ b/packages/gateway/src/requests/attemptSeries.ts
@@ -6,7 +6,7 @@
 import type { CallerRequest } from './callerRequest.js'
 import { CallerTraits } from './callerTraits.js'
 import type { FlowContext } from './flowContext.js'
-import type { Refusal } from './refusals.js'
+import { type Refusal, TOO_LATE } from './refusals.js'
 import type { ResponseRelay } from './responseRelay.js'
 import type { SeriesHandlers } from './seriesHandlers.js'
 import { StreamOrigin } from './streamOrigin.js'
@@ -204,6 +204,7 @@
   #send (placement: Placement): void {
     const upstream = this.#ctx.fleet.view.upstreams.get(placement.upstream)
     if (upstream === undefined) return this.#handlers.onRefused(this.admission.noUpstream())
+    if (this.#timeLeft < 1) return this.#handlers.onRefused(TOO_LATE)
     const attempt: Attempt = new Attempt(this.#scope, upstream, placement, {
       onActivity: () => { this.#lastByteAt = this.#now },
       onFirstByte: () => { this.firstByteMs ??= this.#now - this.#request.arrivedAt },
--- a/packages/gateway/src/requests/callerExchange.ts
+++ b/packages/gateway/src/requests/callerExchange.ts
@@ -1,7 +1,7 @@
 /** Lifecycle of one request from its arrival to its end: deadline, departure of the caller, refusal, log and metrics. */
 import type { Timer } from '@fuchsiaworks/kernel'
 import { AttemptSeries } from './attemptSeries.js'
-import type { CallerRequest } from './callerRequest.js'
+import { type CallerRequest, deadlineOf } from './callerRequest.js'
 import type { FlowContext } from './flowContext.js'
 import { type Refusal, sendRefusal } from './refusals.js'
 import { ResponseRelay } from './responseRelay.js'
@@ -29,7 +29,7 @@
     this.#request = request
     const { route, head, res } = request
     this.#relay = new ResponseRelay(res, route.isStream, head.lastEventId)
-    const deadlineAt = request.arrivedAt + Math.min(head.deadlineMs ?? route.timeoutMs, route.timeoutMs)
+    const deadlineAt = deadlineOf(route, head, request.arrivedAt)
     this.attempts = new AttemptSeries(ctx, request, this.#relay, deadlineAt, {
       isDone: () => this.#isDone,
       onAnswered: () => { this.#finish('answered', '') },
--- a/packages/gateway/src/requests/callerRequest.ts
+++ b/packages/gateway/src/requests/callerRequest.ts
@@ -5,6 +5,15 @@
 import type { CallerHead } from '../port/headerPort.js'
 import type { GatewayRoute } from '../routing/routingTypes.js'
 
+/**
+ * Returns the time by which the response must be complete.
+ *
+ * @param route - the route of the request
+ * @param head - its headers
+ * @param arrivedAt - time of its arrival
+ */
+export const deadlineOf = ({ timeoutMs }: GatewayRoute, { deadlineMs }: CallerHead, arrivedAt: Millis): Millis => arrivedAt + Math.min(deadlineMs ?? timeoutMs, timeoutMs)
+
 /** One request of a caller. */
 export interface CallerRequest {
   readonly head: CallerHead
--- a/packages/gateway/src/requests/refusals.ts
+++ b/packages/gateway/src/requests/refusals.ts
@@ -13,6 +13,9 @@
   readonly retryAfterMs?: Millis
 }
 
+/** The time of the request was over before it could be sent, so that it has not run. */
+export const TOO_LATE: Refusal = { status: 503, reason: 'too-late' }
+
 const encodeRefusal = (port: HeaderPort, { reason, retryAfterMs }: Refusal): { body: string, headers: HeaderList } => {
   const body = JSON.stringify({ error: reason })
   const retryAfter = retryAfterMs === undefined ? [] : port.encodeRetryAfter(retryAfterMs)
