Count the wait in the listen queue against the time limit of a request

Upstreams got more time than callers had left, by up to two seconds: a busy gateway accepts one connection in each iteration of its event loop, and with 150 callers a second at a gateway with a tenth of a core, connections wait for about a second in its listen queue of 128.

The probe of the listen queue now keeps several connections to itself waiting and knows with each accepted connection how long it has waited at least: the queue is first in, first out, so what is accepted was queued before the probes that still wait. A probe that finds the queue full is not in it, and is trusted only until as many connections were accepted as the queue holds. The gateway that serves an offloaded connection learns the wait from a fourth element of the data frame, which older gateways ignore; a frame without it counts as 0. A request with no time left is refused as 'too-late'.

--- a/packages/gateway/src/callers/callerServer.ts
+++ b/packages/gateway/src/callers/callerServer.ts
@@ -9,10 +9,12 @@
 import { pickServiceByWeight, findGatewayRoute } from '../routing/findRoute.js'
 import type { GatewayRoute, RoutingTable } from '../routing/routingTypes.js'
 import { OffloadedSocket } from '../offload/offloadedSocket.js'
-import { deadlineOf } from '../requests/callerRequest.js'
+import { type CallerRequest, deadlineOf } from '../requests/callerRequest.js'
 import type { FlowContext } from '../requests/flowContext.js'
 import { type Refusal, sendRefusal, TOO_LATE } from '../requests/refusals.js'
 import type { RequestFlow } from '../requests/requestFlow.js'
+import { ListenQueueWait } from './listenQueueWait.js'
+import { nextPoll } from './nextPoll.js'
 import { OpenResponses } from './openResponses.js'
 import { readCallerBody } from './readBody.js'
 
@@ -32,14 +34,11 @@
  * Connections that may wait to be accepted. Node.js accepts one in each iteration of its event loop, so that a busy gateway accepts a few hundred
  * a second: a longer queue would hold connections for longer than their callers wait. What finds the queue full tries another gateway.
  */
-const LISTEN_BACKLOG = 128
+export const LISTEN_BACKLOG = 128
 
-const log = createLog('callers')
+const SECOND_MS = 1000
 
-/** Waits until the event loop has polled its sockets once more: the second immediate runs after the poll phase that follows the first. */
-const nextPoll = async (): Promise<void> => {
-  await new Promise<void>(resolve => { setImmediate(() => { setImmediate(resolve) }) })
-}
+const log = createLog('callers')
 
 /** Keeps the socket's state of its requests up to date, and sends the end of a response without delay. */
 const trackOffloadedRequest = (req: IncomingMessage, res: ServerResponse, socket: OffloadedSocket): void => {
@@ -65,6 +64,8 @@
 export interface ConnectionGate {
   /** Returns false when the connection has been taken and is not to be served here. */
   readonly admit: (socket: Socket) => boolean
+  /** Time for which a connection that is accepted now has waited in the listen queue at least. */
+  readonly minWaitMs: () => Millis
   /** Returns whether a response is to close its connection. */
   readonly shouldClose: () => boolean
 }
@@ -75,6 +76,7 @@
   readonly #listeners: readonly ConnectionListener[]
   readonly #sockets = new Set<Socket>()
   readonly #responses = new OpenResponses()
+  readonly #waits = new WeakMap<Duplex, ListenQueueWait>()
   /** Requests read since the last sample, and how many of them their callers had abandoned by then. */
   #sample = { read: 0, abandoned: 0 }
   #isStopping = false
@@ -157,17 +159,22 @@
   #accept (socket: Socket): void {
     this.#sockets.add(socket)
     socket.on('close', () => { this.#sockets.delete(socket) })
-    if (this.gate.admit(socket)) this.serve(socket)
+    const waitedMs = this.gate.minWaitMs()
+    if (!this.gate.admit(socket)) return
+    if (waitedMs > 0) this.#waits.set(socket, new ListenQueueWait(this.ctx.clock, waitedMs))
+    this.serve(socket)
   }
 
   #receive (req: IncomingMessage, res: ServerResponse): void {
-    const arrivedAt = this.ctx.clock.now()
+    const unreadMs = req.socket instanceof OffloadedSocket ? req.socket.unreadMs : this.#waits.get(req.socket)?.ms ?? 0
+    const arrivedAt = this.ctx.clock.now() - unreadMs
+    this.ctx.metrics.unreadWait.observe(unreadMs / SECOND_MS)
     this.#responses.add(req.socket, res)
     if (this.#mustClose(req.socket)) res.setHeader('connection', 'close')
     if (req.socket instanceof OffloadedSocket) trackOffloadedRequest(req, res, req.socket)
     const admitted = this.#admit(req)
     if ('status' in admitted) return this.#reject(req, res, admitted)
-    this.#read(admitted, req, res, arrivedAt).catch(err => {
+    this.#read(admitted, req, res, { arrivedAt, unreadMs }).catch(err => {
       log.error('request dropped: internal error', { reason: toError(err).stack ?? String(err) })
       res.destroy()
     })
@@ -209,7 +216,7 @@
     return mayAcceptApiKeys(this.ctx.fleet.confirmedAgeMs(), this.ctx.settings.revokeMs)
   }
 
-  async #read (admitted: AdmittedRequest, req: IncomingMessage, res: ServerResponse, arrivedAt: Millis): Promise<void> {
+  async #read (admitted: AdmittedRequest, req: IncomingMessage, res: ServerResponse, arrival: Pick<CallerRequest, 'arrivedAt' | 'unreadMs'>): Promise<void> {
     const { table, head } = admitted
     const result = await readCallerBody(req, table.limits.bodyBytes)
     if (result.kind === 'aborted') return
@@ -222,7 +229,7 @@
     // Reading the body can take long; meanwhile the configuration or the state of the process may have changed.
     const rechecked = this.#admit(req, head)
     if ('status' in rechecked) return this.#reject(req, res, rechecked)
-    if (deadlineOf(rechecked.route, head, arrivedAt) <= this.ctx.clock.now()) return this.#reject(req, res, TOO_LATE)
+    if (deadlineOf(rechecked.route, head, arrival.arrivedAt) <= this.ctx.clock.now()) return this.#reject(req, res, TOO_LATE)
     const service = this.#serviceOfStream(rechecked) ?? pickServiceByWeight(rechecked.route, this.ctx.random())
     if (service === undefined) return this.#reject(req, res, { status: 503, reason: 'no-service', retryAfterMs: NOT_READY_RETRY_AFTER_MS })
     this.flow.open({
@@ -235,7 +242,7 @@
       service,
       workspace: rechecked.workspace,
       revision: rechecked.table.revision,
-      arrivedAt,
+      ...arrival,
       acceptedBy: req.socket instanceof OffloadedSocket ? req.socket.acceptedBy : undefined,
       res
     })
--- a/packages/gateway/src/log/gatewayMetrics.ts
+++ b/packages/gateway/src/log/gatewayMetrics.ts
@@ -34,6 +34,7 @@
   readonly received = new Gauge({ name: 'fuchsiaworks_connections_received', help: 'Open connections that this gateway serves for its peers', registers: [this.registry] })
   readonly eventLoopUtilization = new Gauge({ name: 'fuchsiaworks_event_loop_utilization', help: 'Share of the last second in which the event loop was busy', registers: [this.registry] })
   readonly eventLoopDelay = new Gauge({ name: 'fuchsiaworks_event_loop_delay_seconds', help: 'Largest delay of a timer in the last second', registers: [this.registry] })
+  readonly unreadWait = new Histogram({ name: 'fuchsiaworks_unread_wait_seconds', help: 'Time for which requests are known to have waited before they were read', buckets: LATENCY_BUCKETS_S, registers: [this.registry] })
   readonly listenQueueWait = new Gauge({ name: 'fuchsiaworks_listen_queue_wait_seconds', help: 'Time for which a new connection waited to be accepted, measured each second', registers: [this.registry] })
   readonly revision = new Gauge({ name: 'fuchsiaworks_configuration_revision', help: 'Revision of the configuration in force', registers: [this.registry] })
   readonly zoneBytes = new Counter({ name: 'fuchsiaworks_zone_bytes_total', help: 'Bytes sent to or received from other zones, by what they were sent for', labelNames: ['cause'], registers: [this.registry] })
--- a/packages/gateway/src/offload/connectionDispatcher.ts
+++ b/packages/gateway/src/offload/connectionDispatcher.ts
@@ -97,7 +97,7 @@
     const decision = this.#decide()
     switch (decision.kind) {
       case 'serve': return decision
-      case 'offload': return this.#parts.offloader.offload(socket, decision.peer) ? decision : { kind: 'serve' }
+      case 'offload': return this.#parts.offloader.offload(socket, decision.peer, this.#parts.probe.minWaitMs) ? decision : { kind: 'serve' }
       case 'refuse':
         this.#refuse(socket, decision.retryAfterMs)
         return decision
--- a/packages/gateway/src/offload/connectionOffloader.ts
+++ b/packages/gateway/src/offload/connectionOffloader.ts
@@ -3,6 +3,7 @@
 import { assertNever, type Clock, createLog, type Millis, type Service, type Timer, type ZoneId } from '@fuchsiaworks/kernel'
 import type { PeerId } from '@fuchsiaworks/policy'
 import WebSocket from 'ws'
+import { ListenQueueWait } from '../callers/listenQueueWait.js'
 import type { ReachablePeer } from '../peers/peerMesh.js'
 import type { HeaderPort } from '../port/headerPort.js'
 import { OffloadedCaller } from './offloadedCaller.js'
@@ -111,14 +112,15 @@
   /**
    * Gives a connection to a peer.
    *
+   * @param waitedMs - time for which the connection has waited in the listen queue at least
    * @returns false when there is no open link to it
    */
-  offload (socket: Socket, peer: PeerId): boolean {
+  offload (socket: Socket, peer: PeerId, waitedMs: Millis): boolean {
     const entry = this.#links.get(peer)
     if (entry?.link === undefined) return false
     const connection = this.#nextConnection++
     entry.lastUsedAt = this.#clock.now()
-    entry.callers.set(connection, new OffloadedCaller(socket, entry.link, connection, this.#headers, () => { entry.callers.delete(connection) }))
+    entry.callers.set(connection, new OffloadedCaller({ socket, link: entry.link, connection, headers: this.#headers, wait: new ListenQueueWait(this.#clock, waitedMs) }, () => { entry.callers.delete(connection) }))
     return true
   }
 
--- a/packages/gateway/src/offload/offload.spec.ts
+++ b/packages/gateway/src/offload/offload.spec.ts
@@ -4,6 +4,7 @@
 import { asId, setLogLevel, systemClock, type ZoneId } from '@fuchsiaworks/kernel'
 import type { PeerId } from '@fuchsiaworks/policy'
 import { expect } from 'earl'
+import { Packr } from 'msgpackr'
 import fc from 'fast-check'
 import { WebSocketServer } from 'ws'
 import type { HeaderPort } from '../port/headerPort.js'
@@ -48,7 +49,7 @@
   }
 }
 
-const startOffloaded = async (handler: Handler): Promise<Offloaded> => {
+const startOffloaded = async (handler: Handler, waitedMs = 0): Promise<Offloaded> => {
   const http = createHttpServer({ keepAliveTimeout: 60_000 }, (req, res) => {
     const socket = req.socket as unknown as OffloadedSocket
     socket.openRequests += 1
@@ -75,7 +76,7 @@
   const accepted: Socket[] = []
   const front = createServer({ allowHalfOpen: true }, socket => {
     accepted.push(socket)
-    expect(offloader.offload(socket, PEER)).toEqual(true)
+    expect(offloader.offload(socket, PEER, waitedMs)).toEqual(true)
   })
   const port = await listen(front)
   cleanUps.push(() => {
@@ -111,7 +112,7 @@
 
 describe('a message of an offload link', () => {
   const FRAMES: OffloadFrame[] = [
-    { kind: 'open', connection: 7 }, { kind: 'data', connection: 7, bytes: Buffer.from('abc') }, { kind: 'credit', connection: 7, bytes: 140_000 },
+    { kind: 'open', connection: 7 }, { kind: 'data', connection: 7, bytes: Buffer.from('abc'), unreadMs: 0 }, { kind: 'data', connection: 7, bytes: Buffer.from('abc'), unreadMs: 1200 }, { kind: 'credit', connection: 7, bytes: 140_000 },
     { kind: 'end', connection: 7 }, { kind: 'close', connection: 7, isIdle: true }, { kind: 'keep-alive', isAllowed: false }, { kind: 'close-idle' }
   ]
 
@@ -119,6 +120,11 @@
     expect(decodeOffloadFrames(encodeOffloadFrames(FRAMES))).toEqual(FRAMES)
   })
 
+  it('of an older gateway, which does not say how long bytes have waited, is understood', () => {
+    const message = new Packr({ useRecords: false }).pack([[1, 7, Buffer.from('abc')]])
+    expect(decodeOffloadFrames(message)).toEqual([{ kind: 'data', connection: 7, bytes: Buffer.from('abc'), unreadMs: 0 }])
+  })
+
   it('is rejected as a whole when a frame is malformed', () => {
     const malformed = [[{ kind: 'data', connection: -1, bytes: Buffer.alloc(1) }], [{ kind: 'credit', connection: 1, bytes: NaN }], [{ kind: 'data', connection: 1, bytes: 'text' }]]
     for (const frames of malformed) expect(() => decodeOffloadFrames(encodeOffloadFrames(frames as unknown as OffloadFrame[]))).toThrow(OffloadMessageError)
@@ -153,6 +159,20 @@
     expect(served.length).toEqual(1)
   })
 
+  it('tells the peer how long its first request has waited in the listen queue, and not of further ones', async () => {
+    const waits: number[] = []
+    const { port } = await startOffloaded((req, res) => {
+      waits.push((req.socket as unknown as OffloadedSocket).unreadMs)
+      res.end()
+    }, 1000)
+    const socket = connect(port, '127.0.0.1', () => { socket.write(head(0, '')) }).on('error', () => {})
+    await waitUntil(() => waits.length === 1)
+    socket.write(head(0))
+    await waitUntil(() => waits.length === 2)
+    expect(waits[0] ?? 0).toBeGreaterThanOrEqual(1000)
+    expect(waits[1]).toEqual(0)
+  })
+
   it('streams events as they are made', async () => {
     const { port } = await startOffloaded((_req, res) => {
       res.write('id: 1\n\n')
--- a/packages/gateway/src/offload/offloadCodec.ts
+++ b/packages/gateway/src/offload/offloadCodec.ts
@@ -21,7 +21,7 @@
 const encodeFrame = (frame: OffloadFrame): unknown[] => {
   const number = kindNumber[frame.kind]
   switch (frame.kind) {
-    case 'data':
+    case 'data': return frame.unreadMs < 1 ? [number, frame.connection, frame.bytes] : [number, frame.connection, frame.bytes, Math.floor(frame.unreadMs)]
     case 'credit': return [number, frame.connection, frame.bytes]
     case 'close': return [number, frame.connection, frame.isIdle]
     case 'open':
@@ -44,10 +44,10 @@
 
 const decodeFrame = (entry: unknown): OffloadFrame => {
   if (!Array.isArray(entry)) throw new OffloadMessageError('a frame is not an array')
-  const [number, connection, content] = entry as unknown[]
+  const [number, connection, content, unreadMs = 0] = entry as unknown[]
   const kind = KINDS[expectNumber(number)]
   switch (kind) {
-    case 'data': return { kind, connection: expectNumber(connection), bytes: expectBytes(content) }
+    case 'data': return { kind, connection: expectNumber(connection), bytes: expectBytes(content), unreadMs: expectNumber(unreadMs) }
     case 'credit': return { kind, connection: expectNumber(connection), bytes: expectNumber(content) }
     case 'close': return { kind, connection: expectNumber(connection), isIdle: content === true }
     case 'open':
--- a/packages/gateway/src/offload/offloadLink.ts
+++ b/packages/gateway/src/offload/offloadLink.ts
@@ -29,6 +29,8 @@
   readonly onClose: () => void
 }
 
+type DataFrame = OffloadFrame & { readonly kind: 'data' }
+
 /** One open link. */
 export class OffloadLink {
   readonly #clock: Clock
@@ -71,7 +73,7 @@
 
   /** Sends a frame with the next batch. */
   send (frame: OffloadFrame): void {
-    if (frame.kind === 'data') this.#addData(frame.connection, frame.bytes)
+    if (frame.kind === 'data') this.#addData(frame)
     else this.#pending.push(frame)
     this.#batchTimer ??= this.#clock.after(this.#batchMs, () => { this.flush() })
   }
@@ -95,15 +97,17 @@
   }
 
   /** Data of one connection becomes one frame of the batch, so that the receiver passes it on with one write. */
-  #addData (connection: ConnectionNumber, bytes: Buffer): void {
+  #addData (frame: DataFrame): void {
+    const { connection, bytes, unreadMs } = frame
     const position = this.#pendingData.get(connection)
     const earlier = position === undefined ? undefined : this.#pending[position]
-    if (position !== undefined && earlier?.kind === 'data') {
-      this.#pending[position] = { kind: 'data', connection, bytes: Buffer.concat([earlier.bytes, bytes]) }
+    // What was read later may belong to another request, which has not waited.
+    if (position !== undefined && earlier?.kind === 'data' && earlier.unreadMs === unreadMs) {
+      this.#pending[position] = { ...earlier, bytes: Buffer.concat([earlier.bytes, bytes]) }
       return
     }
     this.#pendingData.set(connection, this.#pending.length)
-    this.#pending.push({ kind: 'data', connection, bytes })
+    this.#pending.push(frame)
   }
 
   #receive (message: Buffer): void {
--- a/packages/gateway/src/offload/offloadReceiver.ts
+++ b/packages/gateway/src/offload/offloadReceiver.ts
@@ -68,7 +68,7 @@
     const { sockets } = entry
     switch (frame.kind) {
       case 'open': return this.#open(entry, frame.connection)
-      case 'data': return sockets.get(frame.connection)?.receive(frame.bytes)
+      case 'data': return sockets.get(frame.connection)?.receive(frame.bytes, frame.unreadMs)
       case 'end': return sockets.get(frame.connection)?.receiveEnd()
       case 'close': {
         sockets.get(frame.connection)?.destroy()
--- a/packages/gateway/src/offload/offloadTypes.ts
+++ b/packages/gateway/src/offload/offloadTypes.ts
@@ -1,5 +1,7 @@
 /** Frames between two gateways of which one passes on the bytes of connections that the other serves. */
 
+import type { Millis } from '@fuchsiaworks/kernel'
+
 /** Identifies a connection on one link; chosen by the gateway that accepted it. */
 export type ConnectionNumber = number
 
@@ -7,7 +9,8 @@
 export type OffloadFrame =
   /** A caller has connected; sent by the gateway that accepted the connection. */
   | { readonly kind: 'open', readonly connection: ConnectionNumber }
-  | { readonly kind: 'data', readonly connection: ConnectionNumber, readonly bytes: Buffer }
+  /** `unreadMs`: time for which bytes of a caller are known to have waited before they were read; 0 for bytes of a response, and from older gateways. */
+  | { readonly kind: 'data', readonly connection: ConnectionNumber, readonly bytes: Buffer, readonly unreadMs: Millis }
   /** The sender sends no more data. */
   | { readonly kind: 'end', readonly connection: ConnectionNumber }
   /** The connection is closed in both directions. `isIdle`: the sender was not serving a request on it, so that bytes it did not read have not run. */
--- a/packages/gateway/src/offload/offloadedCaller.ts
+++ b/packages/gateway/src/offload/offloadedCaller.ts
@@ -1,5 +1,6 @@
 /** A caller's connection that this gateway accepted and a peer gateway serves: passes the bytes on in both directions. */
 import type { Socket } from 'node:net'
+import type { ListenQueueWait } from '../callers/listenQueueWait.js'
 import { type Refusal, rawRefusal } from '../requests/refusals.js'
 import type { HeaderPort } from '../port/headerPort.js'
 import { ReceiveCredit, SendCredit } from './creditWindow.js'
@@ -12,12 +13,26 @@
 /** The peer closed the connection, as it does when one is idle, before it read the request. */
 const NOT_READ: Refusal = { status: 503, reason: 'connection-closed', retryAfterMs: 0 }
 
+/** A connection and what serves it. */
+export interface OffloadedConnection {
+  /** Connection of the caller. */
+  readonly socket: Socket
+  /** Link to the peer that serves it. */
+  readonly link: OffloadLink
+  /** Number of the connection on the link. */
+  readonly connection: ConnectionNumber
+  /** Encodes refusals. */
+  readonly headers: HeaderPort
+  readonly wait: ListenQueueWait
+}
+
 /** One connection. */
 export class OffloadedCaller {
   readonly #socket: Socket
   readonly #link: OffloadLink
   readonly #connection: ConnectionNumber
   readonly #headers: HeaderPort
+  readonly #wait: ListenQueueWait
   readonly #sendCredit = new SendCredit()
   readonly #receiveCredit = new ReceiveCredit()
   /** True from the first bytes of a request to the first bytes of its response. */
@@ -25,14 +40,12 @@
   #isClosed = false
 
   /**
-   * @param socket - connection of the caller
-   * @param link - link to the peer that serves it
-   * @param connection - number of the connection on the link
-   * @param headers - encodes refusals
+   * @param parts - the connection and what serves it
    * @param onClose - called once, when the connection has ended
    */
-  constructor (socket: Socket, link: OffloadLink, connection: ConnectionNumber, headers: HeaderPort, onClose: () => void) {
+  constructor ({ socket, link, connection, headers, wait }: OffloadedConnection, onClose: () => void) {
     this.#socket = socket
+    this.#wait = wait
     this.#headers = headers
     this.#link = link
     this.#connection = connection
@@ -86,7 +99,7 @@
 
   #passOn (bytes: Buffer): void {
     this.#awaitsResponse = true
-    this.#link.send({ kind: 'data', connection: this.#connection, bytes })
+    this.#link.send({ kind: 'data', connection: this.#connection, bytes, unreadMs: this.#wait.ms })
     this.#sendCredit.consume(bytes.length)
     if (this.#sendCredit.isExhausted) this.#socket.pause()
   }
--- a/packages/gateway/src/offload/offloadedSocket.ts
+++ b/packages/gateway/src/offload/offloadedSocket.ts
@@ -19,6 +19,8 @@
   #unreadBytes = 0
   #idleTimer: Timer | undefined
   #timeoutMs: Millis = 0
+  /** Time for which the bytes that were received last are known to have waited before the peer read them. */
+  unreadMs: Millis = 0
   /** Requests on this connection without a complete response. */
   openRequests = 0
   /** True when a response ended before its request was read completely, so that what follows is not a new request. */
@@ -46,9 +48,14 @@
     return this.openRequests === 0 && !this.isMidRequest
   }
 
-  /** Passes on bytes of the caller. */
-  receive (bytes: Buffer): void {
+  /**
+   * Passes on bytes of the caller.
+   *
+   * @param unreadMs - time for which they are known to have waited before the peer read them
+   */
+  receive (bytes: Buffer, unreadMs: Millis): void {
     if (this.destroyed) return
+    this.unreadMs = unreadMs
     this.#refreshTimeout()
     this.#unreadBytes += bytes.length
     if (this.push(bytes)) this.#returnCredit()
@@ -119,7 +126,7 @@
 
   #send (bytes: Buffer, done: Done): void {
     this.#refreshTimeout()
-    this.#link.send({ kind: 'data', connection: this.#connection, bytes })
+    this.#link.send({ kind: 'data', connection: this.#connection, bytes, unreadMs: 0 })
     this.#sendCredit.consume(bytes.length)
     if (this.#sendCredit.isExhausted) this.#whenCreditReturns = done
     else done()
--- a/packages/gateway/src/process/callerLeaves.spec.ts
+++ b/packages/gateway/src/process/callerLeaves.spec.ts
@@ -46,7 +46,7 @@
   const accepted: Socket[] = []
   const server: Server = createServer({ allowHalfOpen: true }, socket => {
     accepted.push(socket)
-    offloader.offload(socket, peer.id)
+    offloader.offload(socket, peer.id, 0)
   })
   await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
   cleanUps.push(() => {
--- a/packages/gateway/src/process/gateway.spec.ts
+++ b/packages/gateway/src/process/gateway.spec.ts
@@ -584,7 +584,7 @@
       for (const frame of decodeOffloadFrames(message)) if (frame.kind === 'data') received += frame.bytes.toString()
     })
     const sendRequest = (attempt: string): void => {
-      link.send(encodeOffloadFrames([{ kind: 'data', connection: 1, bytes: Buffer.from(`POST /stream/x HTTP/1.1\r\nHost: a.example\r\nTry: ${attempt}\r\n\r\n`) }]))
+      link.send(encodeOffloadFrames([{ kind: 'data', connection: 1, bytes: Buffer.from(`POST /stream/x HTTP/1.1\r\nHost: a.example\r\nTry: ${attempt}\r\n\r\n`), unreadMs: 0 }]))
     }
     try {
       await new Promise(resolve => { link.on('open', resolve) })
@@ -603,6 +603,41 @@
   })
 })
 
+describe('a request that has waited at the gateway that accepted its connection', () => {
+  /** Sends a request that its caller waits 2 s for; `leftMs` is the time limit that the upstream gets, -1 when it gets no request. */
+  const sendWaited = async (unreadMs: number): Promise<{ leftMs: number, received: string }> => {
+    const [port = 0] = await findPorts(1)
+    const gateway = await startWithSettings({ peers: { host: '127.0.0.1', port } }, respond)
+    const link = new WebSocket(`ws://127.0.0.1:${port}${OFFLOAD_PATH}`)
+    let received = ''
+    link.on('message', (message: Buffer) => {
+      for (const frame of decodeOffloadFrames(message)) if (frame.kind === 'data') received += frame.bytes.toString()
+    })
+    try {
+      await new Promise(resolve => { link.on('open', resolve) })
+      const bytes = Buffer.from('POST /safe/x HTTP/1.1\r\nHost: a.example\r\nTry: t1\r\nDeadline: 2000\r\n\r\n')
+      link.send(encodeOffloadFrames([{ kind: 'open', connection: 1 }, { kind: 'data', connection: 1, bytes, unreadMs }]))
+      await pause(200)
+      return { leftMs: Number(gateway.arrivals[0]?.req.headers['deadline'] ?? -1), received }
+    } finally {
+      link.terminate()
+      await gateway.close()
+    }
+  }
+
+  it('is sent with the time that its caller still waits', async () => {
+    const { leftMs } = await sendWaited(1200)
+    expect(leftMs).toBeLessThanOrEqual(800)
+    expect(leftMs).toBeGreaterThan(600)
+  })
+
+  it('is refused as not run when no time is left', async () => {
+    const { leftMs, received } = await sendWaited(2000)
+    expect(leftMs).toEqual(-1)
+    expect(received).toMatchRegex(/^HTTP\/1.1 503[^]*"too-late"/)
+  })
+})
+
 describe('a gateway whose address is in use', () => {
   const listen = async (port: number): Promise<Server> => await new Promise((resolve, reject) => {
     const server = createServer().once('error', reject).listen(port, '127.0.0.1', () => { resolve(server) })
--- a/packages/gateway/src/process/startGateway.ts
+++ b/packages/gateway/src/process/startGateway.ts
@@ -1,7 +1,7 @@
 /** Starts a gateway: a proxy without queues that sends requests straight to upstreams. */
 import { createLog, EventLoopMonitor, Kernel, ListenQueueProbe, type Millis, onEvent, type RunningProcess, type Service, systemClock } from '@fuchsiaworks/kernel'
 import { admissionQueueDefinition, chooseStoreWatchRole, coldPaceDefinition, crashSuspectDefinition, leavingDefinition, loadStringHash, placementDefinition, requestLimitDefinition, RetryBudget, streamVersionDefinition, tokenShareDefinition } from '@fuchsiaworks/policy'
-import { CallerServer } from '../callers/callerServer.js'
+import { CallerServer, LISTEN_BACKLOG } from '../callers/callerServer.js'
 import { GatewayMetrics } from '../log/gatewayMetrics.js'
 import { WEB_SOCKET_FRAME_BYTES, ZoneBytes } from '../log/zoneBytes.js'
 import { RequestLog } from '../log/requestLog.js'
@@ -129,7 +129,7 @@
     requestLog
   }
   const flow = new RequestFlow(ctx)
-  const probe = new ListenQueueProbe(clock, settings.callers)
+  const probe = new ListenQueueProbe(clock, { ...settings.callers, backlog: LISTEN_BACKLOG })
   const offloader = new ConnectionOffloader(clock, ports.headers, settings.host, (zone, bytes) => { zoneBytes.count('offload', zone, bytes + WEB_SOCKET_FRAME_BYTES) })
   const dispatcher: ConnectionDispatcher = new ConnectionDispatcher({
     clock, zone: settings.zone, maxConnections: settings.maxDescriptors * CALLER_DESCRIPTOR_SHARE, random: ctx.random, eventLoop, probe, mesh, offloader, headers: ports.headers, connections: () => callerServer.connections, revision: () => ports.fleet.view.table?.revision ?? -1
@@ -141,6 +141,7 @@
       loadMonitor.recordAccepted(kind)
       return kind === 'serve'
     },
+    minWaitMs: () => probe.minWaitMs,
     shouldClose: () => dispatcher.shouldClose()
   })
   const loadMonitor = new LoadMonitor(clock, ctx.metrics, eventLoop, probe, () => ({ connections: callerServer.connections, offloaded: offloader.size, received: receiver.size, requests: flow.size }), sample => { selfCheck.check(sample) })
--- a/packages/gateway/src/requests/callerExchange.ts
+++ b/packages/gateway/src/requests/callerExchange.ts
@@ -123,6 +123,7 @@
       zoneDecision: placement?.zoneDecision?.reason ?? '',
       ownZonePressure: Number((placement?.zoneDecision?.ownPressure ?? -1).toFixed(2)),
       acceptedBy: request.acceptedBy ?? 'self',
+      unreadMs: Math.round(request.unreadMs),
       waitedMs: Math.round(waitedMs),
       leftMs: Math.round(leftMs ?? -1),
       expectedMs: Math.round(placement?.expectedMs ?? -1),
--- a/packages/gateway/src/requests/callerRequest.ts
+++ b/packages/gateway/src/requests/callerRequest.ts
@@ -27,8 +27,10 @@
   readonly workspace: WorkspaceId | undefined
   /** Revision of the configuration that routed the request. */
   readonly revision: number
-  /** Monotonic time in milliseconds at which the headers were read. */
+  /** Monotonic time in milliseconds at which the request arrived: when its headers were read, less the time for which they are known to have waited. */
   readonly arrivedAt: Millis
+  /** Time for which the headers are known to have waited before they were read. */
+  readonly unreadMs: Millis
   /** Host of the gateway that accepted the connection; undefined for this one. */
   readonly acceptedBy: string | undefined
   readonly res: ServerResponse
--- a/packages/kernel/src/process/listenQueueProbe.ts
+++ b/packages/kernel/src/process/listenQueueProbe.ts
@@ -8,19 +8,33 @@
 /** Time after which a probe that was not accepted is given up; longer waits are reported as this long. */
 const MAX_WAIT_MS: Millis = 10_000
 
+/** Probes that wait at the same time; each takes a place in the listen queue. */
+const MAX_PROBES = 10
+
 /** Address of a listening socket. */
 export interface ProbedAddress {
   readonly host: string
   readonly port: number
+  /** Connections that may wait to be accepted. */
+  readonly backlog: number
+}
+
+/** A probe that has not been accepted. */
+interface WaitingProbe {
+  readonly socket: Socket
+  readonly startedAt: Millis
+  /** Connections that had been accepted when it was started. */
+  readonly acceptedBefore: number
 }
 
 /** Probes one listening socket. */
 export class ListenQueueProbe {
   readonly #clock: Clock
   readonly #address: ProbedAddress
-  #socket: Socket | undefined
-  #startedAt: Millis = 0
+  /** Probes that wait, oldest first. */
+  #waiting: WaitingProbe[] = []
   #lastWaitMs: Millis = 0
+  #accepted = 0
 
   /**
    * @param clock - source of time
@@ -31,42 +45,61 @@
     this.#address = address
   }
 
-  /** Time for which the last probe waited, or the current one has waited so far when that is longer. */
+  /** Time for which the last probe waited, or the oldest one has waited so far when that is longer. */
   get waitMs (): Millis {
-    return Math.max(this.#lastWaitMs, this.#socket === undefined ? 0 : Math.min(MAX_WAIT_MS, this.#clock.now() - this.#startedAt))
+    const [oldest] = this.#waiting
+    return Math.max(this.#lastWaitMs, oldest === undefined ? 0 : Math.min(MAX_WAIT_MS, this.#clock.now() - oldest.startedAt))
   }
 
-  /** Starts a probe unless the previous one still waits. */
+  /**
+   * Time for which a connection that is accepted now has waited at least: it was queued before the probes that still wait. A probe that finds the queue
+   * full is not in it, and may be overtaken once as many connections have been accepted as the queue holds.
+   */
+  get minWaitMs (): Millis {
+    const probe = this.#waiting.find(one => !this.#mayBeOvertaken(one))
+    return probe === undefined ? 0 : this.#clock.now() - probe.startedAt
+  }
+
+  /** Starts a probe unless as many as may wait already do. */
   start (): void {
-    if (this.#socket !== undefined && this.#clock.now() - this.#startedAt < MAX_WAIT_MS) return
-    this.#socket?.destroy()
-    this.#startedAt = this.#clock.now()
+    const now = this.#clock.now()
+    for (const { socket } of this.#waiting.filter(({ startedAt }) => now - startedAt >= MAX_WAIT_MS)) this.#end(socket)
+    // The oldest one is kept, as it tells how long connections wait that find the queue full.
+    for (const { socket } of this.#waiting.slice(1).filter(probe => this.#mayBeOvertaken(probe))) this.#end(socket)
+    if (this.#waiting.length >= MAX_PROBES) return
     const socket = connect(this.#address)
-    this.#socket = socket
+    this.#waiting.push({ socket, startedAt: now, acceptedBefore: this.#accepted })
     socket.on('error', () => { this.#end(socket) })
   }
 
   /**
-   * Recognizes the connection of the probe among the accepted ones, and closes it.
+   * Recognizes the connection of a probe among the accepted ones, and closes it.
    *
-   * @returns whether the connection is the probe's
+   * @returns whether the connection is a probe's
    */
   acceptConnection (accepted: Socket): boolean {
-    const probe = this.#socket
-    if (probe === undefined || !isOtherEnd(probe, accepted)) return false
-    this.#lastWaitMs = this.#clock.now() - this.#startedAt
+    this.#accepted += 1
+    const position = this.#waiting.findIndex(({ socket }) => isOtherEnd(socket, accepted))
+    const probe = this.#waiting[position]
+    if (probe === undefined) return false
+    this.#lastWaitMs = this.#clock.now() - probe.startedAt
     accepted.destroy()
-    this.#end(probe)
+    // A probe that was overtaken by a later one was not in the queue.
+    for (const { socket } of this.#waiting.slice(0, position + 1)) this.#end(socket)
     return true
   }
 
   close (): void {
-    this.#socket?.destroy()
+    for (const { socket } of this.#waiting) socket.destroy()
+  }
+
+  #mayBeOvertaken ({ acceptedBefore }: WaitingProbe): boolean {
+    return this.#accepted - acceptedBefore >= this.#address.backlog
   }
 
   #end (socket: Socket): void {
     socket.destroy()
-    if (this.#socket === socket) this.#socket = undefined
+    this.#waiting = this.#waiting.filter(probe => probe.socket !== socket)
   }
 }
 
