Give a peer no request whose caller left before the request was read

Requests reached upstreams seconds after their callers had closed their connections, through gateways that serve connections of a busy peer. A request and the close behind it both wait in the listen queue; the close is read one poll after the request. A gateway that serves the connection itself waits for that poll, but one that gives it to a peer sent the request on at once, and the close followed as late as the next iterations of its event loop came.

The gateway that accepted the connection now holds the first bytes of each request until the socket has been polled once more, and drops them when the caller has closed it.

--- a/packages/gateway/src/callers/listenQueueWait.ts
+++ b/packages/gateway/src/callers/listenQueueWait.ts
@@ -1,6 +1,6 @@
 /** How long the first request of a connection has waited in the listen queue together with it. */
 import type { Clock, Millis } from '@fuchsiaworks/kernel'
-import { nextPoll } from './nextPoll.js'
+import { afterNextPoll } from './nextPoll.js'
 
 /**
  * Wait of the bytes that are read in the first poll of a connection. A caller sends its first request as soon as the connection is established, so
@@ -18,7 +18,7 @@
     this.#clock = clock
     if (waitedMs <= 0) return
     this.#queuedAt = clock.now() - waitedMs
-    nextPoll().then(() => { this.#queuedAt = undefined }, () => {})
+    afterNextPoll(() => { this.#queuedAt = undefined })
   }
 
   /** Time for which bytes that are read now have waited at least. */
--- a/packages/gateway/src/offload/offloadedCaller.ts
+++ b/packages/gateway/src/offload/offloadedCaller.ts
@@ -1,6 +1,8 @@
 /** A caller's connection that this gateway accepted and a peer gateway serves: passes the bytes on in both directions. */
 import type { Socket } from 'node:net'
+import type { Millis } from '@fuchsiaworks/kernel'
 import type { ListenQueueWait } from '../callers/listenQueueWait.js'
+import { afterNextPoll } from '../callers/nextPoll.js'
 import { type Refusal, rawRefusal } from '../requests/refusals.js'
 import type { HeaderPort } from '../port/headerPort.js'
 import { ReceiveCredit, SendCredit } from './creditWindow.js'
@@ -37,6 +39,8 @@
   readonly #receiveCredit = new ReceiveCredit()
   /** True from the first bytes of a request to the first bytes of its response. */
   #awaitsResponse = false
+  /** First bytes of a request that are held until the socket has been polled once more; undefined while none are. */
+  #held: { readonly unreadMs: Millis, readonly parts: Buffer[] } | undefined
   #isClosed = false
 
   /**
@@ -51,7 +55,10 @@
     this.#connection = connection
     link.send({ kind: 'open', connection })
     socket.on('data', (bytes: Buffer) => { this.#passOn(bytes) })
-    socket.on('end', () => { link.send({ kind: 'end', connection }) })
+    socket.on('end', () => {
+      this.#held = undefined
+      link.send({ kind: 'end', connection })
+    })
     socket.on('error', () => {})
     socket.on('close', () => {
       if (!this.#isClosed) link.send({ kind: 'close', connection, isIdle: false })
@@ -98,10 +105,26 @@
   }
 
   #passOn (bytes: Buffer): void {
-    this.#awaitsResponse = true
-    this.#link.send({ kind: 'data', connection: this.#connection, bytes, unreadMs: this.#wait.ms })
     this.#sendCredit.consume(bytes.length)
     if (this.#sendCredit.isExhausted) this.#socket.pause()
+    if (this.#held !== undefined) this.#held.parts.push(bytes)
+    else if (this.#awaitsResponse) this.#send(bytes, 0)
+    else this.#hold(bytes)
+  }
+
+  /** Holds the first bytes of a request until the close of a caller that has left is read, which is in the next poll of its socket. */
+  #hold (bytes: Buffer): void {
+    this.#awaitsResponse = true
+    this.#held = { unreadMs: this.#wait.ms, parts: [bytes] }
+    afterNextPoll(() => {
+      const held = this.#held
+      this.#held = undefined
+      if (held !== undefined && !this.#isClosed) this.#send(Buffer.concat(held.parts), held.unreadMs)
+    })
+  }
+
+  #send (bytes: Buffer, unreadMs: Millis): void {
+    this.#link.send({ kind: 'data', connection: this.#connection, bytes, unreadMs })
   }
 
   #returnCredit (bytes: number): void {
--- a/soak/src/world/timeLeft.spec.ts
+++ b/soak/src/world/timeLeft.spec.ts
@@ -5,6 +5,7 @@
 import { HEADER } from '@fuchsiaworks/platform-adapter'
 import { putUpstream } from '@fuchsiaworks/platform-adapter/standins'
 import { expect } from 'earl'
+import { BOUNDS } from '../invariants/bounds.js'
 import { emptyObservations } from '../invariants/observationTypes.js'
 import { buildFleet, type Fleet } from './fleet.js'
 import { COMPILED_PROGRAM } from './gatewayProcess.js'
@@ -14,7 +15,7 @@
 
 /** Share of a core that the pressed gateway gets; it accepts fewer connections than arrive, so that they wait in its listen queue for about a second. */
 const SHARE = 0.1
-const CALLERS_PER_SECOND = 150
+const CALLERS_PER_SECOND = 300
 const SURGE_MS: Millis = 8000
 const FLEET_START_MS: Millis = 4000
 
@@ -54,6 +55,7 @@
 /** A request as its upstream received it. */
 interface Arrival {
   readonly attempt: string
+  readonly at: Millis
   /** Time at which its limit ends. */
   readonly endsAt: Millis
 }
@@ -62,7 +64,8 @@
 const startUpstream = async ({ store }: Fleet, arrivals: Arrival[]): Promise<() => void> => {
   const server = createServer({ keepAliveTimeout: 60_000 }, (req, res) => {
     const attempt = String(req.headers[HEADER.attemptId])
-    arrivals.push({ attempt, endsAt: systemClock.now() + Number(req.headers[HEADER.deadlineMs]) })
+    const at = systemClock.now()
+    arrivals.push({ attempt, at, endsAt: at + Number(req.headers[HEADER.deadlineMs]) })
     systemClock.after(WORK_MS, () => { res.writeHead(200, { [HEADER.attemptId]: attempt, [HEADER.responseSeal]: 's' }).end('id: 1\ndata: x\n\n') })
   })
   await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
@@ -74,7 +77,7 @@
 }
 
 describe('a request that has waited in the listen queue of a busy gateway', () => {
-  it('is sent with the time that its caller still waits, also by the peer that serves the connection', async () => {
+  it('is sent with the time that its caller still waits, also by the peer that serves the connection, and not at all once its caller has left', async () => {
     const fleet = await buildFleet(systemClock, 3, COMPILED_PROGRAM)
     const arrivals: Arrival[] = []
     const closeUpstream = await startUpstream(fleet, arrivals)
@@ -98,7 +101,9 @@
       throttle.close()
       const overMs = arrivals.map(({ attempt, endsAt }) => endsAt - (callers.sentAt.get(attempt) ?? Infinity) - DEADLINE_MS)
       const late = overMs.filter(ms => ms > LATE_MS).length
-      console.log(`${callers.served} of ${called} callers served; the limits of ${late} of ${arrivals.length} requests end over ${LATE_MS} ms late, the earliest ${Math.round(Math.min(...overMs))} ms late`)
+      const abandoned = arrivals.filter(({ attempt, at }) => at > (callers.sentAt.get(attempt) ?? Infinity) + DEADLINE_MS + BOUNDS.abandonedWorkMs).length
+      console.log(`${callers.served} of ${called} callers served; ${abandoned} requests arrived after their callers had left; the limits of ${late} of ${arrivals.length} requests end over ${LATE_MS} ms late, the earliest ${Math.round(Math.min(...overMs))} ms late`)
+      expect(abandoned).toBeLessThanOrEqual(BOUNDS.lateAbandonedRequests)
       expect(late).toBeLessThanOrEqual(Math.max(MAX_LATE.requests, arrivals.length * MAX_LATE.share))
       expect(Math.min(...overMs)).toBeGreaterThanOrEqual(-EARLY_MS)
     } finally {
