Count the time on the offload link against the time limit of a request

The time from reading a request at the gateway that accepted its connection to its arrival at the peer that serves it was counted by nobody: the pressed gateway's own pauses between reading and sending, the link, and the time in which the peer was busy.

Data frames of callers now name the time at which they were read, by the clock of the sender.

--- a/packages/gateway/src/offload/connectionOffloader.ts
+++ b/packages/gateway/src/offload/connectionOffloader.ts
@@ -120,7 +120,7 @@
     if (entry?.link === undefined) return false
     const connection = this.#nextConnection++
     entry.lastUsedAt = this.#clock.now()
-    entry.callers.set(connection, new OffloadedCaller({ socket, link: entry.link, connection, headers: this.#headers, wait: new ListenQueueWait(this.#clock, waitedMs) }, () => { entry.callers.delete(connection) }))
+    entry.callers.set(connection, new OffloadedCaller({ clock: this.#clock, socket, link: entry.link, connection, headers: this.#headers, wait: new ListenQueueWait(this.#clock, waitedMs) }, () => { entry.callers.delete(connection) }))
     return true
   }
 
--- a/packages/gateway/src/offload/offloadCodec.ts
+++ b/packages/gateway/src/offload/offloadCodec.ts
@@ -1,7 +1,7 @@
 /** Encodes and decodes the messages of offload links (MessagePack). A malformed message is rejected as a whole. */
 import { assertNever, FuchsiaError } from '@fuchsiaworks/kernel'
 import { Packr } from 'msgpackr'
-import type { OffloadFrame } from './offloadTypes.js'
+import type { DataFrame, OffloadFrame } from './offloadTypes.js'
 
 /** Kinds of frames by their number in a message. */
 const KINDS = ['open', 'data', 'end', 'close', 'credit', 'keep-alive', 'close-idle'] as const
@@ -18,10 +18,16 @@
   }
 }
 
+/** Times of data of a caller; older gateways ignore them. */
+const encodeTimes = ({ unreadMs, readAt }: DataFrame): number[] => {
+  if (readAt !== undefined) return [Math.floor(unreadMs), Math.ceil(readAt)]
+  return unreadMs < 1 ? [] : [Math.floor(unreadMs)]
+}
+
 const encodeFrame = (frame: OffloadFrame): unknown[] => {
   const number = kindNumber[frame.kind]
   switch (frame.kind) {
-    case 'data': return frame.unreadMs < 1 ? [number, frame.connection, frame.bytes] : [number, frame.connection, frame.bytes, Math.floor(frame.unreadMs)]
+    case 'data': return [number, frame.connection, frame.bytes, ...encodeTimes(frame)]
     case 'credit': return [number, frame.connection, frame.bytes]
     case 'close': return [number, frame.connection, frame.isIdle]
     case 'open':
@@ -44,10 +50,10 @@
 
 const decodeFrame = (entry: unknown): OffloadFrame => {
   if (!Array.isArray(entry)) throw new OffloadMessageError('a frame is not an array')
-  const [number, connection, content, unreadMs = 0] = entry as unknown[]
+  const [number, connection, content, unreadMs = 0, readAt] = entry as unknown[]
   const kind = KINDS[expectNumber(number)]
   switch (kind) {
-    case 'data': return { kind, connection: expectNumber(connection), bytes: expectBytes(content), unreadMs: expectNumber(unreadMs) }
+    case 'data': return { kind, connection: expectNumber(connection), bytes: expectBytes(content), unreadMs: expectNumber(unreadMs), ...readAt === undefined ? {} : { readAt: expectNumber(readAt) } }
     case 'credit': return { kind, connection: expectNumber(connection), bytes: expectNumber(content) }
     case 'close': return { kind, connection: expectNumber(connection), isIdle: content === true }
     case 'open':
--- a/packages/gateway/src/offload/offloadLink.ts
+++ b/packages/gateway/src/offload/offloadLink.ts
@@ -2,7 +2,7 @@
 import { type Clock, createLog, type Millis, type Timer, toError } from '@fuchsiaworks/kernel'
 import type { WebSocket } from 'ws'
 import { decodeOffloadFrames, encodeOffloadFrames } from './offloadCodec.js'
-import type { ConnectionNumber, OffloadFrame } from './offloadTypes.js'
+import type { ConnectionNumber, DataFrame, OffloadFrame } from './offloadTypes.js'
 
 /** Interval at which it is checked whether the other side is alive. */
 const CHECK_INTERVAL_MS: Millis = 250
@@ -29,8 +29,6 @@
   readonly onClose: () => void
 }
 
-type DataFrame = OffloadFrame & { readonly kind: 'data' }
-
 /** One open link. */
 export class OffloadLink {
   readonly #clock: Clock
@@ -103,7 +101,7 @@
     const earlier = position === undefined ? undefined : this.#pending[position]
     // What was read later may belong to another request, which has not waited.
     if (position !== undefined && earlier?.kind === 'data' && earlier.unreadMs === unreadMs) {
-      this.#pending[position] = { ...earlier, bytes: Buffer.concat([earlier.bytes, bytes]) }
+      this.#pending[position] = { ...frame, bytes: Buffer.concat([earlier.bytes, bytes]) }
       return
     }
     this.#pendingData.set(connection, this.#pending.length)
--- a/packages/gateway/src/offload/offloadReceiver.ts
+++ b/packages/gateway/src/offload/offloadReceiver.ts
@@ -1,6 +1,7 @@
 /** Serves connections that peer gateways have accepted. */
 import { assertNever, type Clock, type Millis, type Service } from '@fuchsiaworks/kernel'
 import type { WebSocket } from 'ws'
+import { LinkDelay } from './linkDelay.js'
 import { OffloadedSocket } from './offloadedSocket.js'
 import { OffloadLink } from './offloadLink.js'
 import type { ConnectionNumber, OffloadFrame } from './offloadTypes.js'
@@ -16,6 +17,7 @@
   /** Host of the peer. */
   readonly host: string
   readonly sockets: Map<ConnectionNumber, OffloadedSocket>
+  readonly delay: LinkDelay
   link: OffloadLink | undefined
   isKeepAliveAllowed: boolean
   isStopping: boolean
@@ -48,7 +50,7 @@
    * @param host - host of the peer, for the log
    */
   accept (webSocket: WebSocket, host = 'unknown'): void {
-    const entry: ReceivingLink = { host, sockets: new Map(), link: undefined, isKeepAliveAllowed: true, isStopping: false }
+    const entry: ReceivingLink = { host, sockets: new Map(), delay: new LinkDelay(), link: undefined, isKeepAliveAllowed: true, isStopping: false }
     this.#links.add(entry)
     entry.link = new OffloadLink(this.#clock, webSocket, BATCH_MS, {
       onFrame: frame => { this.#receive(entry, frame) },
@@ -68,7 +70,10 @@
     const { sockets } = entry
     switch (frame.kind) {
       case 'open': return this.#open(entry, frame.connection)
-      case 'data': return sockets.get(frame.connection)?.receive(frame.bytes, frame.unreadMs)
+      case 'data': {
+        const delayMs = frame.readAt === undefined ? 0 : entry.delay.record(frame.readAt, this.#clock.now())
+        return sockets.get(frame.connection)?.receive(frame.bytes, frame.unreadMs + delayMs)
+      }
       case 'end': return sockets.get(frame.connection)?.receiveEnd()
       case 'close': {
         sockets.get(frame.connection)?.destroy()
--- a/packages/gateway/src/offload/offloadTypes.ts
+++ b/packages/gateway/src/offload/offloadTypes.ts
@@ -9,8 +9,8 @@
 export type OffloadFrame =
   /** A caller has connected; sent by the gateway that accepted the connection. */
   | { readonly kind: 'open', readonly connection: ConnectionNumber }
-  /** `unreadMs`: time for which bytes of a caller are known to have waited before they were read; 0 for bytes of a response, and from older gateways. */
-  | { readonly kind: 'data', readonly connection: ConnectionNumber, readonly bytes: Buffer, readonly unreadMs: Millis }
+  /** `unreadMs`: time for which bytes of a caller are known to have waited before they were read; 0 for bytes of a response, and from older gateways. `readAt`: time of the sender's monotonic clock at which it read bytes of a caller. */
+  | { readonly kind: 'data', readonly connection: ConnectionNumber, readonly bytes: Buffer, readonly unreadMs: Millis, readonly readAt?: Millis | undefined }
   /** The sender sends no more data. */
   | { readonly kind: 'end', readonly connection: ConnectionNumber }
   /** The connection is closed in both directions. `isIdle`: the sender was not serving a request on it, so that bytes it did not read have not run. */
@@ -22,6 +22,9 @@
   /** Connections without a request are closed now; sent during a shutdown, after keep-alive was disabled. */
   | { readonly kind: 'close-idle' }
 
+/** Frame with bytes of a connection. */
+export type DataFrame = OffloadFrame & { readonly kind: 'data' }
+
 /** Bytes of a connection that may be on their way in one direction. */
 export const CREDIT_BYTES = 256 * 1024
 
--- a/packages/gateway/src/offload/offloadedCaller.ts
+++ b/packages/gateway/src/offload/offloadedCaller.ts
@@ -1,6 +1,6 @@
 /** A caller's connection that this gateway accepted and a peer gateway serves: passes the bytes on in both directions. */
 import type { Socket } from 'node:net'
-import type { Millis } from '@fuchsiaworks/kernel'
+import type { Clock, Millis } from '@fuchsiaworks/kernel'
 import type { ListenQueueWait } from '../callers/listenQueueWait.js'
 import { afterNextPoll } from '../callers/nextPoll.js'
 import { type Refusal, rawRefusal } from '../requests/refusals.js'
@@ -17,6 +17,7 @@
 
 /** A connection and what serves it. */
 export interface OffloadedConnection {
+  readonly clock: Clock
   /** Connection of the caller. */
   readonly socket: Socket
   /** Link to the peer that serves it. */
@@ -30,6 +31,7 @@
 
 /** One connection. */
 export class OffloadedCaller {
+  readonly #clock: Clock
   readonly #socket: Socket
   readonly #link: OffloadLink
   readonly #connection: ConnectionNumber
@@ -40,14 +42,15 @@
   /** True from the first bytes of a request to the first bytes of its response. */
   #awaitsResponse = false
   /** First bytes of a request that are held until the socket has been polled once more; undefined while none are. */
-  #held: { readonly unreadMs: Millis, readonly parts: Buffer[] } | undefined
+  #held: { readonly unreadMs: Millis, readonly readAt: Millis, readonly parts: Buffer[] } | undefined
   #isClosed = false
 
   /**
    * @param parts - the connection and what serves it
    * @param onClose - called once, when the connection has ended
    */
-  constructor ({ socket, link, connection, headers, wait }: OffloadedConnection, onClose: () => void) {
+  constructor ({ clock, socket, link, connection, headers, wait }: OffloadedConnection, onClose: () => void) {
+    this.#clock = clock
     this.#socket = socket
     this.#wait = wait
     this.#headers = headers
@@ -108,23 +111,23 @@
     this.#sendCredit.consume(bytes.length)
     if (this.#sendCredit.isExhausted) this.#socket.pause()
     if (this.#held !== undefined) this.#held.parts.push(bytes)
-    else if (this.#awaitsResponse) this.#send(bytes, 0)
+    else if (this.#awaitsResponse) this.#send(bytes, 0, this.#clock.now())
     else this.#hold(bytes)
   }
 
   /** Holds the first bytes of a request until the close of a caller that has left is read, which is in the next poll of its socket. */
   #hold (bytes: Buffer): void {
     this.#awaitsResponse = true
-    this.#held = { unreadMs: this.#wait.ms, parts: [bytes] }
+    this.#held = { unreadMs: this.#wait.ms, readAt: this.#clock.now(), parts: [bytes] }
     afterNextPoll(() => {
       const held = this.#held
       this.#held = undefined
-      if (held !== undefined && !this.#isClosed) this.#send(Buffer.concat(held.parts), held.unreadMs)
+      if (held !== undefined && !this.#isClosed) this.#send(Buffer.concat(held.parts), held.unreadMs, held.readAt)
     })
   }
 
-  #send (bytes: Buffer, unreadMs: Millis): void {
-    this.#link.send({ kind: 'data', connection: this.#connection, bytes, unreadMs })
+  #send (bytes: Buffer, unreadMs: Millis, readAt: Millis): void {
+    this.#link.send({ kind: 'data', connection: this.#connection, bytes, unreadMs, readAt })
   }
 
   #returnCredit (bytes: number): void {
--- a/packages/gateway/src/offload/offloadedSocket.ts
+++ b/packages/gateway/src/offload/offloadedSocket.ts
@@ -19,7 +19,7 @@
   #unreadBytes = 0
   #idleTimer: Timer | undefined
   #timeoutMs: Millis = 0
-  /** Time for which the bytes that were received last are known to have waited before the peer read them. */
+  /** Time for which the bytes that were received last are known to have waited before they were received. */
   unreadMs: Millis = 0
   /** Requests on this connection without a complete response. */
   openRequests = 0
@@ -51,7 +51,7 @@
   /**
    * Passes on bytes of the caller.
    *
-   * @param unreadMs - time for which they are known to have waited before the peer read them
+   * @param unreadMs - time for which they are known to have waited
    */
   receive (bytes: Buffer, unreadMs: Millis): void {
     if (this.destroyed) return
