--- a/packages/gateway/src/callers/callerServer.ts
+++ b/packages/gateway/src/callers/callerServer.ts
@@ -9,10 +9,15 @@
 import { pickServiceByWeight, findGatewayRoute } from '../routing/findRoute.js'
 import type { GatewayRoute, RoutingTable } from '../routing/routingTypes.js'
 import { OffloadedSocket } from '../offload/offloadedSocket.js'
+import { type CallerRequest, deadlineOf } from '../requests/callerRequest.js'
 import type { FlowContext } from '../requests/flowContext.js'
-import { rawRefusal, type Refusal, sendRefusal } from '../requests/refusals.js'
+import { rawRefusal, type Refusal, sendRefusal, TOO_LATE } from '../requests/refusals.js'
 import type { RequestFlow } from '../requests/requestFlow.js'
+import { ListenQueueWait } from './listenQueueWait.js'
+import { nextPoll } from './nextPoll.js'
+import { OpenResponses } from './openResponses.js'
 import { readCallerBody } from './readBody.js'
+import { isWellFormed, parseRefusal } from './requestSyntax.js'
 
 /** Header size limit of the HTTP parser; the configured, lower limit is checked afterwards. */
 const MAX_PARSED_HEADER_BYTES = 64 * 1024
@@ -30,21 +35,11 @@
  * Connections that may wait to be accepted. Node.js accepts one in each iteration of its event loop, so that a busy gateway accepts a few hundred
  * a second: a longer queue would hold connections for longer than their callers wait. What finds the queue full tries another gateway.
  */
-const LISTEN_BACKLOG = 128
+export const LISTEN_BACKLOG = 128
 
-const log = createLog('callers')
-
-/** Characters of a request target; Node.js also lets tabs pass. */
-const TARGET = /^[!-~\u0080-\u00ff]+$/
+const SECOND_MS = 1000
 
-/** Whether a request can be sent on: a target with other characters and several Host headers cannot (RFC 9112, section 3.2). */
-const isWellFormed = ({ url, rawHeaders }: IncomingMessage): boolean =>
-  TARGET.test(url ?? '') && rawHeaders.filter((name, at) => at % 2 === 0 && name.length === 4 && name.toLowerCase() === 'host').length <= 1
-
-/** Waits until the event loop has polled its sockets once more: the second immediate runs after the poll phase that follows the first. */
-const nextPoll = async (): Promise<void> => {
-  await new Promise<void>(resolve => { setImmediate(() => { setImmediate(resolve) }) })
-}
+const log = createLog('callers')
 
 /** Keeps the socket's state of its requests up to date, and sends the end of a response without delay. */
 const trackOffloadedRequest = (req: IncomingMessage, res: ServerResponse, socket: OffloadedSocket): void => {
@@ -56,16 +51,6 @@
   })
 }
 
-/** Refusal of bytes that are no complete request, by the code of the parser's error. */
-const parseRefusal = (code: string | undefined): Refusal => {
-  switch (code) {
-    case 'ERR_HTTP_REQUEST_TIMEOUT': return { status: 408, reason: 'headers-timeout' }
-    case 'HPE_HEADER_OVERFLOW': return { status: 431, reason: 'headers-too-long' }
-    case 'HPE_CHUNK_EXTENSIONS_OVERFLOW': return { status: 413, reason: 'body-too-long' }
-    default: return { status: 400, reason: 'malformed-request' }
-  }
-}
-
 /** A request that was admitted by its headers, before its body is read. */
 interface AdmittedRequest {
   readonly table: RoutingTable
@@ -80,6 +65,8 @@
 export interface ConnectionGate {
   /** Returns false when the connection has been taken and is not to be served here. */
   readonly admit: (socket: Socket) => boolean
+  /** Time for which a connection that is accepted now has waited in the listen queue at least. */
+  readonly minWaitMs: () => Millis
   /** Returns whether a response is to close its connection. */
   readonly shouldClose: () => boolean
 }
@@ -91,6 +78,8 @@
   readonly #sockets = new Set<Socket>()
   /** Requests that were passed to the flow and have not ended, by their connection. */
   readonly #running = new WeakMap<Duplex, number>()
+  readonly #responses = new OpenResponses()
+  readonly #waits = new WeakMap<Duplex, ListenQueueWait>()
   /** Requests read since the last sample, and how many of them their callers had abandoned by then. */
   #sample = { read: 0, abandoned: 0 }
   #isStopping = false
@@ -176,16 +165,22 @@
   #accept (socket: Socket): void {
     this.#sockets.add(socket)
     socket.on('close', () => { this.#sockets.delete(socket) })
-    if (this.gate.admit(socket)) this.serve(socket)
+    const waitedMs = this.gate.minWaitMs()
+    if (!this.gate.admit(socket)) return
+    if (waitedMs > 0) this.#waits.set(socket, new ListenQueueWait(this.ctx.clock, waitedMs))
+    this.serve(socket)
   }
 
   #receive (req: IncomingMessage, res: ServerResponse): void {
-    const arrivedAt = this.ctx.clock.now()
+    const unreadMs = req.socket instanceof OffloadedSocket ? req.socket.unreadMs : this.#waits.get(req.socket)?.ms ?? 0
+    const arrivedAt = this.ctx.clock.now() - unreadMs
+    this.ctx.metrics.unreadWait.observe(unreadMs / SECOND_MS)
+    this.#responses.add(req.socket, res)
     if (this.#mustClose(req.socket)) res.setHeader('connection', 'close')
     if (req.socket instanceof OffloadedSocket) trackOffloadedRequest(req, res, req.socket)
     const admitted = this.#admit(req)
     if ('status' in admitted) return this.#reject(req, res, admitted)
-    this.#read(admitted, req, res, arrivedAt).catch(err => {
+    this.#read(admitted, req, res, { arrivedAt, unreadMs }).catch(err => {
       log.error('request dropped: internal error', { reason: toError(err).stack ?? String(err) })
       res.destroy()
     })
@@ -228,7 +223,7 @@
     return mayAcceptApiKeys(this.ctx.fleet.confirmedAgeMs(), this.ctx.settings.revokeMs)
   }
 
-  async #read (admitted: AdmittedRequest, req: IncomingMessage, res: ServerResponse, arrivedAt: Millis): Promise<void> {
+  async #read (admitted: AdmittedRequest, req: IncomingMessage, res: ServerResponse, arrival: Pick<CallerRequest, 'arrivedAt' | 'unreadMs'>): Promise<void> {
     const { table, head } = admitted
     const result = await readCallerBody(req, table.limits.bodyBytes)
     if (result.kind === 'aborted') return
@@ -241,6 +236,7 @@
     // Reading the body can take long; meanwhile the configuration or the state of the process may have changed.
     const rechecked = this.#admit(req, head)
     if ('status' in rechecked) return this.#reject(req, res, rechecked)
+    if (deadlineOf(rechecked.route, head, arrival.arrivedAt) <= this.ctx.clock.now()) return this.#reject(req, res, TOO_LATE)
     const service = this.#serviceOfStream(rechecked) ?? pickServiceByWeight(rechecked.route, this.ctx.random())
     if (service === undefined) return this.#reject(req, res, { status: 503, reason: 'no-service', retryAfterMs: NOT_READY_RETRY_AFTER_MS })
     this.#trackRunning(req.socket, res)
@@ -254,7 +250,8 @@
       service,
       workspace: rechecked.workspace,
       revision: rechecked.table.revision,
-      arrivedAt,
+      ...arrival,
+      acceptedBy: req.socket instanceof OffloadedSocket ? req.socket.acceptedBy : undefined,
       res
     })
   }
--- a/packages/gateway/src/offload/offload.spec.ts
+++ b/packages/gateway/src/offload/offload.spec.ts
@@ -4,8 +4,9 @@
 import { asId, setLogLevel, systemClock, type ZoneId } from '@fuchsiaworks/kernel'
 import type { PeerId } from '@fuchsiaworks/policy'
 import { expect } from 'earl'
+import { Packr } from 'msgpackr'
 import fc from 'fast-check'
-import { WebSocketServer } from 'ws'
+import WebSocket, { WebSocketServer } from 'ws'
 import type { HeaderPort } from '../port/headerPort.js'
 import { ConnectionOffloader } from './connectionOffloader.js'
 import { decodeOffloadFrames, encodeOffloadFrames, OffloadMessageError } from './offloadCodec.js'
@@ -24,6 +25,7 @@
 /** A port at which callers connect, whose connections a peer serves. */
 interface Offloaded {
   readonly port: number
+  readonly peerPort: number
   readonly offloader: ConnectionOffloader
   readonly receiver: OffloadReceiver
   /** Sockets of the connections at the peer. */
@@ -48,7 +50,7 @@
   }
 }
 
-const startOffloaded = async (handler: Handler): Promise<Offloaded> => {
+const startOffloaded = async (handler: Handler, waitedMs = 0): Promise<Offloaded> => {
   const http = createHttpServer({ keepAliveTimeout: 60_000 }, (req, res) => {
     const socket = req.socket as unknown as OffloadedSocket
     socket.openRequests += 1
@@ -69,13 +71,13 @@
   const webSockets = new WebSocketServer({ server: peerServer, path: OFFLOAD_PATH })
   webSockets.on('connection', socket => { receiver.accept(socket) })
   const peerPort = await listen(peerServer)
-  const offloader = new ConnectionOffloader(systemClock, HEADERS)
+  const offloader = new ConnectionOffloader(systemClock, HEADERS, 'h2')
   offloader.prepare([{ id: PEER, zone: asId<ZoneId>('east'), address: `127.0.0.1:${peerPort}`, isOutOfRotation: false, utilization: 0, revision: 1, acceptedPerSecond: 0 }], () => true)
   await waitUntil(() => offloader.isLinked(PEER))
   const accepted: Socket[] = []
   const front = createServer({ allowHalfOpen: true }, socket => {
     accepted.push(socket)
-    expect(offloader.offload(socket, PEER)).toEqual(true)
+    expect(offloader.offload(socket, PEER, waitedMs)).toEqual(true)
   })
   const port = await listen(front)
   cleanUps.push(() => {
@@ -83,7 +85,7 @@
     receiver.close()
     for (const socket of accepted) socket.destroy()
   })
-  return { port, offloader, receiver, served, loseLink: () => { for (const socket of webSockets.clients) socket.terminate() } }
+  return { port, peerPort, offloader, receiver, served, loseLink: () => { for (const socket of webSockets.clients) socket.terminate() } }
 }
 
 /** Sends bytes, in pieces if there are several, and returns what is received until the connection closes. */
@@ -111,7 +113,7 @@
 
 describe('a message of an offload link', () => {
   const FRAMES: OffloadFrame[] = [
-    { kind: 'open', connection: 7 }, { kind: 'data', connection: 7, bytes: Buffer.from('abc') }, { kind: 'credit', connection: 7, bytes: 140_000 },
+    { kind: 'open', connection: 7 }, { kind: 'data', connection: 7, bytes: Buffer.from('abc'), unreadMs: 0 }, { kind: 'data', connection: 7, bytes: Buffer.from('abc'), unreadMs: 1200, readAt: 5_000_000 }, { kind: 'credit', connection: 7, bytes: 140_000 },
     { kind: 'end', connection: 7 }, { kind: 'close', connection: 7, isIdle: true }, { kind: 'keep-alive', isAllowed: false }, { kind: 'close-idle' }
   ]
 
@@ -119,6 +121,11 @@
     expect(decodeOffloadFrames(encodeOffloadFrames(FRAMES))).toEqual(FRAMES)
   })
 
+  it('of an older gateway, which does not say how long bytes have waited, is understood', () => {
+    const message = new Packr({ useRecords: false }).pack([[1, 7, Buffer.from('abc')]])
+    expect(decodeOffloadFrames(message)).toEqual([{ kind: 'data', connection: 7, bytes: Buffer.from('abc'), unreadMs: 0 }])
+  })
+
   it('is rejected as a whole when a frame is malformed', () => {
     const malformed = [[{ kind: 'data', connection: -1, bytes: Buffer.alloc(1) }], [{ kind: 'credit', connection: 1, bytes: NaN }], [{ kind: 'data', connection: 1, bytes: 'text' }]]
     for (const frames of malformed) expect(() => decodeOffloadFrames(encodeOffloadFrames(frames as unknown as OffloadFrame[]))).toThrow(OffloadMessageError)
@@ -153,6 +160,40 @@
     expect(served.length).toEqual(1)
   })
 
+  it('tells the peer how long its first request has waited in the listen queue, and not of further ones', async () => {
+    const waits: number[] = []
+    const { port } = await startOffloaded((req, res) => {
+      waits.push((req.socket as unknown as OffloadedSocket).unreadMs)
+      res.end()
+    }, 1000)
+    const socket = connect(port, '127.0.0.1', () => { socket.write(head(0, '')) }).on('error', () => {})
+    await waitUntil(() => waits.length === 1)
+    socket.write(head(0))
+    await waitUntil(() => waits.length === 2)
+    expect(waits[0] ?? 0).toBeGreaterThanOrEqual(1000)
+    expect(waits[1] ?? Infinity).toBeLessThan(100)
+  })
+
+  it('counts how much longer its data was on the link than the fastest', async () => {
+    const waits: number[] = []
+    const { peerPort } = await startOffloaded((req, res) => {
+      waits.push((req.socket as unknown as OffloadedSocket).unreadMs)
+      res.end()
+    })
+    const link = new WebSocket(`ws://127.0.0.1:${peerPort}${OFFLOAD_PATH}`)
+    await new Promise(resolve => { link.on('open', resolve) })
+    cleanUps.push(() => { link.terminate() })
+    link.send(encodeOffloadFrames([{ kind: 'open', connection: 1 }]))
+    for (const lateMs of [0, 800, 0]) {
+      const sent = waits.length
+      // The clock of the other host is ahead by an hour.
+      link.send(encodeOffloadFrames([{ kind: 'data', connection: 1, bytes: Buffer.from(head(0, '')), unreadMs: 0, readAt: performance.now() + 3_600_000 - lateMs }]))
+      await waitUntil(() => waits.length > sent)
+    }
+    expect(waits[1] ?? 0).toBeGreaterThanOrEqual(750)
+    for (const wait of [waits[0], waits[2]]) expect(wait ?? Infinity).toBeLessThan(50)
+  })
+
   it('streams events as they are made', async () => {
     const { port } = await startOffloaded((_req, res) => {
       res.write('id: 1\n\n')
@@ -181,6 +222,17 @@
     await waitUntil(() => isClosed && offloader.size === 0 && receiver.size === 0)
   })
 
+  it('sends the peer no request of a caller that has left before it was read', async () => {
+    let requests = 0
+    const { port, served, receiver } = await startOffloaded((_req, res) => {
+      requests += 1
+      res.end()
+    })
+    const socket = connect(port, '127.0.0.1', () => { socket.end(head(0)) }).on('error', () => {})
+    await waitUntil(() => served.length === 1 && receiver.size === 0)
+    expect(requests).toEqual(0)
+  })
+
   it('is cut where the peer breaks a response off', async () => {
     const { port } = await startOffloaded((_req, res) => {
       res.write('part')
--- a/packages/gateway/src/offload/offloadReceiver.ts
+++ b/packages/gateway/src/offload/offloadReceiver.ts
@@ -1,6 +1,7 @@
 /** Serves connections that peer gateways have accepted. */
 import { assertNever, type Clock, type Millis, type Service } from '@fuchsiaworks/kernel'
 import type { WebSocket } from 'ws'
+import { LinkDelay } from './linkDelay.js'
 import { OffloadedSocket } from './offloadedSocket.js'
 import { OffloadLink } from './offloadLink.js'
 import type { ConnectionNumber, OffloadFrame } from './offloadTypes.js'
@@ -13,7 +14,10 @@
 
 /** Link from one peer with the connections that it has passed on. */
 interface ReceivingLink {
+  /** Host of the peer. */
+  readonly host: string
   readonly sockets: Map<ConnectionNumber, OffloadedSocket>
+  readonly delay: LinkDelay
   link: OffloadLink | undefined
   isKeepAliveAllowed: boolean
   isStopping: boolean
@@ -39,9 +43,14 @@
     return [...this.#links].reduce((sum, { sockets }) => sum + sockets.size, 0)
   }
 
-  /** Accepts the link of a peer. */
-  accept (webSocket: WebSocket): void {
-    const entry: ReceivingLink = { sockets: new Map(), link: undefined, isKeepAliveAllowed: true, isStopping: false }
+  /**
+   * Accepts the link of a peer.
+   *
+   * @param webSocket - open WebSocket
+   * @param host - host of the peer, for the log
+   */
+  accept (webSocket: WebSocket, host = 'unknown'): void {
+    const entry: ReceivingLink = { host, sockets: new Map(), delay: new LinkDelay(), link: undefined, isKeepAliveAllowed: true, isStopping: false }
     this.#links.add(entry)
     entry.link = new OffloadLink(this.#clock, webSocket, BATCH_MS, {
       onFrame: frame => { this.#receive(entry, frame) },
@@ -61,7 +70,10 @@
     const { sockets } = entry
     switch (frame.kind) {
       case 'open': return this.#open(entry, frame.connection)
-      case 'data': return sockets.get(frame.connection)?.receive(frame.bytes)
+      case 'data': {
+        const delayMs = frame.readAt === undefined ? 0 : entry.delay.record(frame.readAt, this.#clock.now())
+        return sockets.get(frame.connection)?.receive(frame.bytes, frame.unreadMs + delayMs)
+      }
       case 'end': return sockets.get(frame.connection)?.receiveEnd()
       case 'close': {
         sockets.get(frame.connection)?.destroy()
@@ -83,9 +95,9 @@
     }
   }
 
-  #open ({ link, sockets, isKeepAliveAllowed, isStopping }: ReceivingLink, connection: ConnectionNumber): void {
+  #open ({ host, link, sockets, isKeepAliveAllowed, isStopping }: ReceivingLink, connection: ConnectionNumber): void {
     if (link === undefined) return
-    const socket = new OffloadedSocket(this.#clock, link, connection)
+    const socket = new OffloadedSocket(this.#clock, link, connection, host)
     socket.isKeepAliveAllowed = isKeepAliveAllowed
     socket.isStopping = isStopping
     socket.on('error', () => {})
--- a/packages/gateway/src/offload/offloadedCaller.ts
+++ b/packages/gateway/src/offload/offloadedCaller.ts
@@ -1,5 +1,8 @@
 /** A caller's connection that this gateway accepted and a peer gateway serves: passes the bytes on in both directions. */
 import type { Socket } from 'node:net'
+import type { Clock, Millis } from '@fuchsiaworks/kernel'
+import type { ListenQueueWait } from '../callers/listenQueueWait.js'
+import { afterNextPoll } from '../callers/nextPoll.js'
 import { type Refusal, rawRefusal } from '../requests/refusals.js'
 import type { HeaderPort } from '../port/headerPort.js'
 import { ReceiveCredit, SendCredit } from './creditWindow.js'
@@ -16,12 +19,28 @@
 /** The peer closed the connection, as it does when one is idle, before it read the request. */
 const NOT_READ: Refusal = { status: 503, reason: 'connection-closed', retryAfterMs: 0 }
 
+/** A connection and what serves it. */
+export interface OffloadedConnection {
+  readonly clock: Clock
+  /** Connection of the caller. */
+  readonly socket: Socket
+  /** Link to the peer that serves it. */
+  readonly link: OffloadLink
+  /** Number of the connection on the link. */
+  readonly connection: ConnectionNumber
+  /** Encodes refusals. */
+  readonly headers: HeaderPort
+  readonly wait: ListenQueueWait
+}
+
 /** One connection. */
 export class OffloadedCaller {
+  readonly #clock: Clock
   readonly #socket: Socket
   readonly #link: OffloadLink
   readonly #connection: ConnectionNumber
   readonly #headers: HeaderPort
+  readonly #wait: ListenQueueWait
   readonly #sendCredit = new SendCredit()
   readonly #receiveCredit = new ReceiveCredit()
   /** True from the first bytes of a request to the first bytes of its response. */
@@ -30,23 +49,27 @@
   readonly #boundary = new ResponseBoundary()
   /** True when the peer has ended the connection in an orderly way. */
   #hasEnded = false
+  /** First bytes of a request that are held until the socket has been polled once more; undefined while none are. */
+  #held: { readonly unreadMs: Millis, readonly readAt: Millis, readonly parts: Buffer[] } | undefined
   #isClosed = false
 
   /**
-   * @param socket - connection of the caller
-   * @param link - link to the peer that serves it
-   * @param connection - number of the connection on the link
-   * @param headers - encodes refusals
+   * @param parts - the connection and what serves it
    * @param onClose - called once, when the connection has ended
    */
-  constructor (socket: Socket, link: OffloadLink, connection: ConnectionNumber, headers: HeaderPort, onClose: () => void) {
+  constructor ({ clock, socket, link, connection, headers, wait }: OffloadedConnection, onClose: () => void) {
+    this.#clock = clock
     this.#socket = socket
+    this.#wait = wait
     this.#headers = headers
     this.#link = link
     this.#connection = connection
     link.send({ kind: 'open', connection })
     socket.on('data', (bytes: Buffer) => { this.#passOn(bytes) })
-    socket.on('end', () => { link.send({ kind: 'end', connection }) })
+    socket.on('end', () => {
+      this.#held = undefined
+      link.send({ kind: 'end', connection })
+    })
     socket.on('error', () => {})
     socket.on('close', () => {
       if (!this.#isClosed) link.send({ kind: 'close', connection, isIdle: false })
@@ -106,11 +129,27 @@
   }
 
   #passOn (bytes: Buffer): void {
-    this.#awaitsResponse = true
     if (bytes.includes(BODILESS_REQUEST)) this.#boundary.stopFollowing()
-    this.#link.send({ kind: 'data', connection: this.#connection, bytes })
     this.#sendCredit.consume(bytes.length)
     if (this.#sendCredit.isExhausted) this.#socket.pause()
+    if (this.#held !== undefined) this.#held.parts.push(bytes)
+    else if (this.#awaitsResponse) this.#send(bytes, 0, this.#clock.now())
+    else this.#hold(bytes)
+  }
+
+  /** Holds the first bytes of a request until the close of a caller that has left is read, which is in the next poll of its socket. */
+  #hold (bytes: Buffer): void {
+    this.#awaitsResponse = true
+    this.#held = { unreadMs: this.#wait.ms, readAt: this.#clock.now(), parts: [bytes] }
+    afterNextPoll(() => {
+      const held = this.#held
+      this.#held = undefined
+      if (held !== undefined && !this.#isClosed) this.#send(Buffer.concat(held.parts), held.unreadMs, held.readAt)
+    })
+  }
+
+  #send (bytes: Buffer, unreadMs: Millis, readAt: Millis): void {
+    this.#link.send({ kind: 'data', connection: this.#connection, bytes, unreadMs, readAt })
   }
 
   #returnCredit (bytes: number): void {
--- a/packages/gateway/src/offload/offloadedSocket.ts
+++ b/packages/gateway/src/offload/offloadedSocket.ts
@@ -19,6 +19,8 @@
   #unreadBytes = 0
   #idleTimer: Timer | undefined
   #timeoutMs: Millis = 0
+  /** Time for which the bytes that were received last are known to have waited before they were received. */
+  unreadMs: Millis = 0
   /** Requests on this connection without a complete response. */
   openRequests = 0
   /** True when a response ended before its request was read completely, so that what follows is not a new request. */
@@ -32,8 +34,9 @@
    * @param clock - source of time
    * @param link - carries the bytes
    * @param connection - number of the connection on the link
+   * @param acceptedBy - host of the gateway that accepted the connection
    */
-  constructor (clock: Clock, link: OffloadLink, connection: ConnectionNumber) {
+  constructor (clock: Clock, link: OffloadLink, connection: ConnectionNumber, readonly acceptedBy: string) {
     super({ allowHalfOpen: true })
     this.#clock = clock
     this.#link = link
@@ -45,9 +48,14 @@
     return this.openRequests === 0 && !this.isMidRequest
   }
 
-  /** Passes on bytes of the caller. */
-  receive (bytes: Buffer): void {
+  /**
+   * Passes on bytes of the caller.
+   *
+   * @param unreadMs - time for which they are known to have waited
+   */
+  receive (bytes: Buffer, unreadMs: Millis): void {
     if (this.destroyed) return
+    this.unreadMs = unreadMs
     this.#refreshTimeout()
     this.#unreadBytes += bytes.length
     if (this.push(bytes)) this.#returnCredit()
@@ -118,7 +126,7 @@
 
   #send (bytes: Buffer, done: Done): void {
     this.#refreshTimeout()
-    this.#link.send({ kind: 'data', connection: this.#connection, bytes })
+    this.#link.send({ kind: 'data', connection: this.#connection, bytes, unreadMs: 0 })
     this.#sendCredit.consume(bytes.length)
     if (this.#sendCredit.isExhausted) this.#whenCreditReturns = done
     else done()
--- a/packages/gateway/src/process/gateway.spec.ts
+++ b/packages/gateway/src/process/gateway.spec.ts
@@ -1,5 +1,5 @@
 import { get } from 'node:http'
-import { createServer, type Server } from 'node:net'
+import { connect, createServer, type Server } from 'node:net'
 import { describe, it } from 'node:test'
 import { setLogLevel } from '@fuchsiaworks/kernel'
 import { findPorts } from '@fuchsiaworks/standins'
@@ -216,6 +216,22 @@
     })
   })
 
+  it('sends no request whose time is over when its body has been read, and says that it has not run', async () => {
+    await withGateway([respond], async gateway => {
+      await gateway.sendRequest('/once/x')
+      const socket = connect(gateway.callersPort, '127.0.0.1')
+      let received = ''
+      socket.on('data', chunk => { received += chunk.toString() })
+      socket.write('POST /once/x HTTP/1.1\r\nHost: a.example\r\nTry: t1\r\nDeadline: 100\r\nContent-Length: 5\r\n\r\nhe')
+      await pause(150)
+      socket.write('llo')
+      await pause(100)
+      socket.destroy()
+      expect([statusOf(received), gateway.arrivals.length]).toEqual([503, 1])
+      expect(received).not.toMatchRegex(/retry-after/)
+    })
+  })
+
   it('closes connections after their responses once idle ones hold half of its file descriptors', async () => {
     const gateway = await startWithSettings({ maxDescriptors: 8 }, respond)
     const keepOpen = async (): Promise<string> => await gateway.sendRaw('POST /safe/x HTTP/1.1\r\nHost: a.example\r\nTry: t1\r\n\r\n', 400)
@@ -624,7 +640,7 @@
       for (const frame of decodeOffloadFrames(message)) if (frame.kind === 'data') received += frame.bytes.toString()
     })
     const sendRequest = (attempt: string): void => {
-      link.send(encodeOffloadFrames([{ kind: 'data', connection: 1, bytes: Buffer.from(`POST /stream/x HTTP/1.1\r\nHost: a.example\r\nTry: ${attempt}\r\n\r\n`) }]))
+      link.send(encodeOffloadFrames([{ kind: 'data', connection: 1, bytes: Buffer.from(`POST /stream/x HTTP/1.1\r\nHost: a.example\r\nTry: ${attempt}\r\n\r\n`), unreadMs: 0 }]))
     }
     try {
       await new Promise(resolve => { link.on('open', resolve) })
@@ -643,6 +659,41 @@
   })
 })
 
+describe('a request that has waited at the gateway that accepted its connection', () => {
+  /** Sends a request that its caller waits 2 s for; `leftMs` is the time limit that the upstream gets, -1 when it gets no request. */
+  const sendWaited = async (unreadMs: number): Promise<{ leftMs: number, received: string }> => {
+    const [port = 0] = await findPorts(1)
+    const gateway = await startWithSettings({ peers: { host: '127.0.0.1', port } }, respond)
+    const link = new WebSocket(`ws://127.0.0.1:${port}${OFFLOAD_PATH}`)
+    let received = ''
+    link.on('message', (message: Buffer) => {
+      for (const frame of decodeOffloadFrames(message)) if (frame.kind === 'data') received += frame.bytes.toString()
+    })
+    try {
+      await new Promise(resolve => { link.on('open', resolve) })
+      const bytes = Buffer.from('POST /safe/x HTTP/1.1\r\nHost: a.example\r\nTry: t1\r\nDeadline: 2000\r\n\r\n')
+      link.send(encodeOffloadFrames([{ kind: 'open', connection: 1 }, { kind: 'data', connection: 1, bytes, unreadMs }]))
+      await pause(200)
+      return { leftMs: Number(gateway.arrivals[0]?.req.headers['deadline'] ?? -1), received }
+    } finally {
+      link.terminate()
+      await gateway.close()
+    }
+  }
+
+  it('is sent with the time that its caller still waits', async () => {
+    const { leftMs } = await sendWaited(1200)
+    expect(leftMs).toBeLessThanOrEqual(800)
+    expect(leftMs).toBeGreaterThan(600)
+  })
+
+  it('is refused as not run when no time is left', async () => {
+    const { leftMs, received } = await sendWaited(2000)
+    expect(leftMs).toEqual(-1)
+    expect(received).toMatchRegex(/^HTTP\/1.1 503[^]*"too-late"/)
+  })
+})
+
 describe('a gateway whose address is in use', () => {
   const listen = async (port: number): Promise<Server> => await new Promise((resolve, reject) => {
     const server = createServer().once('error', reject).listen(port, '127.0.0.1', () => { resolve(server) })
--- a/packages/gateway/src/process/startGateway.ts
+++ b/packages/gateway/src/process/startGateway.ts
@@ -1,7 +1,7 @@
 /** Starts a gateway: a proxy without queues that sends requests straight to upstreams. */
 import { createLog, EventLoopMonitor, Kernel, ListenQueueProbe, type Millis, onEvent, type RunningProcess, type Service, systemClock } from '@fuchsiaworks/kernel'
 import { admissionQueueDefinition, chooseStoreWatchRole, coldPaceDefinition, crashSuspectDefinition, leavingDefinition, loadStringHash, placementDefinition, requestLimitDefinition, RetryBudget, streamVersionDefinition, tokenShareDefinition } from '@fuchsiaworks/policy'
-import { CallerServer } from '../callers/callerServer.js'
+import { CallerServer, LISTEN_BACKLOG } from '../callers/callerServer.js'
 import { GatewayMetrics } from '../log/gatewayMetrics.js'
 import { WEB_SOCKET_FRAME_BYTES, ZoneBytes } from '../log/zoneBytes.js'
 import { RequestLog } from '../log/requestLog.js'
@@ -22,7 +22,7 @@
 import { ConnectionDispatcher } from '../offload/connectionDispatcher.js'
 import { ConnectionOffloader } from '../offload/connectionOffloader.js'
 import { OffloadReceiver } from '../offload/offloadReceiver.js'
-import { OFFLOAD_PATH } from '../offload/offloadTypes.js'
+import { OFFLOAD_PATH, OFFLOADING_HOST_HEADER } from '../offload/offloadTypes.js'
 import { LoadMonitor } from './loadMonitor.js'
 import { PageServer } from './pageServer.js'
 import { createRandom } from './random.js'
@@ -91,7 +91,7 @@
   const mesh: PeerMesh = createPeerMesh(clock, settings, { fleet: ports.fleet, placement, shares, crashSuspects, leaving, requestLimits, streamVersions, eventLoop, zoneBytes, queueDb }, {
     onRequest: (req, res) => streamVersionLookup.handleRequest(req, res) || ports.fleet.handlePeerRequest(req, res),
     webSockets: new Map([
-      [OFFLOAD_PATH, socket => { receiver.accept(socket) }],
+      [OFFLOAD_PATH, (socket, req) => { receiver.accept(socket, req.headers[OFFLOADING_HOST_HEADER]?.toString()) }],
       [RECORDS_PATH, socket => { recorders.accept(socket) }],
       [RECORDER_FLEET_PATH, socket => { recorders.acceptFleetRequest(socket) }]
     ])
@@ -129,8 +129,8 @@
     requestLog
   }
   const flow = new RequestFlow(ctx)
-  const probe = new ListenQueueProbe(clock, settings.callers)
-  const offloader = new ConnectionOffloader(clock, ports.headers, (zone, bytes) => { zoneBytes.count('offload', zone, bytes + WEB_SOCKET_FRAME_BYTES) })
+  const probe = new ListenQueueProbe(clock, { ...settings.callers, backlog: LISTEN_BACKLOG })
+  const offloader = new ConnectionOffloader(clock, ports.headers, settings.host, (zone, bytes) => { zoneBytes.count('offload', zone, bytes + WEB_SOCKET_FRAME_BYTES) })
   const dispatcher: ConnectionDispatcher = new ConnectionDispatcher({
     clock, zone: settings.zone, maxConnections: settings.maxDescriptors * CALLER_DESCRIPTOR_SHARE, random: ctx.random, eventLoop, probe, mesh, offloader, headers: ports.headers, connections: () => callerServer.connections, revision: () => ports.fleet.view.table?.revision ?? -1
   })
@@ -141,6 +141,7 @@
       loadMonitor.recordAccepted(kind)
       return kind === 'serve'
     },
+    minWaitMs: () => probe.minWaitMs,
     shouldClose: () => dispatcher.shouldClose()
   })
   const loadMonitor = new LoadMonitor(clock, ctx.metrics, eventLoop, probe, () => ({ connections: callerServer.connections, offloaded: offloader.size, received: receiver.size, requests: flow.size }), sample => { selfCheck.check(sample) })
--- a/packages/gateway/src/requests/callerExchange.ts
+++ b/packages/gateway/src/requests/callerExchange.ts
@@ -1,7 +1,7 @@
 /** Lifecycle of one request from its arrival to its end: deadline, departure of the caller, refusal, log and metrics. */
 import type { Timer } from '@fuchsiaworks/kernel'
 import { AttemptSeries } from './attemptSeries.js'
-import type { CallerRequest } from './callerRequest.js'
+import { type CallerRequest, deadlineOf } from './callerRequest.js'
 import type { FlowContext } from './flowContext.js'
 import { type Refusal, sendRefusal } from './refusals.js'
 import { ResponseRelay } from './responseRelay.js'
@@ -29,7 +29,7 @@
     this.#request = request
     const { route, head, res } = request
     this.#relay = new ResponseRelay(res, route.isStream, head.lastEventId, route.repeatability === 'resumable' ? ctx.headers : undefined)
-    const deadlineAt = request.arrivedAt + Math.min(head.deadlineMs ?? route.timeoutMs, route.timeoutMs)
+    const deadlineAt = deadlineOf(route, head, request.arrivedAt)
     this.attempts = new AttemptSeries(ctx, request, this.#relay, deadlineAt, {
       isDone: () => this.#isDone,
       onAnswered: () => { this.#finish('answered', '') },
@@ -107,7 +107,7 @@
 
   #writeLog (outcome: Outcome, reason: string): void {
     const request = this.#request
-    const { admission, placement, versions, waitedMs, firstByteMs } = this.attempts
+    const { admission, placement, versions, waitedMs, leftMs, firstByteMs } = this.attempts
     this.#ctx.requestLog.write('request ended', {
       request: request.head.attempt,
       route: request.route.id,
@@ -124,7 +124,10 @@
       pressure: Number((placement?.pressure ?? -1).toFixed(2)),
       zoneDecision: placement?.zoneDecision?.reason ?? '',
       ownZonePressure: Number((placement?.zoneDecision?.ownPressure ?? -1).toFixed(2)),
+      acceptedBy: request.acceptedBy ?? 'self',
+      unreadMs: Math.round(request.unreadMs),
       waitedMs: Math.round(waitedMs),
+      leftMs: Math.round(leftMs ?? -1),
       expectedMs: Math.round(placement?.expectedMs ?? -1),
       slowness: Number((placement?.slowness ?? -1).toFixed(2)),
       reportAgeMs: Math.round(placement?.reportAgeMs ?? -1),
--- a/packages/gateway/src/requests/callerRequest.ts
+++ b/packages/gateway/src/requests/callerRequest.ts
@@ -5,6 +5,15 @@
 import type { CallerHead } from '../port/headerPort.js'
 import type { GatewayRoute } from '../routing/routingTypes.js'
 
+/**
+ * Returns the time by which the response must be complete.
+ *
+ * @param route - the route of the request
+ * @param head - its headers
+ * @param arrivedAt - time of its arrival
+ */
+export const deadlineOf = ({ timeoutMs }: GatewayRoute, { deadlineMs }: CallerHead, arrivedAt: Millis): Millis => arrivedAt + Math.min(deadlineMs ?? timeoutMs, timeoutMs)
+
 /** One request of a caller. */
 export interface CallerRequest {
   readonly head: CallerHead
@@ -18,7 +27,11 @@
   readonly workspace: WorkspaceId | undefined
   /** Revision of the configuration that routed the request. */
   readonly revision: number
-  /** Monotonic time in milliseconds at which the headers were read. */
+  /** Monotonic time in milliseconds at which the request arrived: when its headers were read, less the time for which they are known to have waited. */
   readonly arrivedAt: Millis
+  /** Time for which the headers are known to have waited before they were read. */
+  readonly unreadMs: Millis
+  /** Host of the gateway that accepted the connection; undefined for this one. */
+  readonly acceptedBy: string | undefined
   readonly res: ServerResponse
 }
--- a/packages/upstreams/src/client/upstreamClient.spec.ts
+++ b/packages/upstreams/src/client/upstreamClient.spec.ts
@@ -39,6 +39,20 @@
     await client.close()
   })
 
+  it('sends nothing for an exchange that is cancelled while its connection is being opened', async () => {
+    let received = ''
+    const server = await listen(socket => { socket.on('data', chunk => { received += chunk.toString() }) })
+    const client = new UpstreamClient(urlOf(server), OPTIONS)
+    const error = await new Promise<Error>(resolve => {
+      const handler = { head: () => {}, data: () => {}, end: () => {}, failed: resolve }
+      client.send({ method: 'GET', path: '/', headers: [], body: undefined, idempotent: true, headTimeoutMs: 0 }, handler).cancel(new Error('caller left'))
+    })
+    await new Promise(resolve => { setTimeout(resolve, 50) })
+    expect([error.message, received]).toEqual(['caller left', ''])
+    await client.close()
+    server.close()
+  })
+
   it('reports that nothing was sent when its address is none, or a header cannot be sent', async () => {
     const handle = (client: UpstreamClient, headers: Array<readonly [string, string]>): Promise<string> => new Promise(resolve => {
       client.send({ method: 'GET', path: '/', headers, body: undefined, idempotent: true, headTimeoutMs: 0 }, { head: () => {}, data: () => {}, end: () => {}, failed: (err, sent) => { resolve(`${err.name} ${sent}`) } })
