Avoid an upstream at a peer's word for no longer than gateways do

Gateways themselves avoid an upstream for 1.5 s at most, which now bounds what they take from others. No such message is known to have occurred; peers are gateways.

Against the code before, "avoids an upstream no longer than any gateway does when a peer asks for more" failed: actual 503, expected 200.

--- a/packages/gateway/src/process/gateway.spec.ts
+++ b/packages/gateway/src/process/gateway.spec.ts
@@ -4,9 +4,11 @@
 import { setLogLevel } from '@fuchsiaworks/kernel'
 import { findPorts } from '@fuchsiaworks/standins'
 import { expect } from 'earl'
+import { Packr } from 'msgpackr'
 import { WebSocket } from 'ws'
 import { decodeOffloadFrames, encodeOffloadFrames } from '../offload/offloadCodec.js'
 import { OFFLOAD_PATH } from '../offload/offloadTypes.js'
+import { UNREACHABLE_AVOID_MS } from '../requests/upstreamFailure.js'
 import { type GatewayUnderTest, type Script, startUnderTest, startWithSettings } from './gatewayFixtures.js'
 
 setLogLevel('error')
@@ -150,6 +152,20 @@
     })
   })
 
+  it('avoids an upstream no longer than any gateway does when a peer asks for more', async () => {
+    const [port = 0] = await findPorts(1)
+    const gateway = await startWithSettings({ peers: { host: '127.0.0.1', port } }, respond)
+    const peer = new WebSocket(`ws://127.0.0.1:${port}/`)
+    await new Promise(resolve => { peer.on('open', resolve) })
+    peer.send(new Packr({ useRecords: false }).pack([4, 'p1', '127.0.0.1:1', 'east', false, false, [], [], [['u0', 1e300]], [], [], []]))
+    await pause(50)
+    expect(statusOf(await gateway.sendRequest('/safe/x'))).toEqual(503)
+    await pause(UNREACHABLE_AVOID_MS)
+    expect(statusOf(await gateway.sendRequest('/safe/x'))).toEqual(200)
+    peer.terminate()
+    await gateway.close()
+  })
+
   it('rejects a request at its port for peers whose target is no URL, and goes on', async () => {
     const [port = 0] = await findPorts(1)
     const gateway = await startWithSettings({ peers: { host: '127.0.0.1', port } }, respond)
--- a/packages/gateway/src/process/wiring.ts
+++ b/packages/gateway/src/process/wiring.ts
@@ -11,6 +11,7 @@
 import { logCrash } from '../requests/crashLog.js'
 import type { FlowContext } from '../requests/flowContext.js'
 import { type QueueOwner, RequestQueue, type RequestQueueContext } from '../requests/requestQueue.js'
+import { UNREACHABLE_AVOID_MS } from '../requests/upstreamFailure.js'
 import { minTargetMsByService } from '../routing/findRoute.js'
 
 /** Logs the upstreams that leave the list during the time without requests that they have asked for. */
@@ -79,7 +80,7 @@
     ctx.metrics.crashReports.inc(state.crashes.length)
     ctx.requestLog.write('crash reports received', { peer: state.peer, reports: state.crashes.length })
   }
-  for (const { upstream, remainingMs } of state.avoided) ctx.placement.avoid(upstream, now + remainingMs)
+  for (const { upstream, remainingMs } of state.avoided) ctx.placement.avoid(upstream, now + Math.min(remainingMs, UNREACHABLE_AVOID_MS))
 }
 
 /** Creates the queue of requests that wait for capacity; undefined without the setting. */
