End the attempts of open requests when the gateway ends

A request that was open when the gateway ended was sent to another upstream: its exchange was done, but its attempt was not, so that the close of the connections to upstreams was a failed attempt, and a request that may run again was tried once more, without a caller. The attempt ends with the exchange now.

shutdown.spec on the code before (three upstreams that do not answer; arrivals at upstreams after the gateway has closed, and attempts that were cancelled):

✖ sends an open request to no other upstream: /safe/x The value [6, 1] is not equal to [5, 1], but it was expected to be equal. ✖ sends an open request to no other upstream: /stream/x ✖ sends an open request to no other upstream: /stream/x, begun

and 4 of 4 pass now, in three runs.

--- a/packages/gateway/src/requests/callerExchange.ts
+++ b/packages/gateway/src/requests/callerExchange.ts
@@ -54,7 +54,9 @@
 
   /** Aborts the request because the process shuts down. */
   abort (): void {
-    if (!this.#isDone) this.#breakOff('process shut down')
+    if (this.#isDone) return
+    this.attempts.endAttempt('aborted')
+    this.#breakOff('process shut down')
   }
 
   #breakOff (reason: string): void {
