Deliver what a peer has sent before its caller's connection ends

Where the link to a peer was lost, the connection of its caller was destroyed with what the caller had not read yet, up to the credit of 256 KiB, also when the peer had ended the response. The close is an orderly one, so that a response without a length looked complete without its end; one with a length, on a connection that stays open, was cut off. The connection ends now once its bytes are written, as it does when the peer closes it; a response without a length that the peer has not ended is reset as before.

--- /dev/null
+++ b/packages/gateway/src/offload/offloadedCaller.spec.ts
@@ -0,0 +1,39 @@
+import { once } from 'node:events'
+import { type AddressInfo, connect, createServer, type Socket } from 'node:net'
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import type { HeaderPort } from '../port/headerPort.js'
+import { OffloadedCaller } from './offloadedCaller.js'
+import type { OffloadLink } from './offloadLink.js'
+
+const LINK = { send: () => {} } as unknown as OffloadLink
+
+/** More than the kernel keeps for a caller that does not read. */
+const BODY = Buffer.alloc(16_000_000, 'fuchsia')
+
+describe('a response that a peer has ended', () => {
+  // Guards against a response without a length that looks complete without its end.
+  for (const [name, header, isEnded] of [['without a length', '', true], ['with a length', `content-length: ${BODY.length}\r\n`, false]] as const) {
+    it(`reaches a slow caller whole when the peer is lost: ${name}`, async () => {
+      const server = createServer({ allowHalfOpen: true }).listen(0, '127.0.0.1')
+      await once(server, 'listening')
+      const socket = connect((server.address() as AddressInfo).port, '127.0.0.1').pause()
+      let wasReset = false
+      socket.on('error', () => { wasReset = true })
+      const [accepted] = await once(server, 'connection') as [Socket]
+      const caller = new OffloadedCaller(accepted, LINK, 1, {} as HeaderPort, () => {})
+      const head = `HTTP/1.1 200 OK\r\n${header}\r\n`
+      caller.receive(Buffer.concat([Buffer.from(head), BODY]))
+      if (isEnded) caller.receiveEnd()
+      await new Promise(resolve => { setTimeout(resolve, 100) })
+      caller.fail()
+      let received = 0
+      socket.on('data', (bytes: Buffer) => { received += bytes.length })
+      socket.resume()
+      await once(socket, 'close')
+      expect([received, wasReset]).toEqual([head.length + BODY.length, false])
+      socket.destroy()
+      server.close()
+    })
+  }
+})
--- a/packages/gateway/src/offload/offloadedCaller.ts
+++ b/packages/gateway/src/offload/offloadedCaller.ts
@@ -88,7 +88,7 @@
     this.#isClosed = true
     if (this.#mayRefuse) this.#refuse(PEER_LOST)
     else if (this.#isCutOff) this.#socket.resetAndDestroy()
-    else this.#socket.destroy()
+    else this.#socket.destroySoon()
   }
 
   get #mayRefuse (): boolean {
