Find a request to HEAD that is cut between two reads or has an absolute target

A gateway that passes a connection on follows its responses, and knows nothing of them after a request to HEAD. It looked for the text 'HEAD /' in each read of its own, so that it missed a request that two reads cut, and one with an absolute target. The begin of the next response was then taken for the body of this one, and a refusal for a lost peer could be written into it. The last bytes of a read are kept, and the method is looked for without its target.

offloadedCaller.spec on the code before:

✖ is not taken for one with a body: in two reads The value true is not equal to false, but it was expected to be equal. ✖ is not taken for one with a body: with an absolute target The value true is not equal to false, but it was expected to be equal.

(the value: whether the caller received the head of a 502). 31 of 31 specs of offload pass now.

--- a/packages/gateway/src/offload/offloadedCaller.spec.ts
+++ b/packages/gateway/src/offload/offloadedCaller.spec.ts
@@ -37,3 +37,34 @@
     })
   }
 })
+
+describe('a response to HEAD', () => {
+  // Guards against a refusal that is written into the next response, whose begin would be taken for the body of this one.
+  for (const [name, pieces] of [['in two reads', ['HE', 'AD /x HTTP/1.1\r\nHost: a\r\n\r\n']], ['with an absolute target', ['HEAD http://a/x HTTP/1.1\r\nHost: a\r\n\r\n']]] as const) {
+    it(`is not taken for one with a body: ${name}`, async () => {
+      const server = createServer({ allowHalfOpen: true }).listen(0, '127.0.0.1')
+      await once(server, 'listening')
+      const socket = connect((server.address() as AddressInfo).port, '127.0.0.1').setNoDelay()
+      let received = ''
+      socket.on('error', () => {})
+      socket.on('data', bytes => { received += bytes.toString('latin1') })
+      const [accepted] = await once(server, 'connection') as [Socket]
+      const caller = new OffloadedCaller(accepted, LINK, 1, { encodeRetryAfter: () => [] } as unknown as HeaderPort, () => {})
+      const send = async (text: string): Promise<void> => {
+        socket.write(text)
+        await once(accepted, 'data')
+      }
+      const begun = 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n7\r\nid: 1\n\n\r\n'
+      for (const piece of pieces) await send(piece)
+      caller.receive(Buffer.from(`HTTP/1.1 200 OK\r\ncontent-length: ${begun.length}\r\n\r\n`))
+      await send('GET /stream HTTP/1.1\r\nHost: a\r\n\r\n')
+      caller.receive(Buffer.from(begun))
+      await send('GET /next HTTP/1.1\r\nHost: a\r\n\r\n')
+      const closed = new Promise(resolve => { socket.on('close', resolve) })
+      caller.fail()
+      await closed
+      server.close()
+      expect(received.includes('HTTP/1.1 502')).toEqual(false)
+    })
+  }
+})
--- a/packages/gateway/src/offload/offloadedCaller.ts
+++ b/packages/gateway/src/offload/offloadedCaller.ts
@@ -8,7 +8,7 @@
 import { ResponseBoundary } from './responseBoundary.js'
 
 /** Start of a request whose response has a head with a length, and no body. */
-const BODILESS_REQUEST = 'HEAD /'
+const BODILESS_REQUEST = 'HEAD '
 
 /** The peer was lost before it responded; whether it has run the request is not known. */
 const PEER_LOST: Refusal = { status: 502, reason: 'peer-lost' }
@@ -28,6 +28,8 @@
   #awaitsResponse = false
   /** The caller may send bytes while a response is in progress, so that its requests do not tell whether one is. */
   readonly #boundary = new ResponseBoundary()
+  /** Last bytes of the caller, in which such a request may have begun. */
+  #requestEnd = ''
   /** True when the peer has ended the connection in an orderly way. */
   #hasEnded = false
   #isClosed = false
@@ -107,12 +109,19 @@
 
   #passOn (bytes: Buffer): void {
     this.#awaitsResponse = true
-    if (bytes.includes(BODILESS_REQUEST)) this.#boundary.stopFollowing()
+    if (this.#hasBodilessRequest(bytes)) this.#boundary.stopFollowing()
     this.#link.send({ kind: 'data', connection: this.#connection, bytes })
     this.#sendCredit.consume(bytes.length)
     if (this.#sendCredit.isExhausted) this.#socket.pause()
   }
 
+  #hasBodilessRequest (bytes: Buffer): boolean {
+    const overlap = BODILESS_REQUEST.length - 1
+    const isCut = (this.#requestEnd + bytes.toString('latin1', 0, overlap)).includes(BODILESS_REQUEST)
+    this.#requestEnd = (this.#requestEnd + bytes.toString('latin1', Math.max(0, bytes.length - overlap))).slice(-overlap)
+    return isCut || bytes.includes(BODILESS_REQUEST)
+  }
+
   #returnCredit (bytes: number): void {
     const credit = this.#receiveCredit.release(bytes)
     if (credit > 0 && !this.#isClosed) this.#link.send({ kind: 'credit', connection: this.#connection, bytes: credit })
