--- a/packages/gateway/src/requests/errorInStream.spec.ts
+++ b/packages/gateway/src/requests/errorInStream.spec.ts
@@ -166,6 +166,21 @@
     })
   }
 
+  // The length of one response would cut the events of the next one off, or wait for more.
+  it('has no length of its first response', async () => {
+    const cut: Script = ({ socket }) => {
+      socket.write(head('content-type: text/event-stream\r\ncontent-length: 500\r\n') + events(1, RECEIVED_ID))
+      setTimeout(() => { socket.resetAndDestroy() }, 20)
+    }
+    await withUpstreams(inTurn(cut, respondRaw(stream(events(4, 6)))), async gateway => { expectPart(await call(gateway, '/stream/x'), 1, LAST_ID) })
+  })
+
+  it('keeps the line of a new version', async () => {
+    await withUpstreams(inTurn(breakOff(), respondRaw(stream(`versions: 2\n${events(4, 6)}`))), async gateway => {
+      expect((await call(gateway, '/stream/x')).body).toEqual(`${events(1, 3)}versions: 2\n${events(4, 6)}`)
+    })
+  })
+
   it('is not resumed when its last event has no id, as it would begin again', async () => {
     const noIds: Script = ({ socket }) => {
       socket.write(CHUNKED_STREAM + chunk('data: a\n\n'))
