Count a part of an event against the attempt that sent it only

An upstream that breaks a stream off inside an event leaves a part of one behind, until the head of the next response. The next attempt took it for its own, and counted as stalled 1.5 s after it was sent, though an engine that reads a long prompt again sends nothing for longer. It was cancelled then and another upstream tried, as long as there was one.

attempt.spec on the code before:

✖ is not stalled by the part of an event that the attempt before it received The value "stalled" is not equal to "none", but it was expected to be equal.

It passes now; errorInStream.spec 139 of 139.

--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -140,7 +140,7 @@
    * @param lastByteAt - time of the last byte of any attempt of the request
    */
   silence (lastByteAt: Millis): AttemptSilence {
-    if (this.#scope.relay.hasPartialEvent && this.#now - this.#progressAt > PARTIAL_EVENT_MS) return 'stalled'
+    if (this.#bodyBytes > 0 && this.#scope.relay.hasPartialEvent && this.#now - this.#progressAt > PARTIAL_EVENT_MS) return 'stalled'
     return this.#now - Math.max(this.startedAt, lastByteAt) < this.#silenceLimit ? 'none' : 'silent'
   }
 
