Offloaded connections: open them at the peer with their first data, and follow responses only when asked

What callers saw: a pressed gateway served fewer of them after its callers' requests were held for a poll and its peers' responses were followed.

Cause: the frame that opens a connection left with one message and its first data with the next, so that each connection cost a write on the link more; each response was parsed as it arrived, in code that a gateway with a tenth of a core runs cold; and for a caller that had left, an 'open', an 'end' and a refusal into a socket that had ended were made.

Fix: 'open' goes with the first data, or after two polls without any; a caller that leaves before that is not made known to the peer; responses are followed once 4 KiB or eight pieces have come, or where the place of the next byte is asked for.

--- a/packages/gateway/src/offload/offloadedCaller.ts
+++ b/packages/gateway/src/offload/offloadedCaller.ts
@@ -53,6 +53,8 @@
   #hasEnded = false
   /** First bytes of a request that are held until the socket has been polled once more; undefined while none are. */
   #held: { readonly unreadMs: Millis, readonly readAt: Millis, readonly parts: Buffer[] } | undefined
+  /** True once the peer knows of the connection. */
+  #isOpen = false
   #isClosed = false
 
   /**
@@ -66,18 +68,15 @@
     this.#headers = headers
     this.#link = link
     this.#connection = connection
-    link.send({ kind: 'open', connection })
     socket.on('data', (bytes: Buffer) => { this.#passOn(bytes) })
-    socket.on('end', () => {
-      this.#held = undefined
-      link.send({ kind: 'end', connection })
-    })
+    socket.on('end', () => { this.#endRequests() })
     socket.on('error', () => {})
     socket.on('close', () => {
-      if (!this.#isClosed) link.send({ kind: 'close', connection, isIdle: false })
+      if (!this.#isClosed && this.#isOpen) link.send({ kind: 'close', connection, isIdle: false })
       this.#isClosed = true
       onClose()
     })
+    afterNextPoll(() => { if (this.#held === undefined && !this.#isClosed) this.#open() })
   }
 
   /** Passes on bytes of a response. */
@@ -150,15 +149,34 @@
     })
   }
 
+  /** Tells the peer of the connection: together with its first data, as each message on the link costs a write. */
+  #open (): void {
+    if (this.#isOpen) return
+    this.#isOpen = true
+    this.#link.send({ kind: 'open', connection: this.#connection })
+  }
+
+  /** The caller sends nothing more; a request that is still held is dropped, and with it a connection of which the peer does not know. */
+  #endRequests (): void {
+    if (this.#held !== undefined) this.#awaitsResponse = false
+    this.#held = undefined
+    if (this.#isOpen) return this.#link.send({ kind: 'end', connection: this.#connection })
+    this.#isClosed = true
+    this.#socket.destroy()
+  }
+
   #send (bytes: Buffer, unreadMs: Millis, readAt: Millis): void {
+    this.#open()
     this.#link.send({ kind: 'data', connection: this.#connection, bytes, unreadMs, readAt })
   }
 
   #hasBodilessRequest (bytes: Buffer): boolean {
     const overlap = BODILESS_REQUEST.length - 1
-    const isCut = (this.#requestEnd + bytes.toString('latin1', 0, overlap)).includes(BODILESS_REQUEST)
-    this.#requestEnd = (this.#requestEnd + bytes.toString('latin1', Math.max(0, bytes.length - overlap))).slice(-overlap)
-    return isCut || bytes.includes(BODILESS_REQUEST)
+    const isCut = this.#requestEnd !== '' && (this.#requestEnd + bytes.toString('latin1', 0, overlap)).includes(BODILESS_REQUEST)
+    const text = this.#requestEnd + bytes.toString('latin1', Math.max(0, bytes.length - overlap))
+    const mark = text.lastIndexOf(BODILESS_REQUEST.charAt(0))
+    this.#requestEnd = mark === -1 ? '' : text.slice(mark).slice(-overlap)
+    return isCut || bytes.includes(BODILESS_REQUEST, 0, 'latin1')
   }
 
   #returnCredit (bytes: number): void {
--- a/packages/gateway/src/offload/responseBoundary.ts
+++ b/packages/gateway/src/offload/responseBoundary.ts
@@ -1,5 +1,8 @@
 /** Finds out from the bytes of a connection whether a response is in progress, so that nothing else is written into it. */
 
+/** Bytes and pieces of them that are kept before they are followed: where a connection stands is rarely asked, and short responses need not be followed at all. */
+const MAX_UNREAD = { bytes: 4 * 1024, pieces: 8 } as const
+
 /** Longest head or line of a chunk that is followed; nothing is known of a connection with a longer one. */
 const MAX_TEXT_BYTES = 128 * 1024
 
@@ -23,14 +26,22 @@
   #text = ''
   /** Bytes that are left of a body of known length, or of a chunk. */
   #left = 0
+  #unread: Buffer[] = []
+  #unreadBytes = 0
 
   /** True before the first response and after the end of each. */
   get isBetween (): boolean {
+    this.#follow()
     return this.#part === 'head' && this.#text === ''
   }
 
   /** True when the body that is in progress has no other end than that of the connection, or may have none. */
   get endsWithConnection (): boolean {
+    this.#follow()
+    return this.#hasNoEnd
+  }
+
+  get #hasNoEnd (): boolean {
     return this.#part === 'until-close' || this.#part === 'unknown'
   }
 
@@ -40,9 +51,22 @@
     this.#text = ''
   }
 
-  /** Follows further bytes. */
+  /** Adds bytes that were received. */
   push (bytes: Buffer): void {
-    for (let at = 0; at < bytes.length && !this.endsWithConnection;) at = this.#isSized ? this.#skip(bytes, at) : this.#readText(bytes, at)
+    if (this.#hasNoEnd) return
+    this.#unread.push(bytes)
+    this.#unreadBytes += bytes.length
+    if (this.#unreadBytes > MAX_UNREAD.bytes || this.#unread.length > MAX_UNREAD.pieces) this.#follow()
+  }
+
+  #follow (): void {
+    const unread = this.#unread
+    if (unread.length === 0) return
+    this.#unread = []
+    this.#unreadBytes = 0
+    for (const bytes of unread) {
+      for (let at = 0; at < bytes.length && !this.#hasNoEnd;) at = this.#isSized ? this.#skip(bytes, at) : this.#readText(bytes, at)
+    }
   }
 
   get #isSized (): boolean {
