--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -232,7 +232,7 @@
     const isWritable = relay.data(chunk)
     if (forwardedBytes === 0 && relay.forwardedBytes > 0) origin.recordBegin(this.upstream)
     if (!hasPartialEvent || relay.forwardedBytes > forwardedBytes) this.#progressAt = this.#now
-    if (relay.hasLeftStream) return this.#handlers.onFailed({ kind: 'uncertain', reason: 'not-continued' })
+    if (relay.hasMismatch) return this.#handlers.onFailed({ kind: 'uncertain', reason: 'not-continued' })
     if (relay.isEventTooLong) return this.#handlers.onFailed({ kind: 'uncertain', reason: 'garbled' })
     if (isWritable) return
     this.#exchange?.pause()
@@ -252,7 +252,7 @@
   #onEnd (): void {
     if (this.#isOver) return
     const { relay } = this.#scope
-    if (!relay.end()) return this.#handlers.onFailed({ kind: 'uncertain', reason: relay.isContinued ? 'reset' : 'not-continued' })
+    if (!relay.end()) return this.#handlers.onFailed({ kind: 'uncertain', reason: relay.hasRequiredEvents ? 'reset' : 'not-continued' })
     this.end('answered')
     this.#handlers.onAnswered()
   }
--- a/packages/gateway/src/requests/responseRelay.ts
+++ b/packages/gateway/src/requests/responseRelay.ts
@@ -15,7 +15,7 @@
 const FRAMING_HEADERS = new Set(['content-length', 'transfer-encoding'])
 
 /** Status from which a response is not a success, so that its body is no stream of events. */
-const FIRST_OTHER_STATUS = 300
+const FIRST_NON_SUCCESS_STATUS = 300
 
 const CHUNK_END = '\r\n'
 
@@ -110,12 +110,12 @@
   }
 
   /** True when the current response has sent something that does not go on with the stream. */
-  get hasLeftStream (): boolean {
-    return this.#continuation?.hasLeft === true
+  get hasMismatch (): boolean {
+    return this.#continuation?.hasMismatch === true
   }
 
   /** False when the current response has to go on with the stream and has not brought an event. */
-  get isContinued (): boolean {
+  get hasRequiredEvents (): boolean {
     return this.#continuation?.hasEvents !== false
   }
 
@@ -125,7 +125,7 @@
 
   /** Returns why a response must not be forwarded, by its head: one that has to go on with a stream, or to begin one that may be resumed, has events. */
   headProblem (status: number, headers: HeaderList): 'garbled' | 'not-continued' | undefined {
-    if (this.#resumable === undefined || (!this.hasStarted && status >= FIRST_OTHER_STATUS)) return undefined
+    if (this.#resumable === undefined || (!this.hasStarted && status >= FIRST_NON_SUCCESS_STATUS)) return undefined
     const mediaType = mediaTypeOf(headers)
     if (this.hasStarted || this.#isTakenUp) return mayContinue(status, mediaType, this.hasStarted ? this.#mediaType : undefined) ? undefined : 'not-continued'
     return mediaType === undefined || mediaType === EVENT_STREAM ? undefined : 'garbled'
@@ -136,7 +136,7 @@
     this.#splitter = new EventSplitter()
     this.#buffered = []
     this.#bufferedBytes = 0
-    this.#hasEvents = this.#isStream && status < FIRST_OTHER_STATUS
+    this.#hasEvents = this.#isStream && status < FIRST_NON_SUCCESS_STATUS
     const mustContinue = this.#hasEvents && (this.hasStarted || this.#isTakenUp)
     this.#continuation = mustContinue && this.#resumable !== undefined ? new StreamContinuation(this.#lastEventId, this.#resumable.eventHeaders) : undefined
     if (this.hasStarted) return
@@ -168,7 +168,7 @@
    * @returns false when the body stops inside an event, or has to go on with a stream and has no event, so that it is incomplete
    */
   end (): boolean {
-    if (this.#hasEvents && (this.#splitter.pendingBytes > 0 || !this.isContinued)) return false
+    if (this.#hasEvents && (this.#splitter.pendingBytes > 0 || !this.hasRequiredEvents)) return false
     if (!this.hasStarted && !this.#hasEvents && !this.#isUnframed) this.#headers = [...this.#headers.filter(([name]) => name !== 'content-length'), ['content-length', String(this.#bufferedBytes)]]
     this.#flushBuffer()
     this.#writeHead()
--- a/packages/gateway/src/requests/streamContinuation.spec.ts
+++ b/packages/gateway/src/requests/streamContinuation.spec.ts
@@ -33,7 +33,7 @@
   it('drops comments before the first event, as they do not show that the stream goes on', () => {
     expect(accepted(': note\n\nid: 4\n\n')).toEqual('id: 4\n\n')
     const { forwarded, continuation } = pass(': note\n\n', 3)
-    expect([forwarded.join(''), continuation.hasEvents, continuation.hasLeft]).toEqual(['', false, false])
+    expect([forwarded.join(''), continuation.hasEvents, continuation.hasMismatch]).toEqual(['', false, false])
   })
 
   it('accepts nothing from the first event on that does not go on', () => {
--- a/packages/gateway/src/requests/streamContinuation.ts
+++ b/packages/gateway/src/requests/streamContinuation.ts
@@ -46,7 +46,7 @@
 export class StreamContinuation {
   #lastId: number | undefined
   #hasEvents = false
-  #hasLeft = false
+  #hasMismatch = false
 
   /**
    * @param lastId - id of the last event that the caller has; undefined when it has none
@@ -67,8 +67,8 @@
   }
 
   /** True when something else followed than an event that goes on; nothing is accepted from there on. */
-  get hasLeft (): boolean {
-    return this.#hasLeft
+  get hasMismatch (): boolean {
+    return this.#hasMismatch
   }
 
   /**
@@ -81,7 +81,7 @@
     let start = 0
     let end = 0
     let event = startEvent()
-    if (this.#hasLeft) return bytes.subarray(0, 0)
+    if (this.#hasMismatch) return bytes.subarray(0, 0)
     for (const line of bytes.toString('latin1').matchAll(LINE)) {
       const [text, content = ''] = line
       if (content !== '') {
@@ -89,7 +89,7 @@
         continue
       }
       if (!this.#endEvent(event)) {
-        this.#hasLeft = true
+        this.#hasMismatch = true
         break
       }
       end = line.index + text.length
--- a/packages/upstreams/src/client/upstreamClient.ts
+++ b/packages/upstreams/src/client/upstreamClient.ts
@@ -17,7 +17,7 @@
 /** Lowest status of a response that is an error. */
 const FIRST_ERROR_STATUS = 400
 
-/** Maximum number of requests with an error response that a connection keeps in mind. */
+/** Maximum number of requests with an error response whose ids a connection remembers. */
 const MAX_FAILED_IDS = 128
 
 /** The connection was reset during a response that is delimited by the end of the connection, so the body may be truncated. */
