--- a/review/standins/deployment.mjs
+++ b/review/standins/deployment.mjs
@@ -51,7 +51,7 @@
     this.#record.write(`${line}\n`)
   }
 
-  async startWorker ({ service, zone, id, version = 'v1', slots = 64, workMs = 50, events = 0, eventMs = 50, host }) {
+  async startWorker ({ service, zone, id, version = 'v1', slots = 64, workMs = 50, events = 0, eventMs = 50, coldMs = 0, host }) {
     const child = fork(join(FOLDER, 'worker.mjs'), [JSON.stringify({ host, id, version, workMs, events, eventMs })])
     const worker = { id, child, entry: undefined }
     this.workers.push(worker)
@@ -62,7 +62,7 @@
           this.record(`${message.at} run ${message.attempt} at ${message.worker} ${message.version} ${message.path} after-event ${message.lastEventId}`)
         } else this.notes.push(message)
         if (message.kind !== 'listening') return
-        worker.entry = { service, address: message.address, zone, version, slots, state: 'ready', cold_remaining_ms: 0, stage: 'prefill_decode', models: [{ name: 'm', version: 1, adapters: [] }], seq: 1, born: Date.now() }
+        worker.entry = { service, address: message.address, zone, version, slots, state: 'ready', cold_remaining_ms: coldMs, stage: 'prefill_decode', models: [{ name: 'm', version: 1, adapters: [] }], seq: 1, born: Date.now() }
         this.store.put(`servers/${id}`, worker.entry)
         resolve()
       })
@@ -90,7 +90,8 @@
       callers: `${host}:${callers.port}`,
       ready,
       peers,
-      seeds: this.gateways.slice(0, 3).map(one => one.peers),
+      ...gateway.advertised === undefined ? {} : { peersAdvertised: gateway.advertised },
+      seeds: this.gateways.slice(0, 3).map(one => one.advertised ?? one.peers),
       revokeMs: BOUNDS.revokeMs,
       graceSeconds: BOUNDS.graceSeconds,
       shareWindowSeconds: 4,
