--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,6 +1,6 @@
 /**
- * A route is split between two services, whose workers have different software versions. All gateways are killed at once and come back; clients take their
- * streams up with `Last-Event-Id`. The rule ORDER is checked: no stream is joined from pieces of the runs of two versions.
+ * A route is split between two services; in each, workers of two software versions serve side by side. All gateways are killed at once and come back, twice; clients
+ * take their streams up with `Last-Event-Id` and `Resumes`. The rule ORDER is checked: at most two streams hold events of two versions of one service.
  */
 import { dirname, join } from 'node:path'
 import { fileURLToPath } from 'node:url'
@@ -10,24 +10,35 @@
 const TROUBLE = process.env.TROUBLE !== '0'
 
 const GATEWAYS = 3
-const WORKERS_PER_SERVICE = 3
-/** Time for which the gateways are dark; the site file has up to 2 s. */
-const DARK_MS = 1000
+const WORKERS_PER_VERSION = 2
+/** Time for which the gateways are dark, and between two kills; the site file has up to 2 s of darkness. */
+const DARK_MS = 300
+const BETWEEN_KILLS_MS = 3500
+const KILLS = 2
 
-const STREAMS_PER_SECOND = 15
-const EVENTS = 100
+/** Streams that may hold events of two versions of one service. */
+const MAX_JOINED = 2
+
+const STREAMS_PER_SECOND = 40
+const EVENTS = 130
 const EVENT_MS = 60
 const DEADLINE_MS = 12_000
 /** Retries of a client within its deadline, and the pause before each. */
 const RETRIES = 5
-const RETRY_PAUSE_MS = 400
+const RETRY_PAUSE_MS = 1500
+
+/** Events that have arrived whole, as `[id, service and version of the worker]`. */
+const eventsOf = text => [...text.matchAll(/id: (\d+)\ndata: (\S+)-\d+\n\n/g)].map(([, id, version]) => [Number(id), version])
 
-/** Events that have arrived whole, as `[id, version]`. */
-const eventsOf = text => [...text.matchAll(/id: (\d+)\ndata: (\w+)-\d+\n\n/g)].map(([, id, version]) => [Number(id), version])
+const hexId = () => Math.floor(Math.random() * 0xffffffff).toString(16).padStart(8, '0')
+
+/** Headers of a prompt of which workers hold no part. */
+const promptHeaders = () => ({ 'X-Model': 'm', 'X-Token-Count': '600,420', 'X-Prompt-Prefix': `${hexId()}:400,${hexId()}:200` })
 
 /** One client: sends a request, and takes the stream up as often as its connection breaks. */
 const runClient = async deployment => {
   const startedAt = Date.now()
+  const prompt = promptHeaders()
   const events = []
   let first
   let isComplete = false
@@ -37,7 +48,7 @@
     if (leftMs < 100) break
     const gateway = deployment.gateways[Math.floor(Math.random() * GATEWAYS)]
     const last = events.at(-1)
-    const headers = last === undefined ? {} : { 'Last-Event-Id': last[0], Resumes: first }
+    const headers = last === undefined ? prompt : { ...prompt, 'Last-Event-Id': last[0], Resumes: first }
     const result = await send(gateway, { method: 'POST', path: '/draft/1', body: 'draft', headers, deadlineMs: leftMs, agent: false })
     const added = result.status === 200 ? eventsOf(result.body) : []
     events.push(...added)
@@ -69,8 +80,11 @@
     limits: { max_header_bytes: 16384, max_body_bytes: 4194304, header_timeout_ms: 3000, idle_timeout_ms: 15000, tokens_per_s: 154000 },
     tenants: []
   })
-  for (const [at, [name, version]] of [['model-a', 'v1'], ['model-b', 'v2']].entries()) {
-    for (let nth = 1; nth <= WORKERS_PER_SERVICE; nth++) await deployment.startWorker({ host: `127.0.7.${110 + at * 10 + nth}`, service: name, version, zone: nth % 2 === 1 ? 'zone-a' : 'zone-b', id: `i-${name}-${nth}`, events: EVENTS, eventMs: EVENT_MS })
+  for (const [at, [name, version]] of [['model-a', 'v1'], ['model-a', 'v2'], ['model-b', 'v1'], ['model-b', 'v2']].entries()) {
+    for (let nth = 1; nth <= WORKERS_PER_VERSION; nth++) {
+      const worker = { host: `127.0.7.${110 + at * 10 + nth}`, service: name, version, zone: nth % 2 === 1 ? 'zone-a' : 'zone-b', id: `i-${name}-${version}-${nth}` }
+      await deployment.startWorker({ ...worker, text: `${name}.${version}`, events: EVENTS, eventMs: EVENT_MS })
+    }
   }
   await deployment.planGateways(GATEWAYS)
   for (const gateway of deployment.gateways) deployment.startGateway(gateway)
@@ -82,24 +96,28 @@
   const clients = []
   const timer = setInterval(() => { clients.push(runClient(deployment)) }, 1000 / STREAMS_PER_SECOND)
   await sleep(6000)
-  if (TROUBLE) {
+  for (let kill = 0; kill < KILLS && TROUBLE; kill++) {
     deployment.record(`${Date.now()} all gateways are killed`)
     for (const { child } of deployment.gateways) child.kill('SIGKILL')
     await sleep(DARK_MS)
     deployment.record(`${Date.now()} all gateways start again`)
     for (const gateway of deployment.gateways) deployment.startGateway(gateway)
+    await sleep(BETWEEN_KILLS_MS)
   }
-  await sleep(4000)
   clearInterval(timer)
   const streams = await Promise.all(clients)
 
-  const joined = streams.filter(({ isComplete, isWhole, versions }) => isComplete && isWhole && versions.size > 1)
-  const summary = `${streams.length} streams, ${streams.filter(({ isComplete }) => isComplete).length} complete, ${streams.filter(({ takeUps }) => takeUps > 0).length} taken up and gone on with, ${joined.length} of them joined from two versions and ended as complete with status 200`
+  const hasTwo = list => new Set(list).size < list.length
+  const joined = streams.filter(({ versions }) => hasTwo([...versions].map(version => version.split('.')[0])))
+  const acrossServices = streams.filter(({ versions }) => new Set([...versions].map(version => version.split('.')[0])).size > 1)
+  const isComplete = stream => stream.isComplete && stream.isWhole
+  const summary = `${streams.length} streams, ${streams.filter(isComplete).length} complete, ${streams.filter(({ takeUps }) => takeUps > 0).length} taken up and gone on with; ` +
+    `${joined.length} hold events of two versions of one service (${joined.filter(isComplete).length} of them complete with status 200), ${acrossServices.length} hold events of two services`
   deployment.record(summary)
-  for (const { first, versions } of joined) deployment.record(`joined: ${first}, versions ${[...versions].join(' and ')}`)
+  for (const { first, versions } of joined) deployment.record(`joined: ${first}, ${[...versions].join(' and ')}`)
   console.log(summary)
   if (!TROUBLE && streams.some(({ isComplete, isWhole }) => !isComplete || !isWhole)) throw new Error('streams failed without the disruption')
-  return joined.length > 0
+  return joined.length > MAX_JOINED
 }
 
 main().then(isBroken => { process.exit(isBroken ? 1 : 0) }, err => {
--- a/review/standins/deployment.mjs
+++ b/review/standins/deployment.mjs
@@ -51,8 +51,8 @@
     this.#record.write(`${line}\n`)
   }
 
-  async startWorker ({ service, zone, id, version = 'v1', slots = 64, workMs = 50, events = 0, eventMs = 50, coldMs = 0, host }) {
-    const child = fork(join(FOLDER, 'worker.mjs'), [JSON.stringify({ host, id, version, workMs, events, eventMs })])
+  async startWorker ({ service, zone, id, version = 'v1', slots = 64, workMs = 50, events = 0, eventMs = 50, coldMs = 0, text = version, host }) {
+    const child = fork(join(FOLDER, 'worker.mjs'), [JSON.stringify({ host, id, version, text, workMs, events, eventMs })])
     const worker = { id, child, entry: undefined }
     this.workers.push(worker)
     await new Promise(resolve => {
