--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -14,7 +14,7 @@
 /** Time for which the gateways are dark, and between two kills; the site file has up to 2 s of darkness. */
 const DARK_MS = 300
 const BETWEEN_KILLS_MS = 3500
-const KILLS = TROUBLE ? 2 : 0
+const KILLS = 2
 
 /** Streams that may hold events of two versions of one service. */
 const MAX_JOINED = 2
@@ -97,11 +97,10 @@
   const timer = setInterval(() => { clients.push(runClient(deployment)) }, 1000 / STREAMS_PER_SECOND)
   await sleep(6000)
   for (let kill = 0; kill < KILLS; kill++) {
-    deployment.record(`${Date.now()} all gateways are killed`)
-    for (const { child } of deployment.gateways) child.kill('SIGKILL')
+    deployment.record(`${Date.now()} ${TROUBLE ? 'all gateways are killed' : 'no kill'}`)
+    if (TROUBLE) for (const { child } of deployment.gateways) child.kill('SIGKILL')
     await sleep(DARK_MS)
-    deployment.record(`${Date.now()} all gateways start again`)
-    for (const gateway of deployment.gateways) deployment.startGateway(gateway)
+    if (TROUBLE) for (const gateway of deployment.gateways) deployment.startGateway(gateway)
     await sleep(BETWEEN_KILLS_MS)
   }
   clearInterval(timer)
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -2,4 +2,7 @@
 import { fileURLToPath } from 'node:url'
 import { run } from '../standins/garbledAnswers.mjs'
 
-run(fileURLToPath(new URL('record.txt', import.meta.url)), process.env['GARBLE'] === 'status' ? 'status' : 'endless')
+const TROUBLE = process.env.TROUBLE !== '0'
+const garble = process.env.GARBLE === 'status' ? 'status' : 'endless'
+
+run(fileURLToPath(new URL('record.txt', import.meta.url)), garble, TROUBLE)
--- a/review/standins/garbledAnswers.mjs
+++ b/review/standins/garbledAnswers.mjs
@@ -4,8 +4,6 @@
  */
 import { Deployment, keepAliveAgent, send, sleep } from './deployment.mjs'
 
-const TROUBLE = process.env.TROUBLE !== '0'
-
 /** One in so many of the answers of one worker of three is garbled, for so long: the share and length of `garble` in the site file. */
 const GARBLE_EVERY = 20
 const TROUBLE_MS = 5500
@@ -18,18 +16,19 @@
 /**
  * @param recordPath - file for what was sent, answered and run
  * @param garble - how the worker garbles: `endless` or `status`
+ * @param isTroubled - false to leave the disruption out
  * @returns whether the rule was broken
  */
-const check = async (recordPath, garble) => {
+const check = async (recordPath, garble, isTroubled) => {
   const deployment = new Deployment(recordPath)
   try {
-    return await play(deployment, garble)
+    return await play(deployment, garble, isTroubled)
   } finally {
     await deployment.close()
   }
 }
 
-const play = async (deployment, garble) => {
+const play = async (deployment, garble, isTroubled) => {
   await deployment.store.start('127.0.7.100')
   const route = { kind: 'streaming', timeout_ms: 12000, target_latency_ms: 800, priority: 1, max_attempts: 2, public: true, session_affinity: false, stream_resume: true, gap_target_ms: 250 }
   deployment.store.put('op/config', {
@@ -68,8 +67,8 @@
     sendLater(ACTIONS_PER_SECOND, { method: 'POST', path: '/action/1', body: 'action', deadlineMs: 3000 })
   ]
   await sleep(5000)
-  deployment.record(`${Date.now()} trouble ${TROUBLE ? 'begins' : 'is left out'}`)
-  if (TROUBLE) models[0].child.send({ garble, every: GARBLE_EVERY })
+  deployment.record(`${Date.now()} trouble ${isTroubled ? 'begins' : 'is left out'}`)
+  if (isTroubled) models[0].child.send({ garble, every: GARBLE_EVERY })
   await sleep(TROUBLE_MS)
   models[0].child.send({ every: 0 })
   deployment.record(`${Date.now()} trouble ends`)
@@ -87,13 +86,13 @@
     `${atTimeout.length} unanswered at the timeout, ${unanswered.length} of them without a final answer 0.5 s later (${ranUnanswered} had run); longest wait ${Math.max(...actions.map(({ sentAt, endedAt }) => endedAt - sentAt))} ms; ${exits} gateways ended`
   deployment.record(summary)
   console.log(summary)
-  if (!TROUBLE && actions.some(({ status }) => status !== 200)) throw new Error('requests failed without the disruption')
+  if (!isTroubled && actions.some(({ status }) => status !== 200)) throw new Error('requests failed without the disruption')
   return unanswered.length >= 8 && unanswered.length > atTimeout.length / 2
 }
 
 /** Runs the check as a program. */
-export const run = (recordPath, garble) => {
-  check(recordPath, garble).then(isBroken => { process.exit(isBroken ? 1 : 0) }, err => {
+export const run = (recordPath, garble, isTroubled) => {
+  check(recordPath, garble, isTroubled).then(isBroken => { process.exit(isBroken ? 1 : 0) }, err => {
     console.error(err)
     process.exit(2)
   })
