--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,5 +1,5 @@
 /**
- * A route is split between two services; in each, workers of two software versions serve side by side. All gateways are killed at once and come back, twice; clients
+ * A route is split between two services; in each, workers of two software versions serve side by side. All gateways are killed at once and come back, three times; clients
  * take their streams up with `Last-Event-Id` and `Resumes`. The rule ORDER is checked: at most two streams hold events of two versions of one service.
  */
 import { dirname, join } from 'node:path'
@@ -14,7 +14,7 @@
 /** Time for which the gateways are dark, and between two kills; the site file has up to 2 s of darkness. */
 const DARK_MS = 300
 const BETWEEN_KILLS_MS = 3500
-const KILLS = 2
+const KILLS = 3
 
 /** Streams that may hold events of two versions of one service. */
 const MAX_JOINED = 2
--- a/review/standins/deployment.mjs
+++ b/review/standins/deployment.mjs
@@ -73,7 +73,8 @@
   /** Chooses addresses for gateways, each on a loopback address of its own. */
   async planGateways (count) {
     for (let nth = 1; nth <= count; nth++) {
-      const host = `127.0.7.${nth}`
+      // Scripts that run at the same time take no ports from each other.
+      const host = `127.${1 + process.pid % 250}.7.${nth}`
       const [callers, ready, peers, metrics] = [await freePort(host), await freePort(host), await freePort(host), await freePort(host)]
       this.gateways.push({ nth, host, zone: nth % 2 === 1 ? 'zone-a' : 'zone-b', callers: { host, port: callers }, ready: `${host}:${ready}`, peers: `${host}:${peers}`, metrics, child: undefined, errors: '', exits: 0 })
     }
