--- a/review/standins/deployment.mjs
+++ b/review/standins/deployment.mjs
@@ -16,13 +16,22 @@
 
 export const sleep = async ms => { await new Promise(resolve => { setTimeout(resolve, ms) }) }
 
-export const freePort = async host => await new Promise(resolve => {
-  const server = createServer()
-  server.listen(0, host, () => {
-    const { port } = server.address()
-    server.close(() => { resolve(port) })
-  })
-})
+const reserved = new Set()
+
+/** A free port below the range from which the system takes ports by itself, so that nothing else gets it before the gateway listens. */
+export const freePort = async host => {
+  for (;;) {
+    const port = 20_000 + Math.floor(Math.random() * 10_000)
+    if (reserved.has(port)) continue
+    reserved.add(port)
+    const isFree = await new Promise(resolve => {
+      const server = createServer()
+      server.on('error', () => { resolve(false) })
+      server.listen(port, host, () => { server.close(() => { resolve(true) }) })
+    })
+    if (isFree) return port
+  }
+}
 
 /** Words of the command with which the deploy file starts a role. */
 const commandOf = role => {
