Streams that are taken up go on at the service where they began

Cause: the service of the request was drawn by weight unless this gateway itself knew the stream, before recorders and peers were asked. A version of another service then counted as no restriction, and the record of the stream was replaced by the version at which it went on. The same decision joined streams whose route a configuration had moved to another service.

Change: decideStreamVersion and decideByAnswers take the services to which the route leads and has led within the lifetime of a stream, and decide service and version together; the request is routed there before it is counted, queued or placed. A stream whose route does not lead to its service any more is refused (503, service-gone). Streams of services without versions are recorded by service. Peers answer for the routes that they know; an answer of an earlier build is not taken for complete.

Why it works: a request gets its service only once the record was asked for, so that a record is never replaced by another service.

--- a/packages/gateway/src/callers/callerServer.ts
+++ b/packages/gateway/src/callers/callerServer.ts
@@ -2,7 +2,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
-import { createLog, type Millis, type Service, type ServiceId, toError, type WorkspaceId } from '@fuchsiaworks/kernel'
+import { createLog, type Millis, type Service, toError, type WorkspaceId } from '@fuchsiaworks/kernel'
 import { mayAcceptApiKeys, type OverloadSample } from '@fuchsiaworks/policy'
 import { endToEndHeaders, pairHeaders } from '@fuchsiaworks/wire'
 import type { CallerHead } from '../port/headerPort.js'
@@ -237,7 +237,7 @@
     const rechecked = this.#admit(req, head)
     if ('status' in rechecked) return this.#reject(req, res, rechecked)
     if (deadlineOf(rechecked.route, head, arrival.arrivedAt) <= this.ctx.clock.now()) return this.#reject(req, res, TOO_LATE)
-    const service = this.#serviceOfStream(rechecked) ?? pickServiceByWeight(rechecked.route, this.ctx.random())
+    const service = pickServiceByWeight(rechecked.route, this.ctx.random())
     if (service === undefined) return this.#reject(req, res, { status: 503, reason: 'no-service', retryAfterMs: NOT_READY_RETRY_AFTER_MS })
     this.#trackRunning(req.socket, res)
     this.flow.open({
@@ -267,15 +267,6 @@
     socket.destroy()
   }
 
-  /** @returns the service at which a stream has begun that the caller takes up, if its route still leads there */
-  #serviceOfStream ({ route, head }: AdmittedRequest): ServiceId | undefined {
-    if (!route.isStream || head.resumes === undefined || route.targets.length < 2) return undefined
-    const { hash, streamVersions } = this.ctx
-    const version = streamVersions.versionOfStream(hash(head.resumes))
-    const beganAt = version === undefined ? undefined : streamVersions.serviceOf(version)
-    return route.targets.find(({ service, weight }) => service === beganAt && weight > 0)?.service
-  }
-
   #recordCallerGone (head: CallerHead): void {
     this.#sample.abandoned += 1
     this.ctx.metrics.requests.inc({ service: 'none', outcome: 'caller-gone' })
--- a/packages/gateway/src/process/startGateway.ts
+++ b/packages/gateway/src/process/startGateway.ts
@@ -16,6 +16,7 @@
 import { RECORDER_FLEET_PATH, RECORDS_PATH } from '../streamRecorder/streamRecorderTypes.js'
 import { RequestFlow } from '../requests/requestFlow.js'
 import { StreamVersionLookup } from '../requests/streamVersionLookup.js'
+import { RecentRoutes } from '../routing/recentRoutes.js'
 import { avoidUpstream, recordUnreachable, UNREACHABLE_AVOID_MS } from '../requests/upstreamFailure.js'
 import { ReachabilityCheck } from '../upstreams/reachabilityCheck.js'
 import { UpstreamClients } from '../upstreams/upstreamClients.js'
@@ -96,8 +97,9 @@
       [RECORDER_FLEET_PATH, socket => { recorders.acceptFleetRequest(socket) }]
     ])
   })
+  const recentRoutes = new RecentRoutes()
   const recorders: RecorderLinks = createRecorderLinks(clock, settings, () => ctx)
-  const streamVersionLookup = new StreamVersionLookup(streamVersions, mesh, ports.fleet, recorders, random)
+  const streamVersionLookup = new StreamVersionLookup(streamVersions, recentRoutes, mesh, ports.fleet, recorders, random)
   const requestLog = new RequestLog(clock)
   const ctx: FlowContext = {
     settings,
@@ -118,6 +120,7 @@
     requestLimits,
     streamVersions,
     streamVersionLookup,
+    recentRoutes,
     recorders,
     coldPace: coldPaceDefinition.createDb(),
     retries: new RetryBudget({ budgetPercent: settings.retryRatio * 100 * RETRY_BUDGET_SHARE, floorPerSecond: RETRY_FLOOR_PER_SECOND, burst: RETRY_BURST }),
@@ -171,6 +174,7 @@
     ctx.metrics.crashSuspects.set(crashSuspects.accusations.size)
     leaving.expire(clock.now())
     streamVersions.expire(clock.now())
+    recentRoutes.expire(clock.now(), streamVersions.retentionMs)
     placement.expire(clock.now())
     ctx.queue?.expire()
     requestLimits.retainUpstreams(new Set(ports.fleet.view.upstreams.keys()), clock.now())
--- a/packages/gateway/src/process/wiring.ts
+++ b/packages/gateway/src/process/wiring.ts
@@ -46,6 +46,7 @@
   ctx.streamVersions.longestStreamMs = Math.max(0, ...table.routes.filter(({ isStream }) => isStream).map(({ timeoutMs }) => timeoutMs))
   ctx.minTargetMsByService = minTargetMsByService(table)
   ctx.metrics.revision.set(table.revision)
+  ctx.recentRoutes.apply(table, ctx.clock.now())
   callerServer.applyLimits(table)
 }
 
--- a/packages/gateway/src/requests/admission.ts
+++ b/packages/gateway/src/requests/admission.ts
@@ -1,5 +1,5 @@
 /** Decides whether a request may be sent now, and to which upstream. */
-import type { Millis, UpstreamId } from '@fuchsiaworks/kernel'
+import type { Millis, ServiceId, UpstreamId } from '@fuchsiaworks/kernel'
 import {
   chooseWithinShare, coldRate, decideShare, MAX_PLAIN_PRESSURE, maySendToColdUpstream, msUntilUsable, type Placement, type PlacementRequest, place, pressureLimit, type PromptPart, type ShareCharge,
   shareRequestAt, type VersionHash, type ZoneTraffic
@@ -37,7 +37,7 @@
   readonly #callerRequest: CallerRequest
   /** Upstreams to which the request has been sent. */
   readonly tried = new Set<UpstreamId>()
-  readonly placementRequest: PlacementRequest
+  #placementRequest: PlacementRequest
   /** Tokens served to the workspace divided by its share, at the last check. */
   shareUse = 0
   /** Software version at which alone the request may go on, once it has begun; undefined when there is no such restriction. */
@@ -50,7 +50,17 @@
   constructor (ctx: FlowContext, request: CallerRequest) {
     this.#ctx = ctx
     this.#callerRequest = request
-    this.placementRequest = this.#createPlacementRequest()
+    this.#placementRequest = this.#createPlacementRequest()
+  }
+
+  get placementRequest (): PlacementRequest {
+    return this.#placementRequest
+  }
+
+  /** Routes the request to the service at which its stream has begun. */
+  moveTo (service: ServiceId): void {
+    this.#callerRequest.service = service
+    this.#placementRequest = this.#createPlacementRequest()
   }
 
   get isEngine (): boolean {
--- a/packages/gateway/src/requests/attemptSeries.ts
+++ b/packages/gateway/src/requests/attemptSeries.ts
@@ -1,5 +1,5 @@
 /** Places one request, sends it to upstreams one after the other, and retries it where that is allowed. */
-import { asId, assertNever, createLog, type Millis, toError, type UpstreamId } from '@fuchsiaworks/kernel'
+import { asId, createLog, type Millis, toError, type UpstreamId } from '@fuchsiaworks/kernel'
 import { type AttemptFailure, decideAttempt, decideCrashSuspect, type Placement, remainingRefusalMs, remainingWait, type QueuedRequest, type StreamVersionDecision } from '@fuchsiaworks/policy'
 import { Admission } from './admission.js'
 import { Attempt, type AttemptScope } from './attempt.js'
@@ -81,9 +81,8 @@
   /** Tries to place and send the request for the first time. */
   start (): void {
     if (this.#refuseSuspect()) return
-    this.#ctx.retries.recordFirstAttempt(this.#request.service, this.#retryBudgetKey, this.#now)
-    this.admission.recordDemand()
-    this.#restrictVersion()
+    if (this.#origin.isTakenUp) return this.#takeUp()
+    this.#recordDemand()
     this.trySend()
   }
 
@@ -168,37 +167,33 @@
     return this.#request.workspace ?? asId('public')
   }
 
-  /** Restricts a stream that the caller takes up to the software version that began it, and asks peer gateways for one that is not known here. */
-  #restrictVersion (): void {
-    if (!this.#origin.isTakenUp) return
+  /** Counts the request with the policies of the service to which it is routed. */
+  #recordDemand (): void {
+    this.#ctx.retries.recordFirstAttempt(this.#request.service, this.#retryBudgetKey, this.#now)
+    this.admission.recordDemand()
+  }
+
+  /** Continues a stream where it has begun, and asks peer gateways for one that is not known here. */
+  #takeUp (): void {
     const decision = this.#origin.decide()
-    if (decision.kind !== 'unknown') return this.#applyVersion(decision)
+    if (decision.kind !== 'unknown') return this.#applyOrigin(decision)
     this.isWaiting = true
     this.#isLookingUp = true
     this.#origin.ask().then(answer => {
       this.#isLookingUp = false
       if (this.#handlers.isDone()) return
-      this.#applyVersion(answer)
-      this.trySend()
+      this.#applyOrigin(answer)
     }, (err: unknown) => {
       log.error('stream not resumed: internal error', { reason: toError(err).stack ?? String(err) })
       this.#handlers.onInternalError()
     })
   }
 
-  #applyVersion (decision: StreamVersionDecision): void {
-    this.#origin.restrictVersion(decision)
-    switch (decision.kind) {
-      case 'any':
-        return
-      case 'only':
-        if (!this.admission.hasVersion) this.#handlers.onRefused(this.admission.noUpstream('version-gone'))
-        return
-      case 'unknown':
-        return this.#handlers.onRefused(this.admission.noUpstream('version-unknown'))
-      default:
-        return assertNever(decision)
-    }
+  #applyOrigin (decision: StreamVersionDecision): void {
+    const refusal = this.#origin.apply(decision)
+    this.#recordDemand()
+    if (refusal !== undefined) return this.#handlers.onRefused(this.admission.noUpstream(refusal))
+    this.trySend()
   }
 
   #send (placement: Placement): void {
--- a/packages/gateway/src/requests/callerRequest.ts
+++ b/packages/gateway/src/requests/callerRequest.ts
@@ -22,7 +22,8 @@
   readonly target: string
   readonly body: Buffer
   readonly route: GatewayRoute
-  readonly service: ServiceId
+  /** Service to which the request is routed; a stream that its caller takes up is routed to the one where it has begun, once that is known. */
+  service: ServiceId
   /** Undefined on public routes. */
   readonly workspace: WorkspaceId | undefined
   /** Revision of the configuration that routed the request. */
--- a/packages/gateway/src/requests/flowContext.ts
+++ b/packages/gateway/src/requests/flowContext.ts
@@ -8,6 +8,7 @@
 import type { FleetPort } from '../port/fleetPort.js'
 import type { GatewaySettings } from '@fuchsiaworks/settings'
 import type { HeaderPort } from '../port/headerPort.js'
+import type { RecentRoutes } from '../routing/recentRoutes.js'
 import type { ReachabilityCheck } from '../upstreams/reachabilityCheck.js'
 import type { UpstreamClients } from '../upstreams/upstreamClients.js'
 import type { RecorderLinks } from '../streamRecorder/recorderLinks.js'
@@ -31,6 +32,7 @@
   readonly requestLimits: RequestLimitDb
   readonly streamVersions: StreamVersionDb
   readonly streamVersionLookup: StreamVersionLookup
+  readonly recentRoutes: RecentRoutes
   readonly recorders: RecorderLinks
   readonly coldPace: ColdPaceDb
   readonly retries: RetryBudget
--- a/packages/gateway/src/requests/streamOrigin.ts
+++ b/packages/gateway/src/requests/streamOrigin.ts
@@ -1,13 +1,17 @@
 /** The software version that began the stream of one request, which its caller may have received in part from other gateways. */
-import type { Millis } from '@fuchsiaworks/kernel'
-import { decideStreamVersion, type StreamVersionDecision, uniteCandidates, type VersionHash } from '@fuchsiaworks/policy'
+import { assertNever, type Millis } from '@fuchsiaworks/kernel'
+import { decideStreamVersion, routeCandidates, type StreamRoute, type StreamVersionDecision, uniteCandidates, type VersionHash } from '@fuchsiaworks/policy'
+import { pathOf, targetServices } from '../routing/findRoute.js'
 import type { GatewayUpstream } from '../routing/routingTypes.js'
 import type { Admission } from './admission.js'
 import type { CallerRequest } from './callerRequest.js'
 import type { FlowContext } from './flowContext.js'
 import { listKnowledge, type LookupResult } from './streamVersionLookup.js'
 
-/** Ties a request to the version at which its stream has begun, and tells peer gateways of it. */
+/** Why a stream that its caller takes up is refused. */
+type TakeUpRefusal = 'version-gone' | 'version-unknown' | 'service-gone'
+
+/** Ties a request to the service and the version at which its stream has begun, and tells peer gateways of it. */
 export class StreamOrigin {
   readonly #ctx: FlowContext
   readonly #request: CallerRequest
@@ -36,32 +40,60 @@
   /** Decides where a stream that the caller takes up may go on, by what is known here. */
   decide (): StreamVersionDecision {
     const { fleet, streamVersions } = this.#ctx
-    return decideStreamVersion(streamVersions, this.#request.service, this.#stream, listKnowledge(fleet))
+    return decideStreamVersion(streamVersions, this.#streamRoute, this.#stream, listKnowledge(fleet))
   }
 
   /** Asks peer gateways where the stream may go on. */
   async ask (): Promise<StreamVersionDecision> {
     this.#askedAt = this.#ctx.clock.now()
-    this.#lookup = await this.#ctx.streamVersionLookup.ask(this.#request.service, this.#stream)
+    const { route, target } = this.#request
+    this.#lookup = await this.#ctx.streamVersionLookup.ask({ ...this.#streamRoute, host: route.host, path: pathOf(target) }, this.#stream)
     return this.#lookup.decision
   }
 
-  /** Restricts the request to the version at which its stream may go on, and records the decision with what it is based on. */
-  restrictVersion (decision: StreamVersionDecision): void {
-    if (decision.kind === 'only') this.#admission.version = decision.version
-    const outcome = decision.kind === 'only' && !this.#admission.hasVersion ? 'gone' : decision.kind
+  /**
+   * Restricts the request to the service and the version at which its stream may go on, and records the decision with what it is based on.
+   *
+   * @returns why the request is to be refused; undefined when it may go on
+   */
+  apply (decision: StreamVersionDecision): TakeUpRefusal | undefined {
+    const refusal = this.#restrict(decision)
+    const outcome = refusal === 'version-gone' ? 'gone' : decision.kind
     this.#ctx.metrics.streamsTakenUp.inc({ decision: outcome })
     this.#logTakenUp(outcome)
+    return refusal
+  }
+
+  #restrict (decision: StreamVersionDecision): TakeUpRefusal | undefined {
+    switch (decision.kind) {
+      case 'any':
+        return undefined
+      case 'service':
+        this.#admission.moveTo(decision.service)
+        return undefined
+      case 'only':
+        this.#admission.moveTo(decision.service)
+        this.#admission.version = decision.version
+        return this.#admission.hasVersion ? undefined : 'version-gone'
+      case 'gone':
+        return 'version-gone'
+      case 'moved':
+        return 'service-gone'
+      case 'unknown':
+        return 'version-unknown'
+      default:
+        return assertNever(decision)
+    }
   }
 
   /** Records, before the first event, at which version the stream may begin: others have to know it when this gateway ends. */
   recordSend (upstream: GatewayUpstream): void {
     const { clock, recorders, streamVersions } = this.#ctx
     const { route, service } = this.#request
-    const isRecorded = route.isStream && route.repeatability === 'resumable' && streamVersions.isVersioned(service)
+    const isRecorded = route.isStream && route.repeatability === 'resumable'
     const stream = this.#stream
     if (!isRecorded || stream === undefined) return
-    const version = this.#versionOf(upstream)
+    const version = streamVersions.isVersioned(service) ? this.#versionOf(upstream) : streamVersions.serviceVersion(service)
     recorders.record(stream, version, streamVersions.versionOfStream(stream))
     streamVersions.recordSend(stream, version, clock.now())
   }
@@ -79,12 +111,15 @@
     const { asked, answers, isConfirmed } = this.#lookup ?? { asked: 0, answers: [], isConfirmed: false }
     const isKnownHere = this.#stream !== undefined && streamVersions.versionOfStream(this.#stream) !== undefined
     const source = answers.find(({ version }) => version !== undefined)?.address
-    const { declared, undeclared } = uniteCandidates([streamVersions.candidates(service), ...answers.map(({ candidates }) => candidates)])
+    const { targets, origins } = this.#streamRoute
+    const { declared, undeclared } = uniteCandidates([routeCandidates(streamVersions, this.#streamRoute), ...answers.map(({ candidates }) => candidates)])
     requestLog.write('stream taken up', {
       request: head.attempt,
       resumes: head.resumes ?? '',
       lastEventId: head.lastEventId ?? -1,
       service,
+      targets: targets.join(','),
+      origins: origins.join(','),
       decision,
       knownBy: isKnownHere ? 'self' : source ?? 'none',
       declared: declared.size,
@@ -98,6 +133,13 @@
     })
   }
 
+  /** The services of the route by which the request was admitted, and of earlier ones for its path. */
+  get #streamRoute (): StreamRoute {
+    const { route, target } = this.#request
+    const targets = targetServices(route)
+    return { targets, origins: [...new Set([...targets, ...this.#ctx.recentRoutes.originsOf(route.host, pathOf(target))])] }
+  }
+
   /** The stream, the same for all tries of its caller; undefined when the caller does not name the one that it takes up. */
   get #stream (): number | undefined {
     const { attempt, lastEventId, resumes } = this.#request.head
--- a/packages/gateway/src/requests/streamVersionLookup.ts
+++ b/packages/gateway/src/requests/streamVersionLookup.ts
@@ -1,11 +1,12 @@
 /** Asks peer gateways for the software version of a stream that is not known here, and answers them. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { createLog, type Millis, type Service, type ServiceId, toError } from '@fuchsiaworks/kernel'
-import { decideByAnswers, decideStreamVersion, knownForMs, type ListKnowledge, maySettle, type StreamHash, type StreamVersionAnswer, type StreamVersionDb, type StreamVersionDecision } from '@fuchsiaworks/policy'
+import { decideByAnswers, decideStreamVersion, knownForMs, type ListKnowledge, maySettle, routeCandidates, type StreamHash, type StreamRoute, type StreamVersionAnswer, type StreamVersionDb, type StreamVersionDecision } from '@fuchsiaworks/policy'
 import { Client } from 'undici'
 import * as z from 'zod'
 import type { PeerMesh } from '../peers/peerMesh.js'
 import type { FleetPort } from '../port/fleetPort.js'
+import type { RecentRoutes } from '../routing/recentRoutes.js'
 import type { RecorderLinks } from '../streamRecorder/recorderLinks.js'
 
 const LOOKUP_PATH = '/stream-version'
@@ -27,11 +28,23 @@
   declared: z.array(z.number()),
   undeclared: z.array(z.number()),
   /** Time for which the gateway has known the complete list of upstreams, 0 while its list is old or could not be confirmed; not sent by gateways of an earlier build. */
-  knownForMs: z.number().nonnegative().default(0)
+  knownForMs: z.number().nonnegative().default(0),
+  /** Whether the answer is for all services to which the gateway has routed the path; not sent by gateways of an earlier build, which know one service only. */
+  coversRoute: z.boolean().default(false)
 })
 
+/** Longest part of a path that peers are told; longer than any prefix of a route. */
+const MAX_PATH_CHARS = 2048
+
 const log = createLog('streams')
 
+/** Route of a stream, with the path that was requested: peers may know of other services to which it led. */
+export interface RequestedRoute extends StreamRoute {
+  /** Host name in lower case, without a port. */
+  readonly host: string
+  readonly path: string
+}
+
 /** Answer of one peer gateway, or of the stream recorders. */
 export interface PeerAnswer extends StreamVersionAnswer {
   readonly address: string
@@ -76,35 +89,38 @@
 
   /**
    * @param db - versions and streams as known to this gateway
+   * @param routes - routes of recent configurations
    * @param mesh - supplies the peer gateways
    * @param fleet - tells how long the list of upstreams has been known
-   * @param recorders - asked beside the peer gateways, for streams of services that have versions
+   * @param recorders - asked beside the peer gateways
    * @param random - chooses among the peer gateways; from 0 to 1
    */
-  constructor (readonly db: StreamVersionDb, readonly mesh: Pick<PeerMesh, 'reachablePeers'>, readonly fleet: ListPort, readonly recorders: Pick<RecorderLinks, 'ask'>, readonly random: () => number) {}
+  constructor (readonly db: StreamVersionDb, readonly routes: RecentRoutes, readonly mesh: Pick<PeerMesh, 'reachablePeers'>, readonly fleet: ListPort, readonly recorders: Pick<RecorderLinks, 'ask'>, readonly random: () => number) {}
 
   /**
    * Finds out where a stream may go on that is not known here: by the list of this gateway, once it is confirmed, or by answers of some peer gateways and
    * of stream recorders.
    *
-   * @param service - service to which its request is routed
+   * @param route - services at which the stream may have begun and may go on
    * @param stream - the stream; undefined when its caller does not name it
    */
-  async ask (service: ServiceId, stream: StreamHash | undefined): Promise<LookupResult> {
+  async ask (route: RequestedRoute, stream: StreamHash | undefined): Promise<LookupResult> {
     const mayAsk = this.#open < MAX_CONCURRENT_LOOKUPS
     this.#open += 1
     try {
-      const isConfirmed = await this.#confirmList(service)
-      const own = decideByAnswers(this.db, service, listKnowledge(this.fleet, isConfirmed), [])
+      const isConfirmed = await this.#confirmList(route)
+      const own = decideByAnswers(this.db, route, listKnowledge(this.fleet, isConfirmed), [])
       if (isConfirmed && own.kind !== 'unknown') return { decision: own, asked: 0, answers: [], isConfirmed }
       const peers = mayAsk ? this.#choosePeers() : []
-      const path = `${LOOKUP_PATH}?service=${encodeURIComponent(service)}&stream=${stream ?? ''}`
-      const recorded = stream === undefined || !this.db.isVersioned(service) ? [] : [this.#askRecorders(stream)]
+      const query = new URLSearchParams({ stream: String(stream ?? ''), host: route.host, path: route.path.slice(0, MAX_PATH_CHARS) })
+      for (const service of route.origins) query.append('service', service)
+      const path = `${LOOKUP_PATH}?${query.toString()}`
+      const recorded = stream === undefined ? [] : [this.#askRecorders(stream)]
       const answers = await collect([...recorded, ...peers.map(async address => await this.#askPeer(address, path))])
       const list = listKnowledge(this.fleet, isConfirmed)
       // Peers may have told of the stream while they were asked.
-      const known = decideStreamVersion(this.db, service, stream, list)
-      return { decision: known.kind === 'unknown' ? decideByAnswers(this.db, service, list, answers) : known, asked: peers.length, answers, isConfirmed }
+      const known = decideStreamVersion(this.db, route, stream, list)
+      return { decision: known.kind === 'unknown' ? decideByAnswers(this.db, route, list, answers) : known, asked: peers.length, answers, isConfirmed }
     } finally {
       this.#open -= 1
     }
@@ -115,7 +131,9 @@
     const { pathname, searchParams } = new URL(req.url ?? '/', 'http://gateway')
     if (pathname !== LOOKUP_PATH) return false
     const stream = searchParams.get('stream') ?? ''
-    this.#answer(res, (searchParams.get('service') ?? '') as ServiceId, stream === '' ? undefined : Number(stream)).catch((err: unknown) => {
+    const services = new Set([...searchParams.getAll('service') as ServiceId[], ...this.routes.originsOf(searchParams.get('host') ?? '', searchParams.get('path') ?? '')])
+    const route = { targets: [...services], origins: [...services] }
+    this.#answer(res, route, stream === '' ? undefined : Number(stream)).catch((err: unknown) => {
       log.error('peer gateway got no answer: internal error', { reason: toError(err).stack ?? String(err) })
       res.destroy()
     })
@@ -126,20 +144,20 @@
     await Promise.all([...this.#clients.values()].map(async client => { await client.destroy() }))
   }
 
-  async #answer (res: ServerResponse, service: ServiceId, stream: StreamHash | undefined): Promise<void> {
+  async #answer (res: ServerResponse, route: StreamRoute, stream: StreamHash | undefined): Promise<void> {
     const known = stream === undefined ? undefined : this.db.versionOfStream(stream)
-    const isWitness = known === undefined && maySettle(this.db, service, listKnowledge(this.fleet))
+    const isWitness = known === undefined && maySettle(this.db, route, listKnowledge(this.fleet))
     // Where this list cannot settle the question, the time is only told for the log.
-    const list = listKnowledge(this.fleet, !isWitness || await this.#confirmList(service))
-    const { declared, undeclared } = this.db.candidates(service)
+    const list = listKnowledge(this.fleet, !isWitness || await this.#confirmList(route))
+    const { declared, undeclared } = routeCandidates(this.db, route)
     const version = known ?? (stream === undefined ? undefined : this.db.versionOfStream(stream))
-    const answer: z.output<typeof answerSchema> = { version: version ?? null, declared: [...declared], undeclared: [...undeclared], knownForMs: Math.floor(knownForMs(list)) }
+    const answer: z.output<typeof answerSchema> = { version: version ?? null, declared: [...declared], undeclared: [...undeclared], knownForMs: Math.floor(knownForMs(list)), coversRoute: true }
     res.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify(answer))
   }
 
   /** Confirms the list where it may settle at which version a stream has begun. @returns false when it may not, or could not be confirmed in time */
-  async #confirmList (service: ServiceId): Promise<boolean> {
-    if (!maySettle(this.db, service, listKnowledge(this.fleet))) return false
+  async #confirmList (route: StreamRoute): Promise<boolean> {
+    if (!maySettle(this.db, route, listKnowledge(this.fleet))) return false
     return await new Promise<boolean>((resolve, reject) => {
       setTimeout(() => { resolve(false) }, CONFIRM_TIMEOUT_MS).unref()
       this.fleet.confirm().then(resolve, reject)
@@ -179,8 +197,8 @@
   async #askPeer (address: string, path: string): Promise<PeerAnswer | undefined> {
     try {
       const { body } = await this.#clientFor(address).request({ path, method: 'GET', signal: AbortSignal.timeout(ANSWER_TIMEOUT_MS) })
-      const { version, declared, undeclared, knownForMs } = answerSchema.parse(await body.json())
-      return { address, knownForMs, version: version ?? undefined, candidates: { declared: new Set(declared), undeclared: new Set(undeclared) } }
+      const { version, declared, undeclared, knownForMs, coversRoute } = answerSchema.parse(await body.json())
+      return { address, knownForMs: coversRoute ? knownForMs : 0, version: version ?? undefined, candidates: { declared: new Set(declared), undeclared: new Set(undeclared) } }
     } catch (err) {
       log.debug('peer gateway did not tell the version of a stream', { address, reason: toError(err).message })
       return undefined
--- a/packages/gateway/src/routing/findRoute.ts
+++ b/packages/gateway/src/routing/findRoute.ts
@@ -16,7 +16,7 @@
  *
  * @returns undefined when no route matches
  */
-export const findGatewayRoute = (table: RoutingTable, host: string, target: string): GatewayRoute | undefined => {
+export const findGatewayRoute = (table: Pick<RoutingTable, 'routes'>, host: string, target: string): GatewayRoute | undefined => {
   const name = hostName(host)
   const path = pathOf(target)
   let best: GatewayRoute | undefined
@@ -27,6 +27,9 @@
   return best
 }
 
+/** Returns the services to which a route leads; none without a route. */
+export const targetServices = (route: GatewayRoute | undefined): ServiceId[] => route?.targets.filter(({ weight }) => weight > 0).map(({ service }) => service) ?? []
+
 /**
  * Picks the service of one request at random, by the weights of the route's targets.
  *
--- a/packages/policy/src/streamVersion/streamVersionDb.ts
+++ b/packages/policy/src/streamVersion/streamVersionDb.ts
@@ -27,6 +27,7 @@
   /** Streams of this gateway that have not been sent to peer gateways. */
   #unsent = new Map<StreamHash, VersionHash>()
   readonly #hashes = new WeakMap<VersionedUpstream, VersionHash>()
+  #upstreams: readonly VersionedUpstream[] = []
   /** Longest time that a stream may take. */
   longestStreamMs: Millis = 0
 
@@ -41,6 +42,7 @@
 
   /** Replaces the list of upstreams. */
   setUpstreams (upstreams: readonly VersionedUpstream[], now: Millis): void {
+    this.#upstreams = upstreams
     const listed = new Set(upstreams.map(upstream => this.versionOf(upstream)))
     const ids = new Set(upstreams.map(({ id }) => id))
     for (const id of this.#unreachable.keys()) if (!ids.has(id)) this.#unreachable.delete(id)
@@ -70,6 +72,11 @@
     return this.hash(JSON.stringify([service, id, startedAt ?? null]))
   }
 
+  /** @returns the version that stands for all upstreams of a service, none of which declares one */
+  serviceVersion (service: ServiceId): VersionHash {
+    return this.hash(JSON.stringify([service]))
+  }
+
   /** @returns whether a stream that began at a version may go on at an upstream */
   isOfVersion (upstream: VersionedUpstream, version: VersionHash): boolean {
     return this.versionOf(upstream) === version || this.processVersion(upstream) === version
@@ -105,9 +112,11 @@
     return false
   }
 
-  /** @returns the service of a version; undefined when it is not known here */
+  /** @returns the service of a version; undefined when no upstream of that version is known here */
   serviceOf (version: VersionHash): ServiceId | undefined {
-    return [...this.#services].find(([, versions]) => versions.has(version))?.[0]
+    for (const [service, versions] of this.#services) if (versions.has(version) || this.serviceVersion(service) === version) return service
+    // A process that has declared its version since is still known by the one that it had of its own.
+    return this.#upstreams.find(upstream => this.processVersion(upstream) === version)?.service
   }
 
   /** Records that a stream is sent to an upstream. A stream whose next attempt goes elsewhere before its first event is recorded again. */
--- a/packages/policy/src/streamVersion/streamVersionTypes.ts
+++ b/packages/policy/src/streamVersion/streamVersionTypes.ts
@@ -4,7 +4,10 @@
 /** Version of an upstream's software. Versions have no order; a stream may go on only at the version that began it. */
 export type SoftwareVersion = Id<'software-version'>
 
-/** Hash of a service and a software version, the same at all gateways; a process that declares no version has one of its own. */
+/**
+ * Hash of a service and a software version, the same at all gateways. A process that declares no version has one of its own; a service whose upstreams declare none has one
+ * that stands for all of them.
+ */
 export type VersionHash = number
 
 /** One process of an upstream. */
@@ -42,11 +45,25 @@
   readonly knownForMs: Millis
 }
 
+/** Services of the route of a stream. */
+export interface StreamRoute {
+  /** Services to which the route leads, so that the stream may go on there. */
+  readonly targets: readonly ServiceId[]
+  /** Services at which the stream may have begun: the targets, and those to which an earlier configuration led within the lifetime of a stream. */
+  readonly origins: readonly ServiceId[]
+}
+
 /** Where a stream that a caller takes up may go on. */
 export type StreamVersionDecision =
-  /** At any upstream: the service has no versions, or the stream has begun at another service. */
+  /** At any upstream of the service to which the request is routed: its upstreams declare no versions. */
   | { readonly kind: 'any' }
-  /** At upstreams of this version only. */
-  | { readonly kind: 'only', readonly version: VersionHash }
+  /** At any upstream of this service, where the stream has begun: its upstreams declare no versions. */
+  | { readonly kind: 'service', readonly service: ServiceId }
+  /** At upstreams of this version of the service only. */
+  | { readonly kind: 'only', readonly service: ServiceId, readonly version: VersionHash }
+  /** Nowhere: no upstream of the version that began it is known. */
+  | { readonly kind: 'gone' }
+  /** Nowhere: the route does not lead to the service that began it any more. */
+  | { readonly kind: 'moved', readonly service: ServiceId }
   /** This gateway does not know; its peers may. */
   | { readonly kind: 'unknown' }
--- a/soak/src/world/operator.ts
+++ b/soak/src/world/operator.ts
@@ -18,6 +18,8 @@
 /** Writes the actions of operators to the store and records them. */
 export class Operator {
   revision = 0
+  /** Services to which the route of streams leads from the next revision on. */
+  streamServices: readonly string[] = [SERVICES.stream]
   readonly #validKeys: ApiKey[]
   readonly #revokedKeys: ApiKey[] = []
   readonly #activeExclusions = new Map<string, number>()
@@ -37,8 +39,8 @@
     this.revision += 1 + this.revision % 3
     putConfig(this.store, {
       revision: this.revision,
-      routes: routesOfRevision(this.revision, this.streamTimeoutMs),
-      services: new Map(Object.values(SERVICES).map(name => [asId<ServiceId>(name), { id: asId<ServiceId>(name), maxConnections: 64, coldRequestsPerSecond: COLD_PER_SECOND, engine: undefined }])),
+      routes: routesOfRevision(this.revision, this.streamTimeoutMs, this.streamServices),
+      services: new Map([...new Set([...Object.values(SERVICES), ...this.streamServices])].map(name => [asId<ServiceId>(name), { id: asId<ServiceId>(name), maxConnections: 64, coldRequestsPerSecond: COLD_PER_SECOND, engine: undefined }])),
       workspaceByApiKey: new Map(this.#validKeys.map(({ key, workspace }) => [key, asId<WorkspaceId>(workspace)])),
       limits: { headerBytes: 16_384, bodyBytes: 1_048_576, headerTimeoutMs: 3000, idleTimeoutMs: 15_000, tokensPerSecond: undefined }
     })
--- a/soak/src/world/routes.ts
+++ b/soak/src/world/routes.ts
@@ -27,12 +27,12 @@
   ...fields
 })
 
-const fixedRoutes = (streamTimeoutMs: Millis): GatewayRoute[] => [
+const fixedRoutes = (streamTimeoutMs: Millis, streamServices: readonly string[]): GatewayRoute[] => [
   buildRoute('safe', {}),
   buildRoute('once', { repeatability: 'once' }),
-  buildRoute('stream', { repeatability: 'resumable', isStream: true, timeoutMs: streamTimeoutMs, targets: [{ service: asId<ServiceId>(SERVICES.stream), weight: 1 }] })
+  buildRoute('stream', { repeatability: 'resumable', isStream: true, timeoutMs: streamTimeoutMs, targets: streamServices.map(name => ({ service: asId<ServiceId>(name), weight: 1 })) })
 ]
 
 /** @returns the routes of a revision: the fixed ones, and a probe route that only this revision has */
-export const routesOfRevision = (revision: number, streamTimeoutMs = ROUTE_TIMEOUTS_MS.stream): GatewayRoute[] =>
-  [...fixedRoutes(streamTimeoutMs), buildRoute('probe', { id: asId(`probe-${revision}`), prefix: `/probe-${revision}/`, isPublic: true })]
+export const routesOfRevision = (revision: number, streamTimeoutMs: Millis, streamServices: readonly string[]): GatewayRoute[] =>
+  [...fixedRoutes(streamTimeoutMs, streamServices), buildRoute('probe', { id: asId(`probe-${revision}`), prefix: `/probe-${revision}/`, isPublic: true })]
--- a/soak/src/world/totalLoss.spec.ts
+++ b/soak/src/world/totalLoss.spec.ts
@@ -1,7 +1,7 @@
 import { describe, it } from 'node:test'
 import type { Millis } from '@fuchsiaworks/kernel'
 import { expect } from 'earl'
-import { type CallerStream, pause, VersionedFleet, type VersionedFleetOptions } from './versionedFleet.js'
+import { type CallerStream, pause, SECOND_SERVICE, VersionedFleet, type VersionedFleetOptions } from './versionedFleet.js'
 
 const ALL = [0, 1, 2, 3]
 
@@ -107,3 +107,20 @@
     expect(goneOnShare).toBeGreaterThanOrEqual(MIN_RATIO * begunShare)
   })
 })
+
+/** Guards against a gateway that lets a stream go on at the service to which its route leads now, because the version that its peer names is not one of that service. */
+describe('streams of a route that is split between two services, taken up after all gateways but one were killed at once', () => {
+  it('go on at the service that began them, and are refused when the route does not lead there any more', async () => {
+    const { mixed, takenUp, begunShare } = await play({ secondVersions: ['w1', 'w2'] }, async world => {
+      const killed = ALL.slice(1)
+      world.routeStreams([SECOND_SERVICE])
+      await world.killGateways(killed)
+      await pause(DOWN_MS)
+      world.startGateways(killed)
+    })
+    const kept = takenUp.filter(({ versions }) => versions.has('w1') || versions.has('w2'))
+    expect(mixed).toEqual(0)
+    expect(Math.min(kept.length, takenUp.length - kept.length)).toBeGreaterThanOrEqual(MIN_TAKEN_UP)
+    expect(kept.filter(({ hasGoneOn }) => hasGoneOn).length / kept.length).toBeGreaterThanOrEqual(MIN_RATIO * begunShare)
+  })
+})
