Copy and search each byte of an incomplete event once

Cause: for each piece EventSplitter joined all that was pending with it and searched all of it for the end of an event, up to 256 KB. The checks that end such an attempt are timers, which did not run meanwhile.

Change: the incomplete event is kept in memory that doubles as it grows, and only a new chunk is searched, with the two bytes before it.

Why it works: each byte is searched once and copied a bounded number of times, whatever the size of the pieces; eventSplitter.spec counts this for pieces of 1, 8, 64 and 1,000 bytes.

--- a/packages/gateway/src/requests/eventSplitter.spec.ts
+++ b/packages/gateway/src/requests/eventSplitter.spec.ts
@@ -30,6 +30,18 @@
     }))
   })
 
+  // Guards the event loop: an event of 256 KB that arrives in pieces of 8 bytes was copied and searched again for each of them, for seconds.
+  for (const pieceBytes of [1, 8, 64, 1000]) {
+    it(`does work in proportion to the bytes of an event that arrives in pieces of ${pieceBytes} bytes`, () => {
+      const splitter = new EventSplitter()
+      const event = Buffer.from(`id: 1\ndata: ${'x'.repeat(256 * 1024)}\n\n`)
+      let received: Buffer | undefined
+      for (let at = 0; at < event.length; at += pieceBytes) received = splitter.push(event.subarray(at, at + pieceBytes))?.bytes ?? received
+      expect(received?.equals(event)).toEqual(true)
+      expect(splitter.processedBytes).toBeLessThanOrEqual(4 * event.length)
+    })
+  }
+
   // Guards the resume position: after an event without an id, a resumed stream would bring it again.
   it('tells whether an event without an id follows the last one that has one', () => {
     const endsWithId = (text: string): boolean => {
--- a/packages/gateway/src/requests/eventSplitter.ts
+++ b/packages/gateway/src/requests/eventSplitter.ts
@@ -16,12 +16,55 @@
 const NINE = 0x39
 const COLON = 0x3a
 
+/** Bytes of the end of a line with the blank line that follows it, at most. */
+const BLANK_LINE_BYTES = 3
+
 /** Digits that a number holds exactly. */
 const MAX_ID_DIGITS = 15
 
+/** Bytes for which memory is reserved when an event begins to arrive in part. */
+const MIN_PARTIAL_BYTES = 1024
+
+/** The event at the end of a stream that has not arrived completely. Its memory doubles as it grows, so that each byte is copied a bounded number of times. */
+class PartialEvent {
+  #memory: Buffer = Buffer.alloc(0)
+  #length = 0
+  /** Bytes that were copied so far. */
+  copiedBytes = 0
+
+  get length (): number {
+    return this.#length
+  }
+
+  append (bytes: Buffer): void {
+    const length = this.#length + bytes.length
+    if (length > this.#memory.length) {
+      const grown = Buffer.allocUnsafe(Math.max(MIN_PARTIAL_BYTES, 2 * length))
+      this.copiedBytes += this.#memory.copy(grown, 0, 0, this.#length)
+      this.#memory = grown
+    }
+    this.copiedBytes += bytes.copy(this.#memory, this.#length)
+    this.#length = length
+  }
+
+  /** Returns the bytes, and starts the next event. */
+  take (): Buffer {
+    const bytes = this.#memory.subarray(0, this.#length)
+    this.#memory = Buffer.alloc(0)
+    this.#length = 0
+    return bytes
+  }
+
+  /** Returns the last bytes, at most `count`. */
+  last (count: number): Buffer {
+    return this.#memory.subarray(Math.max(0, this.#length - count), this.#length)
+  }
+}
+
 /** Splits one stream. */
 export class EventSplitter {
-  #pending: Buffer = Buffer.alloc(0)
+  readonly #partial = new PartialEvent()
+  #searchedBytes = 0
   /** The last events with an id. */
   #numbered: CompleteEvents | undefined
   /** True when an event without an id came in a later chunk. */
@@ -29,7 +72,12 @@
 
   /** Size of the incomplete event at the end. */
   get pendingBytes (): number {
-    return this.#pending.length
+    return this.#partial.length
+  }
+
+  /** Bytes that were searched for the end of an event or copied so far, by which a test can tell how the work grows with the number of chunks. */
+  get processedBytes (): number {
+    return this.#searchedBytes + this.#partial.copiedBytes
   }
 
   /** False when the last event has no id, so that the position in the stream is not known; read from the last chunk only when it is asked for. */
@@ -46,14 +94,12 @@
    * @returns the events that are now complete; undefined when there are none
    */
   push (chunk: Buffer): CompleteEvents | undefined {
-    const buffered = this.#pending.length === 0 ? chunk : Buffer.concat([this.#pending, chunk])
-    const end = lastEventEnd(buffered)
+    const end = this.#lastEventEnd(chunk)
     if (end === 0) {
-      this.#pending = buffered
+      this.#partial.append(chunk)
       return undefined
     }
-    this.#pending = buffered.subarray(end)
-    const bytes = buffered.subarray(0, end)
+    const bytes = this.#takeEvents(chunk, end)
     const events = readLastId(bytes)
     if (events.lastId === undefined) this.#hasUnnumbered ||= !hasOnlyComments(bytes, 0)
     else {
@@ -62,15 +108,30 @@
     }
     return events
   }
-}
 
-/** Returns the offset after the last blank line. */
-const lastEventEnd = (bytes: Buffer): number => {
-  for (let at = bytes.length - 1; at > 0; at--) {
-    if (bytes[at] !== LF) continue
-    if (bytes[at - 1] === LF || (at > 2 && bytes[at - 1] === CR && bytes[at - 2] === LF)) return at + 1
+  /** Returns the offset in the chunk after the last blank line, which may have begun before the chunk; 0 when no event ends in it. */
+  #lastEventEnd (chunk: Buffer): number {
+    const before = this.#partial.last(BLANK_LINE_BYTES - 1)
+    const byteAt = (at: number): number | undefined => at < 0 ? before[before.length + at] : chunk[at]
+    for (let end = chunk.lastIndexOf(LF); end !== -1; end = end === 0 ? -1 : chunk.lastIndexOf(LF, end - 1)) {
+      if (byteAt(end - 1) !== LF && (byteAt(end - 1) !== CR || byteAt(end - 2) !== LF)) continue
+      this.#searchedBytes += chunk.length - end
+      return end + 1
+    }
+    this.#searchedBytes += chunk.length
+    return 0
+  }
+
+  /** Returns the incomplete event together with the chunk up to an offset, and keeps the rest of the chunk. */
+  #takeEvents (chunk: Buffer, end: number): Buffer {
+    let bytes = chunk.subarray(0, end)
+    if (this.#partial.length > 0) {
+      this.#partial.append(bytes)
+      bytes = this.#partial.take()
+    }
+    if (end < chunk.length) this.#partial.append(chunk.subarray(end))
+    return bytes
   }
-  return 0
 }
 
 const ID_FIELD = Buffer.from('id:')
