Join the pieces of a connection once for each batch of an offload link

A response of many small events cost the square of its pieces.

Change: the pieces are kept in a list and joined when the batch is sent, or when data follows that has waited for another time.

--- a/packages/gateway/src/offload/offloadLink.ts
+++ b/packages/gateway/src/offload/offloadLink.ts
@@ -18,6 +18,16 @@
 
 const log = createLog('offload')
 
+/** Data of one connection that waits for the next batch. */
+interface PendingData {
+  /** Position of its frame in the batch. */
+  readonly position: number
+  /** The frame that was added last. */
+  frame: DataFrame
+  /** Bytes of the frame, in pieces: joining them for each further piece would copy the ones before again and again. */
+  readonly pieces: Buffer[]
+}
+
 /** What happens on a link. */
 export interface OffloadLinkHandler {
   readonly onFrame: (frame: OffloadFrame) => void
@@ -37,8 +47,8 @@
   readonly #handler: OffloadLinkHandler
   readonly #checkTimer: Timer
   #pending: OffloadFrame[] = []
-  /** Position in `#pending` of the data to which further data of the same connection is added. */
-  readonly #pendingData = new Map<ConnectionNumber, number>()
+  /** Data in `#pending` to which further data of the same connection is added. */
+  readonly #pendingData = new Map<ConnectionNumber, PendingData>()
   #batchTimer: Timer | undefined
   #lastReceivedAt: Millis
   #checkedAt: Millis
@@ -81,6 +91,7 @@
     this.#batchTimer?.close()
     this.#batchTimer = undefined
     if (this.#pending.length === 0 || this.#socket.readyState !== this.#socket.OPEN) return
+    for (const data of this.#pendingData.values()) this.#join(data)
     const message = encodeOffloadFrames(this.#pending)
     this.#pending = []
     this.#pendingData.clear()
@@ -97,17 +108,22 @@
   /** Data of one connection becomes one frame of the batch, so that the receiver passes it on with one write. */
   #addData (frame: DataFrame): void {
     const { connection, bytes, unreadMs } = frame
-    const position = this.#pendingData.get(connection)
-    const earlier = position === undefined ? undefined : this.#pending[position]
+    const earlier = this.#pendingData.get(connection)
     // What was read later may belong to another request, which has not waited.
-    if (position !== undefined && earlier?.kind === 'data' && earlier.unreadMs === unreadMs) {
-      this.#pending[position] = { ...frame, bytes: Buffer.concat([earlier.bytes, bytes]) }
+    if (earlier?.frame.unreadMs === unreadMs) {
+      earlier.pieces.push(bytes)
+      earlier.frame = frame
       return
     }
-    this.#pendingData.set(connection, this.#pending.length)
+    if (earlier !== undefined) this.#join(earlier)
+    this.#pendingData.set(connection, { position: this.#pending.length, frame, pieces: [bytes] })
     this.#pending.push(frame)
   }
 
+  #join ({ position, frame, pieces }: PendingData): void {
+    if (pieces.length > 1) this.#pending[position] = { ...frame, bytes: Buffer.concat(pieces) }
+  }
+
   #receive (message: Buffer): void {
     this.#recordReceived()
     this.#handler.onMessage?.(message.length)
