Break the lines of the bundle, so that a failed assertion is named at once

Cause: undici checks the status by an assertion without a message. To make one, Node.js reads the source of the failed call and parses it from the begin of its line, and scripts/bundle.mjs had removed the line ends: 234 lines for 1.08 MB.

Evidence: the same bundle with lines broken from 500 characters on (2,102 lines) does not pause; nothing else was changed for that run.

Change: esbuild's lineLimit. It holds for all assertions of undici, and for the bundle of stream recorders.

Why it works: what is parsed begins at most some kilobytes before the call (the longest line has 6,092 characters).

Measured: garbledAnswers.spec, which runs the bundle, failed before (60 of 60 requests to the sound service late, the slowest after 5,059 ms); after, 60 of 60 were served, the slowest after 90 ms.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -6,6 +6,12 @@
 
 const root = fileURLToPath(new URL('..', import.meta.url))
 
+/**
+ * Length from which lines are broken. For an assertion that fails without a message, as undici's do on an invalid response, Node.js parses the line of the
+ * failed call from its beginning: on lines of hundreds of kilobytes, that occupies the event loop for seconds.
+ */
+const MAX_LINE_CHARS = 500
+
 /** Maps workspace packages to their sources, so that a clean checkout is bundled without running the compiler. */
 const alias = Object.fromEntries(readdirSync(join(root, 'packages'))
   .map(name => [`@fuchsiaworks/${name}`, join(root, 'packages', name, 'src/index.ts')]))
@@ -23,6 +29,7 @@
     mainFields: ['module', 'main'],
     minifySyntax: true,
     minifyWhitespace: true,
+    lineLimit: MAX_LINE_CHARS,
     alias: {
       undici: join(root, 'scripts/undiciClient.mjs'),
       'prom-client': join(root, 'scripts/promClient.mjs'),
--- a/soak/src/world/garbledAnswers.spec.ts
+++ b/soak/src/world/garbledAnswers.spec.ts
@@ -42,6 +42,11 @@
   write()
 }
 
+/** Responds with a status that HTTP does not have. */
+const writeInvalidStatus = (res: ServerResponse, attempt: string): void => {
+  res.socket?.end(`HTTP/1.1 020 OK\r\n${HEADER.attemptId}: ${attempt}\r\ncontent-length: 2\r\n\r\nok`)
+}
+
 /** Sends requests to a sound service while another one garbles its responses. */
 const play = async (garble: (res: ServerResponse, attempt: string) => void): Promise<SentRequest[]> => {
   const fleet = await buildFleet(systemClock, 1)
@@ -85,9 +90,10 @@
 
 /** Guards against a garbled response that occupies the event loop for seconds, in which no other request is served or timed out. */
 describe('requests to a sound service, while an upstream of another one responds', () => {
+  // One of the causes was in how the program is bundled.
   before(() => { execFileSync(process.execPath, [BUNDLE_SCRIPT]) })
 
-  for (const [title, garble] of [['with an event that does not end, in small pieces', writeEndlessEvent]] as const) {
+  for (const [title, garble] of [['with an event that does not end, in small pieces', writeEndlessEvent], ['with a status below 100', writeInvalidStatus]] as const) {
     it(`${title}, are served in time`, async () => {
       const requests = await play(garble)
       const late = requests.filter(({ sentAt, timeoutMs, end }) => end === undefined || end.at - sentAt > timeoutMs + FINAL_ANSWER_MS)
