Count the services of a configuration that comes while a stream is asked for

Cause: a gateway that was out of step reads the store before it decides where a stream may go on that it does not know. The upstreams that it learns of then were counted, the services of a new configuration were not, as the route had been looked up before: a stream that had begun at such a service through another gateway could go on at the only version of the service that was known before.

Change: the services are looked up again after the list is confirmed and after the peers have answered, at the gateway that asks and at the ones that answer.

--- a/packages/gateway/src/requests/streamVersionLookup.ts
+++ b/packages/gateway/src/requests/streamVersionLookup.ts
@@ -104,11 +104,12 @@
    * @param route - services at which the stream may have begun and may go on
    * @param stream - the stream; undefined when its caller does not name it
    */
-  async ask (route: RequestedRoute, stream: StreamHash | undefined): Promise<LookupResult> {
+  async ask (requested: RequestedRoute, stream: StreamHash | undefined): Promise<LookupResult> {
     const mayAsk = this.#open < MAX_CONCURRENT_LOOKUPS
     this.#open += 1
     try {
-      const isConfirmed = await this.#confirmList(route)
+      const isConfirmed = await this.#confirmList(requested)
+      let route = this.#withOrigins(requested)
       const own = decideByAnswers(this.db, route, listKnowledge(this.fleet, isConfirmed), [])
       if (isConfirmed && own.kind !== 'unknown') return { decision: own, asked: 0, answers: [], isConfirmed }
       const peers = mayAsk ? this.#choosePeers() : []
@@ -118,6 +119,7 @@
       const recorded = stream === undefined ? [] : [this.#askRecorders(stream)]
       const answers = await collect([...recorded, ...peers.map(async address => await this.#askPeer(address, path))])
       const list = listKnowledge(this.fleet, isConfirmed)
+      route = this.#withOrigins(route)
       // Peers may have told of the stream while they were asked.
       const known = decideStreamVersion(this.db, route, stream, list)
       return { decision: known.kind === 'unknown' ? decideByAnswers(this.db, route, list, answers) : known, asked: peers.length, answers, isConfirmed }
@@ -131,9 +133,9 @@
     const { pathname, searchParams } = new URL(req.url ?? '/', 'http://gateway')
     if (pathname !== LOOKUP_PATH) return false
     const stream = searchParams.get('stream') ?? ''
-    const services = new Set([...searchParams.getAll('service') as ServiceId[], ...this.routes.originsOf(searchParams.get('host') ?? '', searchParams.get('path') ?? '')])
-    const route = { targets: [...services], origins: [...services] }
-    this.#answer(res, route, stream === '' ? undefined : Number(stream)).catch((err: unknown) => {
+    const services = searchParams.getAll('service') as ServiceId[]
+    const route = { targets: services, origins: services, host: searchParams.get('host') ?? '', path: searchParams.get('path') ?? '' }
+    this.#answer(res, this.#withOrigins(route), stream === '' ? undefined : Number(stream)).catch((err: unknown) => {
       log.error('peer gateway got no answer: internal error', { reason: toError(err).stack ?? String(err) })
       res.destroy()
     })
@@ -144,17 +146,23 @@
     await Promise.all([...this.#clients.values()].map(async client => { await client.destroy() }))
   }
 
-  async #answer (res: ServerResponse, route: StreamRoute, stream: StreamHash | undefined): Promise<void> {
+  async #answer (res: ServerResponse, requested: RequestedRoute, stream: StreamHash | undefined): Promise<void> {
     const known = stream === undefined ? undefined : this.db.versionOfStream(stream)
-    const isWitness = known === undefined && maySettle(this.db, route, listKnowledge(this.fleet))
+    const isWitness = known === undefined && maySettle(this.db, requested, listKnowledge(this.fleet))
     // Where this list cannot settle the question, the time is only told for the log.
-    const list = listKnowledge(this.fleet, !isWitness || await this.#confirmList(route))
+    const list = listKnowledge(this.fleet, !isWitness || await this.#confirmList(requested))
+    const route = this.#withOrigins(requested)
     const { declared, undeclared } = routeCandidates(this.db, route)
     const version = known ?? (stream === undefined ? undefined : this.db.versionOfStream(stream))
     const answer: z.output<typeof answerSchema> = { version: version ?? null, declared: [...declared], undeclared: [...undeclared], knownForMs: Math.floor(knownForMs(list)), coversRoute: true }
     res.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify(answer))
   }
 
+  /** Adds the services to which this gateway has routed the path, also by a configuration that has come since the stream was asked for. */
+  #withOrigins (route: RequestedRoute): RequestedRoute {
+    return { ...route, origins: [...new Set([...route.origins, ...this.routes.originsOf(route.host, route.path)])] }
+  }
+
   /** Confirms the list where it may settle at which version a stream has begun. @returns false when it may not, or could not be confirmed in time */
   async #confirmList (route: StreamRoute): Promise<boolean> {
     if (!maySettle(this.db, route, listKnowledge(this.fleet))) return false
