--- a/soak/src/world/upstreamStandin.ts
+++ b/soak/src/world/upstreamStandin.ts
@@ -85,8 +85,9 @@
     return (this.#server.address() as AddressInfo).port
   }
 
-  async start (): Promise<void> {
-    await new Promise<void>(resolve => { this.#server.listen(0, '127.0.0.1', resolve) })
+  /** @param port - port on loopback; a free one if not given */
+  async start (port = 0): Promise<void> {
+    await new Promise<void>(resolve => { this.#server.listen(port, '127.0.0.1', resolve) })
   }
 
   /** Resets all connections and stops listening. */
--- a/soak/src/world/versionedFleet.ts
+++ b/soak/src/world/versionedFleet.ts
@@ -42,6 +42,9 @@
 /** Pause between two tries of a caller that tries until its stream has lasted as long as one may. */
 const PERSISTENT_PAUSE_MS: Millis = 300
 
+/** Share of the streams that are taken up at the preferred gateway. */
+const PREFERENCE = { share: 7, of: 10 } as const
+
 const EVENT = /id: (\d+)\ndata: [^/]+\/\d+\/(\S+)\n\n/g
 
 export const pause = async (ms: Millis): Promise<void> => { await new Promise(resolve => { setTimeout(resolve, ms) }) }
@@ -80,6 +83,8 @@
   readonly #callers: readonly Caller[]
   readonly #startedAt: Millis[] = []
   readonly #timers: Timer[] = []
+  /** Gateway that most callers choose to take up their streams; undefined when they have no preference. */
+  preferredGateway: number | undefined
   #count = 0
   #isClosed = false
 
@@ -118,6 +123,16 @@
     }
   }
 
+  /** Lets each upstream of a version crash and start again after `restartMs` under its id and address with another version. */
+  async replaceVersion (from: string, to: string, restartMs: Millis): Promise<void> {
+    for (const upstream of [...this.#upstreams.values()].filter(({ properties }) => properties.version === from)) {
+      const { properties: { id, service }, port } = upstream
+      upstream.crash()
+      if (restartMs > 0) await pause(restartMs)
+      await this.#startUpstream(to, service, { id, port })
+    }
+  }
+
   /** Kills gateways at the same moment. */
   async killGateways (gateways: readonly number[]): Promise<void> {
     await Promise.all(gateways.map(async gateway => { await this.fleet.gateways[gateway]?.kill() }))
@@ -172,15 +187,16 @@
     for (const upstream of this.#upstreams.values()) upstream.close()
   }
 
-  async #startUpstream (version: string, service: string): Promise<void> {
+  /** @param earlier - the process under whose id and address it starts; undefined for new ones */
+  async #startUpstream (version: string, service: string, earlier?: { readonly id: string, readonly port: number }): Promise<void> {
     if (this.#isClosed) return
     this.#count += 1
-    const id = `u${this.#count}`
+    const id = earlier?.id ?? `u${this.#count}`
     const upstream = new UpstreamStandin(systemClock, { id, service, zone: this.#count % 2 === 0 ? 'north' : 'south', slots: SLOTS, version, namesVersion: true, eventIntervalMs: EVENT_INTERVAL_MS }, emptyObservations(), () => {})
     this.#upstreams.set(id, upstream)
-    await upstream.start()
+    await upstream.start(earlier?.port)
     const { zone, slots } = upstream.properties
-    putUpstream(this.fleet.store, { id: asId(id), service: asId(service), zone: asId(zone), version, address: `127.0.0.1:${upstream.port}`, slots, isDraining: false }, 0)
+    putUpstream(this.fleet.store, { id: asId(id), service: asId(service), zone: asId(zone), version, address: `127.0.0.1:${upstream.port}`, slots, isDraining: false, startedAt: this.#count }, 0)
   }
 
   #crash (upstream: UpstreamStandin): void {
@@ -213,7 +229,8 @@
   /** Sends a try of a stream; the callers reach gateways that run, as a load balancer sends them. */
   #send (stream: CallerStream, turn: number, tries: number): void {
     const running = this.fleet.gateways.filter(({ isAlive, index }) => isAlive && systemClock.now() - (this.#startedAt[index] ?? 0) > COME_BACK_MS)
-    const gateway = running[turn % running.length]?.index
+    const preferred = stream.origin !== undefined && turn % PREFERENCE.of < PREFERENCE.share ? running.find(({ index }) => index === this.preferredGateway) : undefined
+    const gateway = (preferred ?? running[turn % running.length])?.index
     if (this.#isClosed) return
     if (gateway === undefined) return this.#tryAgain(stream, turn, tries)
     this.#count += 1
