--- a/packages/gateway/src/requests/admission.ts
+++ b/packages/gateway/src/requests/admission.ts
@@ -58,7 +58,7 @@
   }
 
   /** Routes the request to the service at which its stream has begun. */
-  moveTo (service: ServiceId): void {
+  routeTo (service: ServiceId): void {
     this.#callerRequest.service = service
     this.#placementRequest = this.#createPlacementRequest()
   }
--- a/packages/gateway/src/requests/streamOrigin.ts
+++ b/packages/gateway/src/requests/streamOrigin.ts
@@ -69,10 +69,10 @@
       case 'any':
         return undefined
       case 'service':
-        this.#admission.moveTo(decision.service)
+        this.#admission.routeTo(decision.service)
         return undefined
       case 'only':
-        this.#admission.moveTo(decision.service)
+        this.#admission.routeTo(decision.service)
         this.#admission.version = decision.version
         return this.#admission.hasVersion ? undefined : 'version-gone'
       case 'gone':
