--- a/packages/gateway/src/requests/callerResponses.spec.ts
+++ b/packages/gateway/src/requests/callerResponses.spec.ts
@@ -1,12 +1,11 @@
-import { connect, createServer, type Server, type Socket, type AddressInfo } from 'node:net'
+import { connect, type Socket } from 'node:net'
 import { after, before, describe, it } from 'node:test'
-import { asId, setLogLevel, systemClock, type ZoneId } from '@fuchsiaworks/kernel'
-import type { PeerId } from '@fuchsiaworks/policy'
+import { setLogLevel } from '@fuchsiaworks/kernel'
 import { findPorts } from '@fuchsiaworks/standins'
 import { expect } from 'earl'
 import fc from 'fast-check'
-import { ConnectionOffloader } from '../offload/connectionOffloader.js'
-import { type GatewayUnderTest, type Script, startWithSettings, testHeaders } from '../process/gatewayFixtures.js'
+import { type OffloadingPort, startOffloadingPort } from '../offload/offloadFixtures.js'
+import { type GatewayUnderTest, type Script, startWithSettings } from '../process/gatewayFixtures.js'
 
 setLogLevel('error')
 
@@ -15,10 +14,6 @@
 /** Upstreams in turn, as a broken response keeps requests from its upstream for a while. */
 const UPSTREAMS = 12
 
-const PEER = asId<PeerId>('p1')
-
-const wait = async (ms: number): Promise<void> => { await new Promise(resolve => { setTimeout(resolve, ms) }) }
-
 /** What an upstream responds with, and what its caller does. */
 interface Plan {
   readonly path: string
@@ -237,24 +232,16 @@
 
 describe('a complete success', () => {
   let gateway: GatewayUnderTest
-  let offloader: ConnectionOffloader
-  let front: Server
-  let frontPort: number
+  let peer: OffloadingPort
 
   before(async () => {
     const [peersPort = 0] = await findPorts(1)
     gateway = await startWithSettings({ peers: { host: '127.0.0.1', port: peersPort }, retryRatio: 4 }, ...Array.from({ length: UPSTREAMS }, () => upstream))
-    offloader = new ConnectionOffloader(systemClock, testHeaders, 'h2')
-    offloader.prepare([{ id: PEER, zone: asId<ZoneId>('east'), address: `127.0.0.1:${peersPort}`, isOutOfRotation: false, utilization: 0, revision: 1, acceptedPerSecond: 0 }], () => true)
-    while (!offloader.isLinked(PEER)) await wait(5)
-    front = createServer({ allowHalfOpen: true, noDelay: true }, socket => { if (!offloader.offload(socket, PEER, 0)) socket.destroy() })
-    await new Promise<void>(resolve => { front.listen(0, '127.0.0.1', resolve) })
-    frontPort = (front.address() as AddressInfo).port
+    peer = await startOffloadingPort(peersPort)
   })
 
   after(async () => {
-    offloader.close()
-    front.close()
+    peer.close()
     await gateway.close()
   })
 
@@ -265,7 +252,7 @@
       let broken = 0
       const callerArbitrary = fc.record({ plans: fc.array(planArbitrary, { minLength: 1, maxLength: 4 }), gapMs: fc.constantFrom(undefined, 0, 2), isSlow: fc.boolean() })
       await fc.assert(fc.asyncProperty(fc.array(callerArbitrary, { minLength: 6, maxLength: 6 }), async callers => {
-        const outcomes = await Promise.all(callers.map(async caller => await call({ ...caller, port: isOffloaded ? frontPort : gateway.callersPort })))
+        const outcomes = await Promise.all(callers.map(async caller => await call({ ...caller, port: isOffloaded ? peer.port : gateway.callersPort })))
         for (const outcome of outcomes) {
           complete += outcome.complete
           broken += outcome.broken
@@ -281,7 +268,7 @@
   for (const [title, act] of [['has ended its side', socket => { socket.end() }], ['sends what is no request', socket => { socket.write('\u0001\r\n\r\n') }]] as ReadonlyArray<readonly [string, (socket: Socket) => void]>) {
     for (const [where, isOffloaded] of [['a gateway', false], ['a peer that serves the connection', true]] as const) {
       it(`is not what a caller of ${where} gets that ${title} while a body without a length is in progress`, async () => {
-        expect(await endOf(isOffloaded ? frontPort : gateway.callersPort, act)).toEqual('reset')
+        expect(await endOf(isOffloaded ? peer.port : gateway.callersPort, act)).toEqual('reset')
       })
     }
   }
