Drop bytes behind a whole request that asks to close its connection, with each parser

What callers saw: since Node.js 20.19.2 (llhttp 9) such a request got 400 when the bytes came together with it, and its connection was reset when they came later, while it ran or while its response was in progress: also a request that runs at most once. Up to 20.19.1 (llhttp 8) it got its response.

Cause: llhttp 8 drops such bytes, llhttp 9 reports each read of them as HPE_CLOSED_CONNECTION, which was treated as a request that is none. It is a matter of the version, not of the architecture: 20.19.0 and 20.20.2, both on x86-64, differ.

Change: the error is passed over, so that the bytes are dropped; the response closes the connection, as it does in any case. Reading goes on, so that the gateway sees when its caller leaves.

--- a/packages/gateway/src/callers/callerServer.ts
+++ b/packages/gateway/src/callers/callerServer.ts
@@ -17,7 +17,7 @@
 import { nextPoll } from './nextPoll.js'
 import { OpenResponses } from './openResponses.js'
 import { readCallerBody } from './readBody.js'
-import { isWellFormed, parseRefusal } from './requestSyntax.js'
+import { BEHIND_LAST_REQUEST, isWellFormed, parseRefusal } from './requestSyntax.js'
 
 /** Header size limit of the HTTP parser; the configured, lower limit is checked afterwards. */
 const MAX_PARSED_HEADER_BYTES = 64 * 1024
@@ -270,8 +270,12 @@
     res.on('close', () => { this.#running.set(socket, (this.#running.get(socket) ?? 0) - 1) })
   }
 
-  /** Refuses what is no request, unless its connection has one in progress: the caller would take the refusal for the answer to that one. */
+  /**
+   * Refuses what is no request, unless its connection has one in progress: the caller would take the refusal for the answer to that one. Bytes
+   * behind the last request of a connection are dropped (RFC 9112, section 9.6), as a parser does that does not report them.
+   */
   #onClientError ({ code }: NodeJS.ErrnoException, socket: Duplex): void {
+    if (code === BEHIND_LAST_REQUEST) return
     if ((this.#running.get(socket) ?? 0) > 0) return this.#responses.breakOff(socket)
     if (socket.writable) socket.write(rawRefusal(this.ctx.headers, parseRefusal(code)))
     socket.destroy()
--- a/packages/gateway/src/callers/requestSyntax.ts
+++ b/packages/gateway/src/callers/requestSyntax.ts
@@ -9,6 +9,12 @@
 export const isWellFormed = ({ url, rawHeaders }: IncomingMessage): boolean =>
   TARGET.test(url ?? '') && rawHeaders.filter((name, at) => at % 2 === 0 && name.length === 4 && name.toLowerCase() === 'host').length <= 1
 
+/**
+ * Code of the parser's error for bytes behind a whole request that asks to close its connection. The parser of Node.js up to 20.19.1 (llhttp 8) drops
+ * them without a word, later ones (llhttp 9) report each read of them.
+ */
+export const BEHIND_LAST_REQUEST = 'HPE_CLOSED_CONNECTION'
+
 /** Refusal of bytes that are no complete request, by the code of the parser's error. */
 export const parseRefusal = (code: string | undefined): Refusal => {
   switch (code) {
