Write no refusal behind the end of the responses that a peer has sent

Cause: bytes that arrive once the response has begun count as a request that waits for its response. When the peer closed the connection or the link was lost, a refusal of them was written behind the end of the connection, and the failed write discarded what the caller had not received.

Change: nothing is refused once the peer has ended the responses.

--- a/packages/gateway/src/offload/offloadedCaller.spec.ts
+++ b/packages/gateway/src/offload/offloadedCaller.spec.ts
@@ -43,6 +43,37 @@
   }
 })
 
+/** Guards against a refusal of such bytes behind the response: the write behind the end discards what a slow caller has not received. */
+describe('a response that closes its connection', () => {
+  for (const [name, end] of [
+    ['the peer closes the connection', caller => { caller.receiveClose(true) }],
+    ['the link is lost', caller => { caller.fail() }]
+  ] as ReadonlyArray<readonly [string, (caller: OffloadedCaller) => void]>) {
+    it(`reaches a slow caller whole that has sent bytes behind its request when ${name}`, async () => {
+      const server = createServer({ allowHalfOpen: true }).listen(0, '127.0.0.1')
+      await once(server, 'listening')
+      const socket = connect((server.address() as AddressInfo).port, '127.0.0.1').pause()
+      let wasReset = false
+      socket.on('error', () => { wasReset = true })
+      const [accepted] = await once(server, 'connection') as [Socket]
+      const caller = serve(accepted, { encodeRetryAfter: () => [] } as unknown as HeaderPort)
+      const head = `HTTP/1.1 200 OK\r\ncontent-length: ${BODY.length}\r\nconnection: close\r\n\r\n`
+      caller.receive(Buffer.concat([Buffer.from(head), BODY]))
+      socket.write('behind')
+      await once(accepted, 'data')
+      caller.receiveEnd()
+      end(caller)
+      await new Promise(resolve => { setTimeout(resolve, 100) })
+      let received = 0
+      socket.on('data', (bytes: Buffer) => { received += bytes.length })
+      socket.resume()
+      await once(socket, 'close')
+      server.close()
+      expect([received, wasReset]).toEqual([head.length + BODY.length, false])
+    })
+  }
+})
+
 describe('a response to HEAD', () => {
   // Guards against a refusal that is written into the next response, whose begin would be taken for the body of this one.
   for (const [name, pieces] of [['in two reads', ['HE', 'AD /x HTTP/1.1\r\nHost: a\r\n\r\n']], ['with an absolute target', ['HEAD http://a/x HTTP/1.1\r\nHost: a\r\n\r\n']]] as const) {
--- a/packages/gateway/src/offload/offloadedCaller.ts
+++ b/packages/gateway/src/offload/offloadedCaller.ts
@@ -115,8 +115,9 @@
     else this.#socket.destroySoon()
   }
 
+  /** Bytes behind the end of the responses get none: a write there would discard what the caller has not received yet. */
   get #mayRefuse (): boolean {
-    return this.#awaitsResponse && this.#boundary.isBetween
+    return this.#awaitsResponse && this.#boundary.isBetween && !this.#hasEnded
   }
 
   /** True when an orderly close would declare a response complete that broke off. */
