Name the length of the body in repeatedRefusal.spec

Cause: `send` named a length of 2 for each body, also for those of 3 to 8 bytes (`t10`, `served0`).

Change: the length of the body. The checks are the same ones.

--- a/packages/gateway/src/requests/repeatedRefusal.spec.ts
+++ b/packages/gateway/src/requests/repeatedRefusal.spec.ts
@@ -20,7 +20,7 @@
 const statusOf = (response: string): number => Number(/^HTTP\/1\.1 (\d+)/.exec(response)?.[1])
 const idOf = (attempt: string): string => `try: ${attempt}\r\n`
 const send = async (gateway: GatewayUnderTest, path: string, attempt: string): Promise<string> =>
-  await gateway.sendRaw(`POST ${path} HTTP/1.1\r\nHost: a.example\r\nTry: ${attempt}\r\nConnection: close\r\nContent-Length: 2\r\n\r\n${attempt}`, 2500)
+  await gateway.sendRaw(`POST ${path} HTTP/1.1\r\nHost: a.example\r\nTry: ${attempt}\r\nConnection: close\r\nContent-Length: ${attempt.length}\r\n\r\n${attempt}`, 2500)
 
 /** Upstream that answers the first request on a connection, and runs further ones, each after it has written something of earlier once more. */
 class RepeatingUpstream {
