Check targets with bytes on which the parsers differ by both outcomes

Cause: "rejects a request that cannot be sent on, ..." asked for 200 for a target with the character 0xe9. llhttp 8 takes bytes above 127, llhttp 9 refuses them ("Invalid char in url path"). The test sent the character in UTF-8, so the byte 0xe9 itself was never tried, and it checked that a request arrives, not that its target is whole.

Change: the characters that both parsers take stay in that test, and now have to arrive whole. The byte 0xe9 and the character in UTF-8 have a test each: what the parser takes is found with a bare server; then the target is sent on whole with 200, and otherwise it gets 400 and nothing is sent.

--- a/packages/gateway/src/process/gateway.spec.ts
+++ b/packages/gateway/src/process/gateway.spec.ts
@@ -1,5 +1,6 @@
-import { get } from 'node:http'
-import { connect, createServer, type Server } from 'node:net'
+import { once } from 'node:events'
+import { createServer as createHttpServer, get } from 'node:http'
+import { type AddressInfo, connect, createServer, type Server } from 'node:net'
 import { describe, it } from 'node:test'
 import { setLogLevel } from '@fuchsiaworks/kernel'
 import { findPorts } from '@fuchsiaworks/standins'
@@ -9,7 +10,7 @@
 import { decodeOffloadFrames, encodeOffloadFrames } from '../offload/offloadCodec.js'
 import { OFFLOAD_PATH } from '../offload/offloadTypes.js'
 import { UNREACHABLE_AVOID_MS } from '../requests/upstreamFailure.js'
-import { type GatewayUnderTest, type Script, startUnderTest, startWithSettings } from './gatewayFixtures.js'
+import { exchangeRaw, type GatewayUnderTest, type Script, startUnderTest, startWithSettings } from './gatewayFixtures.js'
 
 setLogLevel('error')
 
@@ -40,6 +41,18 @@
 const statusOf = (response: string): number => Number(/^HTTP\/1\.1 (\d+)/.exec(response)?.[1])
 const pause = async (ms: number): Promise<void> => { await new Promise(resolve => { setTimeout(resolve, ms) }) }
 
+/** A request with each character of its target as one byte. */
+const requestOf = (target: string): Buffer => Buffer.from(`GET ${target} HTTP/1.1\r\nHost: a.example\r\nTry: t1\r\nConnection: close\r\n\r\n`, 'latin1')
+
+/** Whether the parser of this version of Node.js takes a request. */
+const parserTakes = async (request: Buffer): Promise<boolean> => {
+  const server = createHttpServer((_req, res) => { res.end() }).listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  const received = await exchangeRaw((server.address() as AddressInfo).port, request, 2500)
+  server.close()
+  return statusOf(received) === 200
+}
+
 describe('a gateway', () => {
   it('forwards the complete request and response, without hop-by-hop headers', async () => {
     await withGateway([respond], async gateway => {
@@ -142,16 +155,29 @@
     })
   })
 
-  it('rejects a request that cannot be sent on, without sending it', async () => {
+  it('rejects a request that cannot be sent on, without sending it, and sends one on whole whose target has characters that no URL has', async () => {
     await withGateway([respond], async gateway => {
       const headers = 'Try: t1\r\nConnection: close\r\n\r\n'
       expect(statusOf(await gateway.sendRaw(`GET /safe/a\tb HTTP/1.1\r\nHost: a.example\r\n${headers}`, 2500))).toEqual(400)
       expect(statusOf(await gateway.sendRaw(`GET /safe/x HTTP/1.1\r\nHost: a.example\r\nHost: a.example\r\n${headers}`, 2500))).toEqual(400)
-      expect(statusOf(await gateway.sendRaw(`GET /safe/%7f\xe9"{}|\\^ HTTP/1.1\r\nHost: a.example\r\n${headers}`, 2500))).toEqual(200)
-      expect(gateway.arrivals.length).toEqual(1)
+      expect(gateway.arrivals.length).toEqual(0)
+      const target = '/safe/%7f"{}|\\^'
+      expect(statusOf(await gateway.sendRaw(requestOf(target), 2500))).toEqual(200)
+      expect(gateway.arrivals.map(({ req }) => req.url)).toEqual([target])
     })
   })
 
+  // Versions of the parser differ: some take these bytes, others refuse them.
+  for (const [name, target] of [['a byte above 127', '/safe/%7f\xe9'], ['a character in UTF-8', '/safe/\xc3\xa9']] as const) {
+    it(`sends a target with ${name} on whole if the parser takes it, and otherwise rejects it without sending it`, async () => {
+      const isTaken = await parserTakes(requestOf(target))
+      await withGateway([respond], async gateway => {
+        const status = statusOf(await gateway.sendRaw(requestOf(target), 2500))
+        expect([status, gateway.arrivals.map(({ req }) => req.url)]).toEqual(isTaken ? [200, [target]] : [400, []])
+      })
+    })
+  }
+
   it('avoids an upstream no longer than any gateway does when a peer asks for more', async () => {
     const [port = 0] = await findPorts(1)
     const gateway = await startWithSettings({ peers: { host: '127.0.0.1', port } }, respond)
--- a/packages/gateway/src/process/gatewayFixtures.ts
+++ b/packages/gateway/src/process/gatewayFixtures.ts
@@ -116,8 +116,8 @@
   setAddress: (id: string, address: string) => void
   /** Lists an upstream again as a new process under the same id and address. */
   restartUpstream: (id: string) => void
-  /** Sends raw bytes over a new connection and returns what is received until it closes or nothing more arrives for `quietMs`. */
-  sendRaw: (bytes: string, quietMs?: Millis) => Promise<string>
+  /** As `exchangeRaw`, to the port for callers. */
+  sendRaw: (bytes: string | Buffer, quietMs?: Millis) => Promise<string>
   /** Sends raw bytes and half-closes the connection right after them. */
   sendAndDisconnect: (bytes: string) => Promise<void>
   /** Sends one request over a connection of its own and returns the raw response. */
@@ -143,7 +143,8 @@
   return { server, upstream: { id: asId<UpstreamId>(id), service: asId('plain'), address, zone: asId<ZoneId>('east'), version: undefined, slots: 8, isDraining: false, startedAt: 1, coldUntil: 0 } }
 }
 
-const exchangeRaw = async (port: number, bytes: string, quietMs: Millis): Promise<string> => await new Promise(resolve => {
+/** Sends raw bytes over a new connection and returns what is received until it closes or nothing more arrives for `quietMs`. */
+export const exchangeRaw = async (port: number, bytes: string | Buffer, quietMs: Millis): Promise<string> => await new Promise(resolve => {
   const socket = connect(port, '127.0.0.1')
   let received = ''
   const finish = (): void => {
@@ -258,7 +259,7 @@
       current = { ...view, upstreams: new Map() }
       viewChanges.emit(current)
     },
-    sendRaw: async (bytes: string, quietMs = 80) => await exchangeRaw(callers, bytes, quietMs),
+    sendRaw: async (bytes: string | Buffer, quietMs = 80) => await exchangeRaw(callers, bytes, quietMs),
     sendAndDisconnect: async (bytes: string) => {
       await new Promise<void>(resolve => {
         const socket = connect(callers, '127.0.0.1', () => { socket.end(bytes) })
